--- a/src/base/net.c
+++ b/src/base/net.c
@@ -165,6 +165,62 @@
   return descriptor;
 }
 
+int
+net_connect_start (struct net_address address)
+{
+  struct sockaddr_in where = to_socket_address (address);
+  int descriptor
+      = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  char text[NET_TEXT_SIZE];
+  int on = 1;
+
+  if (descriptor < 0)
+    {
+      err_set ("cannot open a socket: %s", strerror (errno));
+      return -1;
+    }
+  setsockopt (descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  if (connect (descriptor, (struct sockaddr *)&where, sizeof where) == 0
+      || errno == EINPROGRESS)
+    return descriptor;
+  net_format (address, text);
+  err_set ("cannot connect to %s: %s", text, strerror (errno));
+  close (descriptor);
+  return -1;
+}
+
+int
+net_connect_result (int socket)
+{
+  int error = 0;
+  socklen_t size = sizeof error;
+
+  if (getsockopt (socket, SOL_SOCKET, SO_ERROR, &error, &size) != 0)
+    return errno;
+  return error;
+}
+
+int
+net_accept (int listener)
+{
+  return accept4 (listener, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
+}
+
+void
+net_set_keepalive (int socket, int probes)
+{
+  int on = 1;
+  int second = 1;
+  int patience_ms = (probes + 1) * 1000;
+
+  setsockopt (socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (socket, IPPROTO_TCP, TCP_KEEPIDLE, &second, sizeof second);
+  setsockopt (socket, IPPROTO_TCP, TCP_KEEPINTVL, &second, sizeof second);
+  setsockopt (socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  setsockopt (socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &patience_ms,
+              sizeof patience_ms);
+}
+
 void
 net_send_datagram (int socket, struct net_address to, const void *data,
                    size_t length)
--- a/src/base/net.h
+++ b/src/base/net.h
@@ -43,6 +43,23 @@
      socket, or -1 with err_set.  */
   int net_connect (struct net_address address, clk_time deadline);
 
+  /* Starts a connect without waiting: the socket, which never blocks, becomes
+     writable when it is connected, and net_connect_result tells how that
+     ended.  Returns the socket, or -1 with err_set.  */
+  int net_connect_start (struct net_address address);
+
+  /* Returns 0 when a started connect succeeded, else its errno value.  */
+  int net_connect_result (int socket);
+
+  /* Accepts one connection as a socket that never blocks.  Returns it, or -1
+     with errno set.  */
+  int net_accept (int listener);
+
+  /* Makes the system probe an idle peer every second, so that a connection
+     whose peer has vanished without a word fails within PROBES + 1 seconds,
+     with or without unacknowledged data.  */
+  void net_set_keepalive (int socket, int probes);
+
   /* Sends one datagram; a failure counts as a lost datagram.  */
   void net_send_datagram (int socket, struct net_address to, const void *data,
                           size_t length);
--- a/src/cfg/cfg_load.c
+++ b/src/cfg/cfg_load.c
@@ -2,11 +2,13 @@
 
 #include "base/err.h"
 #include "base/file.h"
+#include "base/mem.h"
 #include "cfg/cfg_table.h"
 #include "toml/toml_report.h"
 
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Most settings of one table and most tables; see check_names.  */
@@ -15,8 +17,9 @@
 /* What is being loaded.  */
 struct loader
 {
+  const struct cfg_schema *schema;
   struct toml_report report;
-  struct cfg_settings settings;
+  char *settings; /* of the schema's size */
 };
 
 static void
@@ -50,6 +53,18 @@
                             setting->choices[i + 1] == NULL ? " or " : ", ",
                             setting->choices[i]);
       break;
+    case CFG_SECONDS:
+      snprintf (text, size, "write a number of seconds from %g to %g",
+                (double)setting->minimum / 1000,
+                (double)setting->maximum / 1000);
+      break;
+    case CFG_DECIMAL:
+      snprintf (text, size, "write a number from %" PRId64 " to %" PRId64,
+                setting->minimum, setting->maximum);
+      break;
+    case CFG_BOOLEAN:
+      snprintf (text, size, "write true or false");
+      break;
     default:
       snprintf (text, size,
                 "write a whole number from %" PRId64 " to %" PRId64 " (%s)",
@@ -100,7 +115,9 @@
 read_seeds (struct loader *loader, const struct cfg_setting *setting,
             const struct toml_node *value)
 {
-  struct cfg_settings *settings = &loader->settings;
+  struct net_address *seeds
+      = (struct net_address *)(loader->settings + setting->offset);
+  size_t *count = (size_t *)(loader->settings + setting->count_offset);
 
   if (!is_kind (loader, setting, value, TOML_ARRAY))
     return;
@@ -117,15 +134,14 @@
 
       if (!read_address (loader, setting, entry, &address))
         continue;
-      while (same < settings->seed_count
-             && !net_equal (settings->seeds[same], address))
+      while (same < *count && !net_equal (seeds[same], address))
         same++;
-      if (same < settings->seed_count)
+      if (same < *count)
         toml_add_fault (&loader->report, entry->line, entry->column,
                         "[mesh] seeds has the address %s twice; remove one",
                         entry->string);
       else
-        settings->seeds[settings->seed_count++] = address;
+        seeds[(*count)++] = address;
     }
 }
 
@@ -188,11 +204,41 @@
     memcpy (place, value->string, strlen (value->string) + 1);
 }
 
+/* Reads a number with or without a fraction.  LOWEST and HIGHEST bound it.  */
+static bool
+read_decimal (struct loader *loader, const struct cfg_setting *setting,
+              const struct toml_node *value, double lowest, double highest,
+              double *number)
+{
+  if (value->kind == TOML_INTEGER)
+    *number = (double)value->integer;
+  else if (is_kind (loader, setting, value, TOML_FLOAT))
+    *number = value->real;
+  else
+    return false;
+  if (*number >= lowest && *number <= highest)
+    return true;
+  report_value (loader, setting, value, "is out of range");
+  return false;
+}
+
+static void
+read_seconds (struct loader *loader, const struct cfg_setting *setting,
+              const struct toml_node *value, clk_time *place)
+{
+  double seconds;
+
+  if (read_decimal (loader, setting, value, (double)setting->minimum / 1000,
+                    (double)setting->maximum / 1000, &seconds))
+    *place = (clk_time)(seconds * (double)CLK_SECOND);
+}
+
 static void
 read_value (struct loader *loader, const struct cfg_setting *setting,
             const struct toml_node *value)
 {
-  void *place = (char *)&loader->settings + setting->offset;
+  void *place = loader->settings + setting->offset;
+  double number;
 
   switch (setting->kind)
     {
@@ -211,6 +257,18 @@
     case CFG_CHOICE:
       read_choice (loader, setting, value, place);
       break;
+    case CFG_SECONDS:
+      read_seconds (loader, setting, value, place);
+      break;
+    case CFG_DECIMAL:
+      if (read_decimal (loader, setting, value, (double)setting->minimum,
+                        (double)setting->maximum, &number))
+        *(double *)place = number;
+      break;
+    case CFG_BOOLEAN:
+      if (is_kind (loader, setting, value, TOML_BOOLEAN))
+        *(bool *)place = value->boolean;
+      break;
     default:
       if (!is_kind (loader, setting, value, TOML_INTEGER))
         break;
@@ -264,21 +322,23 @@
 static void
 check_names (struct loader *loader, const struct toml_node *root)
 {
+  const struct cfg_setting *settings = loader->schema->settings;
   const char *tables[MAX_NAMES];
   size_t table_count = 0;
 
-  for (size_t i = 0; i < cfg_table_count;)
+  for (size_t i = 0; i < loader->schema->count;)
     {
-      const char *name = cfg_table[i].table;
+      const char *name = settings[i].table;
       const struct toml_node *table = toml_get (root, name);
       const char *keys[MAX_NAMES];
       char where[32];
       size_t count = 0;
 
       tables[table_count++] = name;
-      for (; i < cfg_table_count && strcmp (cfg_table[i].table, name) == 0;
+      for (;
+           i < loader->schema->count && strcmp (settings[i].table, name) == 0;
            i++)
-        keys[count++] = cfg_table[i].key;
+        keys[count++] = settings[i].key;
       snprintf (where, sizeof where, "[%s]", name);
       if (table != NULL && table->kind == TOML_TABLE)
         toml_check_keys (&loader->report, table, where, keys, count);
@@ -291,67 +351,57 @@
   toml_check_keys (&loader->report, root, "the file", tables, table_count);
 }
 
-/* Reports addresses that are used twice, and a mesh address that other nodes
-   cannot reach.  */
-static void
-check_addresses (struct loader *loader, const struct toml_node *root)
-{
-  const struct cfg_settings *settings = &loader->settings;
-  const struct toml_node *table = toml_get (root, "listen");
-  const struct toml_node *mesh
-      = table != NULL ? toml_get (table, "mesh") : NULL;
-
-  /* The port is 0 while an address is missing or faulty.  */
-  if (mesh == NULL || settings->mesh.port == 0)
-    return;
-  if (settings->mesh.ip == 0)
-    toml_add_fault (&loader->report, mesh->line, mesh->column,
-                    "[listen] mesh is 0.0.0.0, to which other nodes cannot "
-                    "connect; write this VM's own address");
-  if (net_equal (settings->mesh, settings->http)
-      || net_equal (settings->mesh, settings->admin)
-      || (settings->http.port != 0
-          && net_equal (settings->http, settings->admin)))
-    toml_add_fault (&loader->report, table->line, table->column,
-                    "[listen] has the same address twice among http, mesh and "
-                    "admin; give each its own port");
-}
-
 enum cfg_status
-cfg_parse (const char *name, const char *text, size_t length,
-           struct cfg_settings *settings, struct buf *report)
+cfg_read (const struct cfg_schema *schema, const char *name, const char *text,
+          size_t length, void *settings, struct buf *report)
 {
-  struct loader loader = { .report = { .name = name } };
+  struct loader loader = { .schema = schema, .report = { .name = name } };
   struct toml_node *root = toml_parse_all (text, length, &loader.report);
   size_t faults;
 
+  loader.settings = mem_alloc (1, schema->size);
   if (root != NULL)
     {
       check_names (&loader, root);
-      for (size_t i = 0; i < cfg_table_count; i++)
-        load_setting (&loader, &cfg_table[i], root);
-      check_addresses (&loader, root);
+      for (size_t i = 0; i < schema->count; i++)
+        load_setting (&loader, &schema->settings[i], root);
+      if (schema->check != NULL)
+        schema->check (&loader.report, root, loader.settings);
       toml_destroy (root);
     }
   faults = loader.report.length;
   toml_flush (&loader.report, report);
-  if (faults > 0)
-    {
-      err_set ("%s has %zu fault%s", name, faults, faults == 1 ? "" : "s");
-      return CFG_INVALID;
-    }
-  *settings = loader.settings;
-  return CFG_OK;
+  if (faults == 0)
+    memcpy (settings, loader.settings, schema->size);
+  else
+    err_set ("%s has %zu fault%s", name, faults, faults == 1 ? "" : "s");
+  free (loader.settings);
+  return faults == 0 ? CFG_OK : CFG_INVALID;
 }
 
 enum cfg_status
-cfg_load (const char *file, struct cfg_settings *settings, struct buf *report)
+cfg_read_file (const struct cfg_schema *schema, const char *file,
+               void *settings, struct buf *report)
 {
   struct buf text = { 0 };
   enum cfg_status status = CFG_UNREADABLE;
 
   if (file_read (file, &text))
-    status = cfg_parse (file, buf_text (&text), text.length, settings, report);
+    status = cfg_read (schema, file, buf_text (&text), text.length, settings,
+                       report);
   buf_close (&text);
   return status;
 }
+
+enum cfg_status
+cfg_parse (const char *name, const char *text, size_t length,
+           struct cfg_settings *settings, struct buf *report)
+{
+  return cfg_read (&cfg_node_schema, name, text, length, settings, report);
+}
+
+enum cfg_status
+cfg_load (const char *file, struct cfg_settings *settings, struct buf *report)
+{
+  return cfg_read_file (&cfg_node_schema, file, settings, report);
+}
--- a/src/cfg/cfg_print.c
+++ b/src/cfg/cfg_print.c
@@ -6,10 +6,24 @@
 #include <string.h>
 
 static void
-print_value (const struct cfg_setting *setting,
-             const struct cfg_settings *settings, struct buf *output)
+print_seeds (const struct net_address *seeds, size_t count, struct buf *output)
 {
-  const void *place = (const char *)settings + setting->offset;
+  char address[NET_TEXT_SIZE];
+
+  buf_printf (output, "[");
+  for (size_t i = 0; i < count; i++)
+    {
+      net_format (seeds[i], address);
+      buf_printf (output, "%s\"%s\"", i > 0 ? ", " : "", address);
+    }
+  buf_printf (output, "]");
+}
+
+static void
+print_value (const struct cfg_setting *setting, const char *settings,
+             struct buf *output)
+{
+  const void *place = settings + setting->offset;
   char address[NET_TEXT_SIZE];
 
   switch (setting->kind)
@@ -23,13 +37,18 @@
       buf_printf (output, "\"%s\"", address);
       break;
     case CFG_SEEDS:
-      buf_printf (output, "[");
-      for (size_t i = 0; i < settings->seed_count; i++)
-        {
-          net_format (settings->seeds[i], address);
-          buf_printf (output, "%s\"%s\"", i > 0 ? ", " : "", address);
-        }
-      buf_printf (output, "]");
+      print_seeds (place, *(const size_t *)(settings + setting->count_offset),
+                   output);
+      break;
+    case CFG_SECONDS:
+      buf_printf (output, "%g",
+                  (double)*(const clk_time *)place / (double)CLK_SECOND);
+      break;
+    case CFG_DECIMAL:
+      buf_printf (output, "%g", *(const double *)place);
+      break;
+    case CFG_BOOLEAN:
+      buf_printf (output, *(const bool *)place ? "true" : "false");
       break;
     case CFG_CHOICE:
       buf_printf (output, "\"%s\"", setting->choices[*(const int64_t *)place]);
@@ -64,28 +83,44 @@
         buf_printf (output, "%s\"%s\"", i > 0 ? ", " : "",
                     setting->choices[i]);
       break;
+    case CFG_SECONDS:
+      buf_printf (output, "%g to %g", (double)setting->minimum / 1000,
+                  (double)setting->maximum / 1000);
+      break;
+    case CFG_BOOLEAN:
+      buf_printf (output, "true or false");
+      break;
     default:
       buf_printf (output, "%" PRId64 " to %" PRId64, setting->minimum,
                   setting->maximum);
     }
 }
 
+static const char *
+unit_of (const struct cfg_setting *setting)
+{
+  if (setting->kind == CFG_SECONDS)
+    return "s";
+  return setting->unit;
+}
+
 void
-cfg_print (const struct cfg_settings *settings, struct buf *output)
+cfg_print_schema (const struct cfg_schema *schema, const void *settings,
+                  struct buf *output)
 {
   const char *table = "";
 
-  for (size_t i = 0; i < cfg_table_count; i++)
+  for (size_t i = 0; i < schema->count; i++)
     {
-      const struct cfg_setting *setting = &cfg_table[i];
+      const struct cfg_setting *setting = &schema->settings[i];
 
       if (strcmp (table, setting->table) != 0)
         buf_printf (output, "%s[%s]\n", i > 0 ? "\n" : "", setting->table);
       table = setting->table;
       buf_printf (output, "# %s; ", setting->help);
       print_range (setting, output);
-      if (setting->unit != NULL)
-        buf_printf (output, " %s", setting->unit);
+      if (unit_of (setting) != NULL)
+        buf_printf (output, " %s", unit_of (setting));
       buf_printf (output, "; default: %s\n%s = ",
                   setting->fallback != NULL ? setting->fallback : "none",
                   setting->key);
@@ -95,28 +130,40 @@
 }
 
 void
-cfg_reference (struct buf *output)
+cfg_print (const struct cfg_settings *settings, struct buf *output)
 {
-  buf_printf (output,
-              "# Settings\n\n"
-              "A node reads its settings from one TOML file at its start: "
-              "`mulberryshift node --settings FILE`. The option "
-              "`--print-settings` prints those in effect. The table is "
-              "generated from the program.\n\n"
-              "| setting | meaning | values | unit | default |\n"
-              "| --- | --- | --- | --- | --- |\n");
-  for (size_t i = 0; i < cfg_table_count; i++)
+  cfg_print_schema (&cfg_node_schema, settings, output);
+}
+
+void
+cfg_reference_schema (const struct cfg_schema *schema, struct buf *output)
+{
+  buf_printf (output, "| setting | meaning | values | unit | default |\n"
+                      "| --- | --- | --- | --- | --- |\n");
+  for (size_t i = 0; i < schema->count; i++)
     {
-      const struct cfg_setting *setting = &cfg_table[i];
+      const struct cfg_setting *setting = &schema->settings[i];
 
       buf_printf (output, "| `%s.%s` | %s | ", setting->table, setting->key,
                   setting->help);
       print_range (setting, output);
       buf_printf (output, " | %s | ",
-                  setting->unit != NULL ? setting->unit : "-");
+                  unit_of (setting) != NULL ? unit_of (setting) : "-");
       if (setting->fallback != NULL)
         buf_printf (output, "`%s` |\n", setting->fallback);
       else
         buf_printf (output, "must be given |\n");
     }
 }
+
+void
+cfg_reference (struct buf *output)
+{
+  buf_printf (output,
+              "# Settings\n\n"
+              "A node reads its settings from one TOML file at its start: "
+              "`mulberryshift node --settings FILE`. The option "
+              "`--print-settings` prints those in effect. The table is "
+              "generated from the program.\n\n");
+  cfg_reference_schema (&cfg_node_schema, output);
+}
--- a/src/cfg/cfg_table.c
+++ b/src/cfg/cfg_table.c
@@ -4,7 +4,7 @@
 
 #define PLACE(member) offsetof (struct cfg_settings, member)
 
-const struct cfg_setting cfg_table[] = {
+static const struct cfg_setting table[] = {
   { .table = "node",
     .key = "name",
     .kind = CFG_NAME,
@@ -100,6 +100,7 @@
     .key = "seeds",
     .kind = CFG_SEEDS,
     .offset = PLACE (seeds),
+    .count_offset = PLACE (seed_count),
     .fallback = "[]",
     .help = "mesh addresses of a few other nodes" },
   { .table = "mesh",
@@ -130,4 +131,33 @@
     .choices = { "debug", "info", "warning", "error" } },
 };
 
-const size_t cfg_table_count = sizeof cfg_table / sizeof *cfg_table;
+/* Reports addresses that are used twice, and a mesh address that other nodes
+   cannot reach.  */
+static void
+check_addresses (struct toml_report *report, const struct toml_node *root,
+                 const void *context)
+{
+  const struct cfg_settings *settings = context;
+  const struct toml_node *listen = toml_get (root, "listen");
+  const struct toml_node *mesh
+      = listen != NULL ? toml_get (listen, "mesh") : NULL;
+
+  /* The port is 0 while an address is missing or faulty.  */
+  if (mesh == NULL || settings->mesh.port == 0)
+    return;
+  if (settings->mesh.ip == 0)
+    toml_add_fault (report, mesh->line, mesh->column,
+                    "[listen] mesh is 0.0.0.0, to which other nodes cannot "
+                    "connect; write this VM's own address");
+  if (net_equal (settings->mesh, settings->http)
+      || net_equal (settings->mesh, settings->admin)
+      || (settings->http.port != 0
+          && net_equal (settings->http, settings->admin)))
+    toml_add_fault (report, listen->line, listen->column,
+                    "[listen] has the same address twice among http, mesh and "
+                    "admin; give each its own port");
+}
+
+const struct cfg_schema cfg_node_schema
+    = { table, sizeof table / sizeof *table, sizeof (struct cfg_settings),
+        check_addresses };
--- /dev/null
+++ b/src/chn/chn.c
@@ -0,0 +1,319 @@
+/* Channel between two nodes.  */
+
+#include "chn/chn.h"
+
+#include "base/mem.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Bytes read at once.  */
+#define READ_SIZE (64u * 1024u)
+
+/* A silent peer is noticed after this many probes, one a second.  */
+#define KEEPALIVE_PROBES 2
+
+/* Input kept without a frame in it is released above this capacity, so that
+   one large frame does not hold memory for good.  */
+#define SMALL_INPUT 4096u
+
+enum chn_state
+{
+  CHN_CONNECTING,
+  CHN_OPEN,
+  CHN_FAILED,
+  CHN_CLOSED /* freed at the end of the round */
+};
+
+struct chn
+{
+  struct evl *loop;
+  int descriptor;
+  struct evl_socket socket;
+  struct evl_task flush;
+  struct evl_task later; /* reports the end, or frees */
+  enum chn_state state;
+  const struct chn_handlers *handlers;
+  void *context;
+  void *data;
+  struct buf input; /* the start of a frame */
+  struct buf output;
+  size_t sent;
+  clk_time last_heard;
+};
+
+static void
+watch (struct chn *channel)
+{
+  int events = EVL_READ;
+
+  if (channel->state == CHN_CONNECTING)
+    events = EVL_WRITE;
+  else if (channel->sent < channel->output.length)
+    events |= EVL_WRITE;
+  evl_socket_watch (&channel->socket, events);
+}
+
+static void
+fail (struct chn *channel)
+{
+  if (channel->state == CHN_FAILED || channel->state == CHN_CLOSED)
+    return;
+  channel->state = CHN_FAILED;
+  evl_socket_watch (&channel->socket, 0);
+  evl_task_stop (&channel->flush);
+  evl_task_add (&channel->later);
+}
+
+static void
+on_later (void *context)
+{
+  struct chn *channel = context;
+
+  if (channel->state == CHN_FAILED)
+    {
+      channel->handlers->closed (channel->context, channel);
+      return;
+    }
+  buf_close (&channel->input);
+  buf_close (&channel->output);
+  free (channel);
+}
+
+static void
+flush (void *context)
+{
+  struct chn *channel = context;
+
+  while (channel->sent < channel->output.length)
+    {
+      ssize_t count
+          = send (channel->descriptor, channel->output.data + channel->sent,
+                  channel->output.length - channel->sent, MSG_NOSIGNAL);
+
+      if (count >= 0)
+        channel->sent += (size_t)count;
+      else if (errno == EAGAIN || errno == EWOULDBLOCK)
+        break;
+      else if (errno != EINTR)
+        {
+          fail (channel);
+          return;
+        }
+    }
+  if (channel->sent == channel->output.length)
+    {
+      buf_close (&channel->output);
+      channel->sent = 0;
+    }
+  watch (channel);
+}
+
+/* Returns the payload's length, and whether a header is there.  */
+static bool
+read_length (const uint8_t *data, size_t length, size_t *payload)
+{
+  if (length < FRM_HEADER_LENGTH)
+    return false;
+  *payload = (size_t)data[0] << 24 | (size_t)data[1] << 16
+             | (size_t)data[2] << 8 | data[3];
+  return true;
+}
+
+/* Hands over the whole frames at DATA.  Returns the bytes used.  */
+static size_t
+take_frames (struct chn *channel, const uint8_t *data, size_t length)
+{
+  size_t at = 0;
+  size_t payload;
+
+  while (channel->state == CHN_OPEN
+         && read_length (data + at, length - at, &payload))
+    {
+      Mesh__Frame *frame;
+
+      if (payload > FRM_MAX_LENGTH)
+        {
+          fail (channel);
+          break;
+        }
+      if (length - at - FRM_HEADER_LENGTH < payload)
+        break;
+      if (frm_decode (data + at + FRM_HEADER_LENGTH, payload, &frame)
+          != FRM_OK)
+        {
+          fail (channel);
+          break;
+        }
+      at += FRM_HEADER_LENGTH + payload;
+      if (!channel->handlers->frame (channel->context, channel, frame))
+        frm_free (frame);
+    }
+  return at;
+}
+
+static void
+take_input (struct chn *channel, const uint8_t *data, size_t length)
+{
+  struct buf *input = &channel->input;
+  size_t used;
+
+  if (input->length == 0)
+    {
+      used = take_frames (channel, data, length);
+      if (channel->state == CHN_OPEN && used < length)
+        buf_append (input, data + used, length - used);
+      return;
+    }
+  buf_append (input, data, length);
+  used = take_frames (channel, input->data, input->length);
+  memmove (input->data, input->data + used, input->length - used);
+  input->length -= used;
+  if (input->length == 0 && input->capacity > SMALL_INPUT)
+    buf_close (input);
+}
+
+static void
+read_socket (struct chn *channel)
+{
+  static uint8_t data[READ_SIZE];
+  ssize_t count = recv (channel->descriptor, data, sizeof data, 0);
+
+  if (count > 0)
+    {
+      channel->last_heard = evl_now (channel->loop);
+      take_input (channel, data, (size_t)count);
+    }
+  else if (count == 0
+           || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR))
+    fail (channel);
+}
+
+static void
+on_socket (void *context, int events)
+{
+  struct chn *channel = context;
+
+  if (channel->state == CHN_CONNECTING)
+    {
+      if (net_connect_result (channel->descriptor) != 0)
+        {
+          fail (channel);
+          return;
+        }
+      channel->state = CHN_OPEN;
+      channel->last_heard = evl_now (channel->loop);
+      flush (channel);
+      if (channel->state == CHN_OPEN && channel->handlers->opened != NULL)
+        channel->handlers->opened (channel->context, channel);
+      return;
+    }
+  if ((events & EVL_WRITE) != 0)
+    flush (channel);
+  if ((events & EVL_READ) != 0 && channel->state == CHN_OPEN)
+    read_socket (channel);
+}
+
+static struct chn *
+create (struct evl *loop, int descriptor, const struct chn_handlers *handlers,
+        void *context)
+{
+  struct chn *channel = mem_alloc (1, sizeof *channel);
+
+  channel->loop = loop;
+  channel->descriptor = descriptor;
+  channel->handlers = handlers;
+  channel->context = context;
+  channel->last_heard = evl_now (loop);
+  evl_task_init (&channel->flush, loop, flush, channel);
+  evl_task_init (&channel->later, loop, on_later, channel);
+  evl_socket_init (&channel->socket, loop, descriptor, on_socket, channel);
+  return channel;
+}
+
+struct chn *
+chn_connect (struct evl *loop, struct net_address address,
+             const struct chn_handlers *handlers, void *context)
+{
+  int descriptor = net_connect_start (address);
+  struct chn *channel = create (loop, descriptor, handlers, context);
+
+  if (descriptor < 0)
+    {
+      fail (channel);
+      return channel;
+    }
+  net_set_keepalive (descriptor, KEEPALIVE_PROBES);
+  watch (channel);
+  return channel;
+}
+
+struct chn *
+chn_accept (struct evl *loop, int descriptor,
+            const struct chn_handlers *handlers, void *context)
+{
+  struct chn *channel = create (loop, descriptor, handlers, context);
+
+  channel->state = CHN_OPEN;
+  net_set_keepalive (descriptor, KEEPALIVE_PROBES);
+  watch (channel);
+  return channel;
+}
+
+void
+chn_close (struct chn *channel)
+{
+  if (channel == NULL || channel->state == CHN_CLOSED)
+    return;
+  evl_socket_watch (&channel->socket, 0);
+  evl_task_stop (&channel->flush);
+  if (channel->descriptor >= 0)
+    close (channel->descriptor);
+  channel->state = CHN_CLOSED;
+  evl_task_add (&channel->later);
+}
+
+bool
+chn_send (struct chn *channel, const Mesh__Frame *frame)
+{
+  if (channel->state != CHN_CONNECTING && channel->state != CHN_OPEN)
+    return true;
+  if (frm_encode (frame, &channel->output) != FRM_OK)
+    return false;
+  if (channel->state == CHN_OPEN)
+    evl_task_add (&channel->flush);
+  return true;
+}
+
+bool
+chn_is_open (const struct chn *channel)
+{
+  return channel->state == CHN_OPEN;
+}
+
+size_t
+chn_backlog (const struct chn *channel)
+{
+  return channel->output.length - channel->sent;
+}
+
+clk_time
+chn_last_heard (const struct chn *channel)
+{
+  return channel->last_heard;
+}
+
+void
+chn_set_data (struct chn *channel, void *data)
+{
+  channel->data = data;
+}
+
+void *
+chn_data (const struct chn *channel)
+{
+  return channel->data;
+}
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -29,10 +29,16 @@
     enum cli_exit (*run) (int count, char **arguments);
   };
 
+  struct ptf_platform;
+
+  /* Tells which platform the command "sidecar" speaks to.  */
+  void cli_use_platform (const struct ptf_platform *platform);
+
   /* Runs the command named by ARGUMENTS[1].  Returns the exit code.  */
   int cli_run (int count, char **arguments);
 
   enum cli_exit cli_node (int count, char **arguments);
+  enum cli_exit cli_sidecar (int count, char **arguments);
   enum cli_exit cli_check (int count, char **arguments);
   enum cli_exit cli_apply (int count, char **arguments);
   enum cli_exit cli_promote (int count, char **arguments);
--- a/src/cli/cli_args.c
+++ b/src/cli/cli_args.c
@@ -2,6 +2,8 @@
 
 #include "cli/cli_args.h"
 
+#include "base/err.h"
+
 #include <stdio.h>
 
 bool
@@ -27,3 +29,15 @@
   *exit = CLI_BAD_INPUT;
   return false;
 }
+
+void
+cli_report_settings (enum cfg_status status, const struct buf *report,
+                     const char *what)
+{
+  if (status == CFG_UNREADABLE)
+    fprintf (stderr, "%s; check the name of the settings file.\n",
+             err_last ());
+  else
+    fprintf (stderr, "%sThe %s was not started: %s.\n", buf_text (report),
+             what, err_last ());
+}
--- a/src/cli/cli_args.h
+++ b/src/cli/cli_args.h
@@ -5,6 +5,9 @@
 
 #include "cli/cli.h"
 
+#include "base/buf.h"
+#include "cfg/cfg.h"
+
 #include <argtable2.h>
 #include <stdbool.h>
 
@@ -21,6 +24,10 @@
                   struct arg_lit *help, struct arg_end *end,
                   const char *explanation, enum cli_exit *exit);
 
+  /* Prints why settings were not loaded.  WHAT was therefore not started.  */
+  void cli_report_settings (enum cfg_status status, const struct buf *report,
+                            const char *what);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/cli/cli_node.c
+++ b/src/cli/cli_node.c
@@ -24,12 +24,7 @@
 
   if (status != CFG_OK)
     {
-      if (status == CFG_UNREADABLE)
-        fprintf (stderr, "%s; check the name of the settings file.\n",
-                 err_last ());
-      else
-        fprintf (stderr, "%sThe node was not started: %s.\n",
-                 buf_text (&report), err_last ());
+      cli_report_settings (status, &report, "node");
       buf_close (&report);
       return CLI_BAD_INPUT;
     }
--- a/src/cli/cli_run.c
+++ b/src/cli/cli_run.c
@@ -7,6 +7,7 @@
 
 static const struct cli_command commands[] = {
   { "node", "run a node", cli_node },
+  { "sidecar", "run a node on the users' platform", cli_sidecar },
   { "check", "check a document without the platform", cli_check },
   { "apply", "write a document to an environment", cli_apply },
   { "promote", "write one environment's document to another", cli_promote },
--- /dev/null
+++ b/src/cnx/cnx.c
@@ -0,0 +1,298 @@
+/* HTTP/1.1 client connection.  */
+
+#include "cnx/cnx.h"
+
+#include "base/mem.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Bytes read at once.  */
+#define READ_SIZE (64u * 1024u)
+
+enum cnx_state
+{
+  CNX_CONNECTING,
+  CNX_OPEN,
+  CNX_FAILED,
+  CNX_CLOSED /* freed at the end of the round */
+};
+
+struct cnx
+{
+  struct evl *loop;
+  int descriptor;
+  struct evl_socket socket;
+  struct evl_task later; /* reports a failure, or frees */
+  enum cnx_state state;
+  const struct cnx_handlers *handlers;
+  void *context;
+  void *data;
+  struct htp_reader reader;
+  struct buf output;
+  size_t sent;
+  bool waiting; /* a request was sent and has no response */
+  bool kept;
+  enum cnx_failure failure;
+};
+
+static void
+watch (struct cnx *connection)
+{
+  int events = EVL_READ;
+
+  if (connection->state == CNX_CONNECTING)
+    events = EVL_WRITE;
+  else if (connection->waiting && connection->sent < connection->output.length)
+    events |= EVL_WRITE;
+  evl_socket_watch (&connection->socket, events);
+}
+
+static void
+fail (struct cnx *connection, enum cnx_failure failure)
+{
+  if (connection->state == CNX_FAILED || connection->state == CNX_CLOSED)
+    return;
+  connection->state = CNX_FAILED;
+  connection->failure = failure;
+  evl_socket_watch (&connection->socket, 0);
+  evl_task_add (&connection->later);
+}
+
+/* Reports a failure outside the call that noticed it; frees a closed
+   connection.  */
+static void
+on_later (void *context)
+{
+  struct cnx *connection = context;
+
+  if (connection->state == CNX_FAILED)
+    {
+      connection->handlers->failed (connection->context, connection,
+                                    connection->failure);
+      return;
+    }
+  htp_reader_close (&connection->reader);
+  buf_close (&connection->output);
+  free (connection);
+}
+
+static void
+flush (struct cnx *connection)
+{
+  while (connection->sent < connection->output.length)
+    {
+      ssize_t count = send (
+          connection->descriptor, connection->output.data + connection->sent,
+          connection->output.length - connection->sent, MSG_NOSIGNAL);
+
+      if (count >= 0)
+        connection->sent += (size_t)count;
+      else if (errno == EAGAIN || errno == EWOULDBLOCK)
+        break;
+      else if (errno != EINTR)
+        {
+          fail (connection, connection->sent > 0 ? CNX_LOST : CNX_REFUSED);
+          return;
+        }
+    }
+  watch (connection);
+}
+
+/* Ends the exchange whose response is in the reader.  The handler may send
+   the next request on this connection.  */
+static void
+end_exchange (struct cnx *connection)
+{
+  struct buf request = connection->output;
+  size_t sent = connection->sent;
+  struct htp_message message;
+
+  connection->kept
+      = connection->reader.message.keep_alive && sent == request.length;
+  htp_take (&connection->reader, &message);
+  buf_init (&connection->output);
+  connection->sent = 0;
+  connection->waiting = false;
+  if (connection->handlers->response (connection->context, connection,
+                                      &message))
+    buf_close (&request);
+  else
+    {
+      /* A response to an earlier request leaves doubt about what follows, so
+         the connection is not used again.  */
+      connection->output = request;
+      connection->sent = sent;
+      connection->waiting = true;
+      connection->kept = false;
+    }
+  htp_message_close (&message);
+}
+
+static void
+take_input (struct cnx *connection, const uint8_t *data, size_t length)
+{
+  while (length > 0 && connection->state == CNX_OPEN)
+    {
+      enum htp_status status;
+      size_t used;
+
+      if (!connection->waiting)
+        {
+          fail (connection, CNX_IDLE_LOST);
+          return;
+        }
+      status = htp_read (&connection->reader, data, length, &used);
+      data += used;
+      length -= used;
+      if (status == HTP_MESSAGE)
+        end_exchange (connection);
+      else if (status != HTP_MORE)
+        fail (connection, CNX_GARBLED);
+    }
+}
+
+/* The peer has closed its direction in order.  */
+static void
+take_end (struct cnx *connection)
+{
+  bool partial = connection->reader.started;
+
+  if (!connection->waiting)
+    fail (connection, CNX_IDLE_LOST);
+  else if (htp_end (&connection->reader) == HTP_MESSAGE)
+    {
+      end_exchange (connection);
+      fail (connection, connection->waiting ? CNX_LOST : CNX_IDLE_LOST);
+    }
+  else
+    fail (connection, partial ? CNX_GARBLED : CNX_LOST);
+}
+
+static void
+read_socket (struct cnx *connection)
+{
+  static uint8_t data[READ_SIZE];
+  ssize_t count = recv (connection->descriptor, data, sizeof data, 0);
+
+  if (count > 0)
+    take_input (connection, data, (size_t)count);
+  else if (count == 0)
+    take_end (connection);
+  else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+    fail (connection, connection->waiting ? CNX_LOST : CNX_IDLE_LOST);
+}
+
+static void
+on_socket (void *context, int events)
+{
+  struct cnx *connection = context;
+
+  if (connection->state == CNX_CONNECTING)
+    {
+      if (net_connect_result (connection->descriptor) != 0)
+        {
+          fail (connection, CNX_REFUSED);
+          return;
+        }
+      connection->state = CNX_OPEN;
+      flush (connection);
+      return;
+    }
+  if ((events & EVL_WRITE) != 0)
+    flush (connection);
+  if ((events & EVL_READ) != 0 && connection->state == CNX_OPEN)
+    read_socket (connection);
+}
+
+struct cnx *
+cnx_open (struct evl *loop, struct net_address address,
+          const struct cnx_handlers *handlers, void *context,
+          const struct htp_limits *limits)
+{
+  struct cnx *connection = mem_alloc (1, sizeof *connection);
+
+  connection->loop = loop;
+  connection->handlers = handlers;
+  connection->context = context;
+  connection->kept = true;
+  htp_reader_init (&connection->reader, HTP_RESPONSE, limits);
+  evl_task_init (&connection->later, loop, on_later, connection);
+  connection->descriptor = net_connect_start (address);
+  evl_socket_init (&connection->socket, loop, connection->descriptor,
+                   on_socket, connection);
+  if (connection->descriptor < 0)
+    fail (connection, CNX_REFUSED);
+  else
+    watch (connection);
+  return connection;
+}
+
+void
+cnx_close (struct cnx *connection)
+{
+  if (connection == NULL || connection->state == CNX_CLOSED)
+    return;
+  evl_socket_watch (&connection->socket, 0);
+  if (connection->descriptor >= 0)
+    close (connection->descriptor);
+  connection->state = CNX_CLOSED;
+  evl_task_add (&connection->later);
+}
+
+struct buf *
+cnx_request (struct cnx *connection)
+{
+  return &connection->output;
+}
+
+void
+cnx_send (struct cnx *connection, bool head)
+{
+  connection->waiting = true;
+  connection->sent = 0;
+  connection->reader.without_body = head;
+  if (connection->state == CNX_OPEN)
+    flush (connection);
+}
+
+bool
+cnx_is_idle (const struct cnx *connection)
+{
+  return !connection->waiting
+         && (connection->state == CNX_OPEN
+             || connection->state == CNX_CONNECTING);
+}
+
+bool
+cnx_has_sent (const struct cnx *connection)
+{
+  return connection->waiting && connection->sent > 0;
+}
+
+bool
+cnx_is_kept (const struct cnx *connection)
+{
+  return connection->kept && connection->state == CNX_OPEN;
+}
+
+void
+cnx_set_keepalive (struct cnx *connection, int probes)
+{
+  if (connection->descriptor >= 0)
+    net_set_keepalive (connection->descriptor, probes);
+}
+
+void
+cnx_set_data (struct cnx *connection, void *data)
+{
+  connection->data = data;
+}
+
+void *
+cnx_data (const struct cnx *connection)
+{
+  return connection->data;
+}
--- /dev/null
+++ b/src/dir/dir.c
@@ -0,0 +1,142 @@
+/* Directory of nodes.  */
+
+#include "dir/dir.h"
+
+#include "base/mem.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* First allocation, in nodes.  */
+#define FIRST_CAPACITY 16
+
+struct dir_slot
+{
+  struct mbr_member member;
+  bool used;
+};
+
+struct dir
+{
+  struct dir_slot *slots;
+  dir_handle end;
+  dir_handle capacity;
+  size_t count;
+  uint64_t version;
+};
+
+struct dir *
+dir_create (void)
+{
+  return mem_alloc (1, sizeof (struct dir));
+}
+
+void
+dir_destroy (struct dir *directory)
+{
+  if (directory == NULL)
+    return;
+  free (directory->slots);
+  free (directory);
+}
+
+/* Returns whether RECORD is newer than KNOWN, of the same node.  */
+static bool
+is_newer (const struct mbr_member *record, const struct mbr_member *known)
+{
+  if (record->incarnation != known->incarnation)
+    return record->incarnation > known->incarnation;
+  return record->sequence > known->sequence;
+}
+
+/* Returns a free slot, DIR_NONE when there is no room.  */
+static dir_handle
+take_slot (struct dir *directory)
+{
+  for (dir_handle i = 0; i < directory->end; i++)
+    if (!directory->slots[i].used)
+      return i;
+  if (directory->end == DIR_MAX_NODES)
+    return DIR_NONE;
+  if (directory->end == directory->capacity)
+    {
+      directory->capacity = directory->capacity == 0 ? FIRST_CAPACITY
+                                                     : 2 * directory->capacity;
+      directory->slots = mem_resize (directory->slots, directory->capacity,
+                                     sizeof *directory->slots);
+    }
+  return directory->end++;
+}
+
+enum dir_change
+dir_merge (struct dir *directory, const struct mbr_member *member,
+           dir_handle *handle)
+{
+  dir_handle at = dir_find (directory, member->name);
+  enum dir_change change = DIR_CHANGED;
+
+  if (at == DIR_NONE)
+    {
+      at = take_slot (directory);
+      if (at == DIR_NONE)
+        return DIR_FULL;
+      directory->count++;
+      change = DIR_NEW;
+    }
+  else if (mbr_member_equal (&directory->slots[at].member, member))
+    change = DIR_SAME;
+  else if (!is_newer (member, &directory->slots[at].member))
+    change = DIR_OLDER;
+  *handle = at;
+  if (change == DIR_SAME || change == DIR_OLDER)
+    return change;
+  directory->slots[at] = (struct dir_slot){ .member = *member, .used = true };
+  directory->version++;
+  return change;
+}
+
+void
+dir_remove (struct dir *directory, dir_handle handle)
+{
+  if (dir_get (directory, handle) == NULL)
+    return;
+  directory->slots[handle].used = false;
+  directory->count--;
+  directory->version++;
+}
+
+dir_handle
+dir_find (const struct dir *directory, const char *name)
+{
+  for (dir_handle i = 0; i < directory->end; i++)
+    if (directory->slots[i].used
+        && strcmp (directory->slots[i].member.name, name) == 0)
+      return i;
+  return DIR_NONE;
+}
+
+const struct mbr_member *
+dir_get (const struct dir *directory, dir_handle handle)
+{
+  if (handle >= directory->end || !directory->slots[handle].used)
+    return NULL;
+  return &directory->slots[handle].member;
+}
+
+dir_handle
+dir_end (const struct dir *directory)
+{
+  return directory->end;
+}
+
+size_t
+dir_count (const struct dir *directory)
+{
+  return directory->count;
+}
+
+uint64_t
+dir_version (const struct dir *directory)
+{
+  return directory->version;
+}
--- /dev/null
+++ b/src/dir/dir_json.c
@@ -0,0 +1,82 @@
+/* Records of nodes as content of objects in the store.  */
+
+#include "base/err.h"
+#include "dir/dir.h"
+
+#include <string.h>
+
+json_t *
+dir_to_json (const struct mbr_member *member)
+{
+  char address[NET_TEXT_SIZE];
+
+  net_format (member->address, address);
+  return json_pack (
+      "{s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:i, s:I, s:b, s:i}", "node",
+      member->name, "data_centre", member->data_centre, "region",
+      member->region, "address", address, "service", member->service,
+      "upstream", member->upstream, "incarnation",
+      (json_int_t)member->incarnation, "sequence",
+      (json_int_t)member->sequence, "slots", (int)member->slots,
+      "upstream_born", (json_int_t)member->upstream_born, "upstream_leaving",
+      (int)member->upstream_leaving, "platform_distance_ms",
+      (int)member->platform_distance);
+}
+
+static bool
+copy_name (const char *from, bool optional, char to[MBR_NAME_SIZE])
+{
+  size_t length = strlen (from);
+
+  if (length >= MBR_NAME_SIZE || (length == 0 && !optional))
+    return false;
+  memcpy (to, from, length + 1);
+  return true;
+}
+
+bool
+dir_from_json (const json_t *content, struct mbr_member *member)
+{
+  const char *name;
+  const char *data_centre;
+  const char *region;
+  const char *address;
+  const char *service;
+  const char *upstream;
+  json_int_t incarnation;
+  json_int_t sequence;
+  json_int_t born;
+  int slots;
+  int leaving;
+  int distance;
+
+  memset (member, 0, sizeof *member);
+  if (json_unpack ((json_t *)content,
+                   "{s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:i, s:I, s:b, "
+                   "s:i}",
+                   "node", &name, "data_centre", &data_centre, "region",
+                   &region, "address", &address, "service", &service,
+                   "upstream", &upstream, "incarnation", &incarnation,
+                   "sequence", &sequence, "slots", &slots, "upstream_born",
+                   &born, "upstream_leaving", &leaving, "platform_distance_ms",
+                   &distance)
+          != 0
+      || !copy_name (name, false, member->name)
+      || !copy_name (data_centre, false, member->data_centre)
+      || !copy_name (region, false, member->region)
+      || !copy_name (service, true, member->service)
+      || !copy_name (upstream, true, member->upstream)
+      || !net_parse (address, &member->address) || incarnation < 0
+      || sequence < 0 || born < 0 || slots < 0 || distance < 0)
+    {
+      err_set ("a node's record has a field that is missing or not valid");
+      return false;
+    }
+  member->incarnation = (uint64_t)incarnation;
+  member->sequence = (uint64_t)sequence;
+  member->upstream_born = (uint64_t)born;
+  member->slots = (uint32_t)slots;
+  member->upstream_leaving = leaving != 0;
+  member->platform_distance = (uint32_t)distance;
+  return true;
+}
--- a/src/doc/doc.h
+++ b/src/doc/doc.h
@@ -73,6 +73,23 @@
     DOC_OPTIONS = 64
   };
 
+  /* Part of a route's requests that goes to one service.  */
+  struct doc_share
+  {
+    uint32_t service; /* index into services */
+    uint32_t weight;  /* relative to the other shares of the route */
+  };
+
+  /* What callers may send and how long they may take; 0 where the document
+     does not say.  */
+  struct doc_caller_limits
+  {
+    uint64_t header_bytes; /* start line and header fields */
+    uint64_t body_bytes;
+    uint32_t header_ms; /* for a request's header to arrive */
+    uint32_t idle_ms;   /* that a connection may stay without a request */
+  };
+
   struct doc_service
   {
     char *name;
@@ -91,7 +108,14 @@
     uint32_t service; /* index into services */
     enum doc_class call_class;
     uint32_t deadline_ms;
-    unsigned line; /* where it starts in the text */
+    struct doc_share *shares; /* services by weight; none: SERVICE alone */
+    size_t share_count;
+    uint32_t target_ms;    /* latency within which an answer is on time; 0:
+                              the deadline */
+    uint32_t max_attempts; /* upstreams that one call may be sent to; 0: the
+                              program's limit */
+    uint32_t priority;     /* rank under load; 0 is the highest */
+    unsigned line;         /* where it starts in the text */
   };
 
   struct doc_tenant
@@ -109,6 +133,7 @@
     size_t route_count;
     struct doc_tenant *tenants;
     size_t tenant_count;
+    struct doc_caller_limits caller_limits;
     /* Classes by preference under load, the most important first.  */
     enum doc_class preference[DOC_CLASS_COUNT];
   };
--- a/src/doc/doc_document.c
+++ b/src/doc/doc_document.c
@@ -80,6 +80,7 @@
     {
       free (document->routes[i].host);
       free (document->routes[i].path);
+      free (document->routes[i].shares);
     }
   for (size_t i = 0; i < document->tenant_count; i++)
     free (document->tenants[i].name);
--- /dev/null
+++ b/src/fwd/fwd.c
@@ -0,0 +1,232 @@
+/* Requests from callers, and their answers.  */
+
+#include "fwd/fwd.h"
+
+#include "base/log.h"
+#include "base/mem.h"
+#include "fwd/fwd_internal.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A caller that names no time of its own waits this long.  */
+#define DEFAULT_PATIENCE (60 * CLK_SECOND)
+
+/* Callers that come before there is a configuration are asked to come back
+   after this time.  */
+#define UNREADY_RETRY (500 * CLK_MILLISECOND)
+
+struct fwd *
+fwd_create (const struct fwd_parts *parts)
+{
+  struct fwd *forwarder = mem_alloc (1, sizeof *forwarder);
+
+  forwarder->parts = *parts;
+  forwarder->budget = bud_create ();
+  forwarder->next_number = 1;
+  rnd_init (&forwarder->random, rnd_system_seed ());
+  return forwarder;
+}
+
+void
+fwd_free_call (struct fwd_call *call)
+{
+  *call->place = call->next;
+  if (call->next != NULL)
+    call->next->place = call->place;
+  call->forwarder->call_count--;
+  evl_timer_stop (&call->timer);
+  htp_message_close (&call->message);
+  snp_release (call->snapshot);
+  frm_free (call->frame);
+  free (call);
+}
+
+void
+fwd_destroy (struct fwd *forwarder)
+{
+  if (forwarder == NULL)
+    return;
+  while (forwarder->calls != NULL)
+    fwd_free_call (forwarder->calls);
+  snp_release (forwarder->snapshot);
+  bud_destroy (forwarder->budget);
+  free (forwarder->share_points);
+  free (forwarder->peers);
+  free (forwarder);
+}
+
+/* Appends the status line and what every answer of this node has.  */
+static struct buf *
+start_answer (struct fwd_call *call, unsigned status)
+{
+  struct buf *output = srv_answer (call->connection, status);
+
+  if (call->id != NULL)
+    htp_put_header (output,
+                    call->forwarder->parts.platform->headers[PTF_CALL_ID],
+                    call->id);
+  return output;
+}
+
+void
+fwd_fail (struct fwd_call *call, unsigned status, const char *reason,
+          clk_time retry_after)
+{
+  struct srv_connection *connection = call->connection;
+  struct buf *output = start_answer (call, status);
+  char text[32];
+
+  fwd_cancel (call);
+  htp_put_header (output, "Content-Type", "text/plain");
+  if (retry_after > 0)
+    {
+      snprintf (text, sizeof text, "%.3f",
+                (double)retry_after / (double)CLK_SECOND);
+      htp_put_header (output, "Retry-After", text);
+    }
+  fwd_free_call (call);
+  srv_finish (connection, reason, strlen (reason));
+}
+
+void
+fwd_answer (struct fwd_call *call, const Mesh__Answer *answer)
+{
+  struct srv_connection *connection = call->connection;
+  struct buf *output = srv_answer (connection, answer->status);
+
+  for (size_t i = 0; i < answer->n_headers; i++)
+    htp_put_header (output, answer->headers[i]->name,
+                    answer->headers[i]->value);
+  call->number = 0;
+  srv_finish (connection, answer->body.data, answer->body.len);
+  fwd_free_call (call);
+}
+
+/* The route's time, or the caller's, is over.  */
+static void
+on_deadline (void *context)
+{
+  struct fwd_call *call = context;
+
+  if (call->may_have_run || call->number != 0)
+    fwd_fail (call, 504, "no answer in time\n", 0);
+  else
+    fwd_fail (call, 503, "not run: no upstream in time\n", 0);
+}
+
+/* Returns the time that the caller waits, in ns.  */
+static clk_time
+read_patience (const struct fwd *forwarder, const struct htp_message *message)
+{
+  const char *value = htp_find (
+      message, forwarder->parts.platform->headers[PTF_REMAINING_MS]);
+  double ms = value != NULL ? strtod (value, NULL) : 0;
+
+  if (!(ms > 0) || ms > 1e9)
+    return DEFAULT_PATIENCE;
+  return (clk_time)(ms * (double)CLK_MILLISECOND);
+}
+
+static struct fwd_call *
+start_call (struct fwd *forwarder, struct srv_connection *connection,
+            struct htp_message *message)
+{
+  struct fwd_call *call = mem_alloc (1, sizeof *call);
+
+  call->forwarder = forwarder;
+  call->connection = connection;
+  call->message = *message;
+  *message = (struct htp_message){ 0 };
+  call->id = htp_find (&call->message,
+                       forwarder->parts.platform->headers[PTF_CALL_ID]);
+  call->arrival = evl_now (forwarder->parts.loop);
+  call->deadline = call->arrival + read_patience (forwarder, &call->message);
+  call->target = call->deadline;
+  call->next = forwarder->calls;
+  call->place = &forwarder->calls;
+  if (call->next != NULL)
+    call->next->place = &call->next;
+  forwarder->calls = call;
+  forwarder->call_count++;
+  evl_timer_init (&call->timer, forwarder->parts.loop, on_deadline, call);
+  srv_set_data (connection, call);
+  return call;
+}
+
+/* Limits the call to the time that its route allows.  */
+static void
+apply_route (struct fwd_call *call)
+{
+  const struct doc_route *route = call->route;
+  clk_time limit
+      = call->arrival + (clk_time)route->deadline_ms * CLK_MILLISECOND;
+  clk_time target
+      = call->arrival + (clk_time)route->target_ms * CLK_MILLISECOND;
+
+  if (limit < call->deadline)
+    call->deadline = limit;
+  call->target = call->deadline;
+  if (route->target_ms > 0 && target < call->target)
+    call->target = target;
+  evl_timer_set (&call->timer, call->deadline);
+}
+
+static void
+on_request (void *context, struct srv_connection *connection,
+            struct htp_message *message)
+{
+  struct fwd *forwarder = context;
+  struct fwd_call *call = start_call (forwarder, connection, message);
+
+  if (forwarder->snapshot == NULL)
+    {
+      fwd_fail (call, 503, "not run: no configuration yet\n", UNREADY_RETRY);
+      return;
+    }
+  call->snapshot = snp_retain (forwarder->snapshot);
+  if (!fwd_find_route (call))
+    {
+      fwd_fail (call, 404, "no route\n", 0);
+      return;
+    }
+  apply_route (call);
+  bud_count (forwarder->budget, call->service, &forwarder->parts.budget,
+             call->arrival);
+  fwd_place (call);
+}
+
+static void
+on_gone (void *context, struct srv_connection *connection)
+{
+  struct fwd_call *call = srv_data (connection);
+
+  (void)context;
+  if (call == NULL)
+    return;
+  fwd_cancel (call);
+  fwd_free_call (call);
+}
+
+const struct srv_handlers fwd_handlers = { on_request, on_gone };
+
+void
+fwd_set_snapshot (struct fwd *forwarder, struct snp_snapshot *snapshot)
+{
+  size_t count = snapshot->document->route_count;
+
+  snp_release (forwarder->snapshot);
+  forwarder->snapshot = snp_retain (snapshot);
+  free (forwarder->share_points);
+  forwarder->share_points = mem_alloc (count, sizeof (double));
+  for (size_t i = 0; i < count; i++)
+    forwarder->share_points[i] = rnd_unit (&forwarder->random);
+}
+
+size_t
+fwd_in_progress (const struct fwd *forwarder)
+{
+  return forwarder->call_count;
+}
--- /dev/null
+++ b/src/fwd/fwd.h
@@ -0,0 +1,65 @@
+/* Forwarding: takes a caller's request at its own node, finds its route,
+   places it on a node with an upstream of the service, tries again where that
+   is allowed, and answers.  Every request gets exactly one answer, at the
+   latest when its route's time is over.  */
+
+#ifndef MULBERRYSHIFT_FWD_FWD_H
+#define MULBERRYSHIFT_FWD_FWD_H
+
+#include "bud/bud.h"
+#include "dir/dir.h"
+#include "evl/evl.h"
+#include "hub/hub.h"
+#include "ptf/ptf.h"
+#include "snp/snp.h"
+#include "srv/srv.h"
+
+#include <stddef.h>
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  struct fwd;
+
+  struct fwd_parts
+  {
+    struct evl *loop;
+    const struct ptf_platform *platform;
+    const struct dir *directory;
+    dir_handle self;
+    struct hub *hub;
+    const char *service;      /* of the VM; requests begin on behalf of it */
+    struct bud_limits budget; /* NODES is kept up to date by fwd */
+  };
+
+  /* Creates a forwarder without a configuration: it refuses everything.  */
+  struct fwd *fwd_create (const struct fwd_parts *parts);
+
+  /* Drops all calls without answers.  Null is allowed.  */
+  void fwd_destroy (struct fwd *forwarder);
+
+  /* Handlers for the server that callers connect to; CONTEXT is the
+     forwarder.  */
+  extern const struct srv_handlers fwd_handlers;
+
+  /* Uses SNAPSHOT for the requests that follow; takes a reference.  */
+  void fwd_set_snapshot (struct fwd *forwarder, struct snp_snapshot *snapshot);
+
+  /* Takes an answer, or a part of its body, from PEER.  Returns true when it
+     keeps FRAME.  */
+  bool fwd_take_reply (struct fwd *forwarder, dir_handle peer,
+                       Mesh__Frame *frame);
+
+  /* No more answers come on LINK.  */
+  void fwd_link_lost (struct fwd *forwarder, dir_handle peer, uint64_t link);
+
+  /* Returns the requests without an answer.  */
+  size_t fwd_in_progress (const struct fwd *forwarder);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/fwd/fwd_internal.h
@@ -0,0 +1,96 @@
+/* State of the forwarder.  Used inside this module.  */
+
+#ifndef MULBERRYSHIFT_FWD_FWD_INTERNAL_H
+#define MULBERRYSHIFT_FWD_FWD_INTERNAL_H
+
+#include "fwd/fwd.h"
+#include "gat/gat.h"
+#include "out/out.h"
+#include "plc/plc.h"
+
+/* Nodes that a call has been sent to at most.  */
+#define FWD_MAX_TRIED 16
+
+/* What answers have told of a peer's upstream.  */
+struct fwd_peer
+{
+  uint32_t running;
+  uint32_t waiting;
+  uint32_t slots;
+  clk_time service; /* ns */
+  double failed;
+  uint32_t sent;  /* calls sent there since the last answer */
+  clk_time heard; /* of the last answer; 0: none */
+};
+
+/* One request of a caller.  */
+struct fwd_call
+{
+  struct fwd *forwarder;
+  struct fwd_call *next;
+  struct fwd_call **place; /* that points to this call */
+  struct srv_connection *connection;
+  struct htp_message message;
+  struct snp_snapshot *snapshot;
+  const struct doc_route *route;
+  const char *service;
+  const char *id; /* the caller's; null: none */
+  clk_time arrival;
+  clk_time target;   /* an answer by then is on time */
+  clk_time deadline; /* the last moment for an answer */
+  struct evl_timer timer;
+  dir_handle tried[FWD_MAX_TRIED];
+  unsigned tried_count;
+  unsigned runs;            /* upstreams that were sent the call */
+  bool may_have_run;        /* one of them has not said that it did not */
+  uint32_t number;          /* of the try under way; 0: none */
+  dir_handle peer;          /* of the try under way */
+  uint64_t link;            /* of the try under way */
+  clk_time shortest_wait;   /* that a busy gate expected; 0: none said */
+  enum gat_refusal refusal; /* of the last try */
+  Mesh__Answer *answer;     /* its body is not complete; owned by FRAME */
+  Mesh__Frame *frame;
+};
+
+struct fwd
+{
+  struct fwd_parts parts;
+  struct snp_snapshot *snapshot;
+  struct fwd_call *calls;
+  size_t call_count;
+  uint32_t next_number;
+  struct fwd_peer *peers;
+  dir_handle peer_count;
+  struct bud *budget;
+  struct rnd random;
+  double *share_points; /* of each route with shares; see fwd_route.c */
+};
+
+/* Returns what is known of PEER.  */
+struct fwd_peer *fwd_peer (struct fwd *forwarder, dir_handle peer);
+
+/* Sets the route and the service of a call.  Returns false when no route
+   matches.  */
+bool fwd_find_route (struct fwd_call *call);
+
+/* Places the call on a node and sends it, or answers that it was not run.  */
+void fwd_place (struct fwd_call *call);
+
+/* Sends the call to PEER.  Returns false when that is not possible now.  */
+bool fwd_send (struct fwd_call *call, dir_handle peer, clk_time max_wait);
+
+/* Stops the try under way, if there is one.  */
+void fwd_cancel (struct fwd_call *call);
+
+/* Answers with a status of this node's own and frees the call.  RETRY_AFTER is
+   0 or a time in ns after which the caller may come back.  */
+void fwd_fail (struct fwd_call *call, unsigned status, const char *reason,
+               clk_time retry_after);
+
+/* Passes an upstream's answer on and frees the call.  */
+void fwd_answer (struct fwd_call *call, const Mesh__Answer *answer);
+
+/* Frees a call.  */
+void fwd_free_call (struct fwd_call *call);
+
+#endif
--- /dev/null
+++ b/src/fwd/fwd_send.c
@@ -0,0 +1,131 @@
+/* Sends calls to gates.  */
+
+#include "fwd/fwd_internal.h"
+
+#include <stdio.h>
+#include <strings.h>
+
+/* Longest part of a body in one frame, in bytes.  */
+#define PART_SIZE (128u * 1024u)
+
+/* Returns whether the system sets this header field itself.  */
+static bool
+is_own_header (const struct fwd *forwarder, const char *name)
+{
+  const char *const *names = forwarder->parts.platform->headers;
+
+  return strcasecmp (name, names[PTF_REMAINING_MS]) == 0
+         || strcasecmp (name, names[PTF_TARGET]) == 0
+         || strcasecmp (name, names[PTF_CALLER_SERVICE]) == 0;
+}
+
+static void
+add_header (Mesh__Call *message, Mesh__Header *header, const char *name,
+            const char *value)
+{
+  mesh__header__init (header);
+  header->name = (char *)name;
+  header->value = (char *)value;
+  message->headers[message->n_headers++] = header;
+}
+
+/* Sends the parts of a body after the first.  */
+static void
+send_parts (struct fwd_call *call, Mesh__CallId *id)
+{
+  struct fwd *forwarder = call->forwarder;
+  const struct buf *body = &call->message.body;
+  Mesh__BodyPart part = MESH__BODY_PART__INIT;
+  Mesh__Frame frame = MESH__FRAME__INIT;
+
+  frame.body_case = MESH__FRAME__BODY_CALL_BODY;
+  frame.call_body = &part;
+  part.id = id;
+  for (size_t at = PART_SIZE; at < body->length; at += PART_SIZE)
+    {
+      part.data.data = body->data + at;
+      part.data.len
+          = body->length - at < PART_SIZE ? body->length - at : PART_SIZE;
+      part.more = at + part.data.len < body->length;
+      hub_send_on (forwarder->parts.hub, call->link, &frame);
+    }
+}
+
+static uint32_t
+left_us (clk_time deadline, clk_time now)
+{
+  clk_time left = (deadline - now) / CLK_MICROSECOND;
+
+  if (left < 0)
+    return 0;
+  return left > UINT32_MAX ? UINT32_MAX : (uint32_t)left;
+}
+
+bool
+fwd_send (struct fwd_call *call, dir_handle peer, clk_time max_wait)
+{
+  struct fwd *forwarder = call->forwarder;
+  const struct htp_message *request = &call->message;
+  clk_time now = evl_now (forwarder->parts.loop);
+  Mesh__Header headers[HTP_MAX_HEADERS + 1];
+  Mesh__Header *pointers[HTP_MAX_HEADERS + 1];
+  Mesh__CallId id = MESH__CALL_ID__INIT;
+  Mesh__Call message = MESH__CALL__INIT;
+  Mesh__Frame frame = MESH__FRAME__INIT;
+
+  id.number = forwarder->next_number;
+  message.id = &id;
+  message.method = (char *)htp_method (request);
+  message.target = (char *)htp_target (request);
+  message.headers = pointers;
+  for (unsigned i = 0; i < request->header_count; i++)
+    if (!htp_is_hop_by_hop (htp_name (request, i))
+        && !is_own_header (forwarder, htp_name (request, i)))
+      add_header (&message, &headers[message.n_headers], htp_name (request, i),
+                  htp_value (request, i));
+  add_header (&message, &headers[message.n_headers],
+              forwarder->parts.platform->headers[PTF_CALLER_SERVICE],
+              forwarder->parts.service);
+  message.remaining_us = left_us (call->deadline, now);
+  message.target_us = left_us (call->target, now);
+  message.max_wait_us = (uint32_t)(max_wait / CLK_MICROSECOND);
+  message.priority = call->route->priority;
+  message.repeat = call->runs > 0;
+  message.service = (char *)call->service;
+  message.config_version = call->snapshot->stamp.version;
+  message.body.data = request->body.data;
+  message.body.len
+      = request->body.length < PART_SIZE ? request->body.length : PART_SIZE;
+  message.more = request->body.length > PART_SIZE;
+  frame.body_case = MESH__FRAME__BODY_CALL;
+  frame.call = &message;
+  if (hub_send (forwarder->parts.hub, peer, &frame, 1, &call->link) != HUB_OK)
+    return false;
+  call->number = forwarder->next_number++;
+  if (forwarder->next_number == 0)
+    forwarder->next_number = 1;
+  call->peer = peer;
+  fwd_peer (forwarder, peer)->sent++;
+  if (message.more)
+    send_parts (call, &id);
+  return true;
+}
+
+void
+fwd_cancel (struct fwd_call *call)
+{
+  struct fwd *forwarder = call->forwarder;
+  Mesh__CallId id = MESH__CALL_ID__INIT;
+  Mesh__Cancel cancel = MESH__CANCEL__INIT;
+  Mesh__Frame frame = MESH__FRAME__INIT;
+
+  if (call->number == 0)
+    return;
+  id.number = call->number;
+  cancel.id = &id;
+  frame.body_case = MESH__FRAME__BODY_CANCEL;
+  frame.cancel = &cancel;
+  call->number = 0;
+  hub_send_on (forwarder->parts.hub, call->link, &frame);
+  hub_settle (forwarder->parts.hub, call->link);
+}
--- /dev/null
+++ b/src/gat/gat.c
@@ -0,0 +1,365 @@
+/* Admission of calls at the gate.  */
+
+#include "gat/gat.h"
+
+#include "base/log.h"
+#include "base/mem.h"
+#include "gat/gat_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* How long the upstream keeps an idle connection as long as it has not said;
+   most servers keep one for longer.  */
+#define DEFAULT_KEEP_TIME (4 * CLK_SECOND)
+
+static void on_expiry (void *context);
+
+struct gat *
+gat_create (struct evl *loop, const struct ptf_platform *platform,
+            const struct reg *registration, const struct gat_hooks *hooks)
+{
+  struct gat *gate = mem_alloc (1, sizeof *gate);
+
+  gate->loop = loop;
+  gate->platform = platform;
+  gate->registration = registration;
+  gate->hooks = *hooks;
+  gate->keep_time = DEFAULT_KEEP_TIME;
+  evl_timer_init (&gate->expiry, loop, on_expiry, gate);
+  return gate;
+}
+
+static void
+free_call (struct gat_call *call)
+{
+  struct gat *gate = call->gate;
+
+  if (call->state == GAT_RUNNING)
+    gate->running--;
+  else if (call->state == GAT_WAITING)
+    que_remove (&gate->queue, call);
+  gate->call_count--;
+  *call->place = call->next;
+  if (call->next != NULL)
+    call->next->place = call->place;
+  evl_timer_stop (&call->timer);
+  frm_free (call->frame);
+  free (call);
+}
+
+void
+gat_destroy (struct gat *gate)
+{
+  if (gate == NULL)
+    return;
+  while (gate->calls != NULL)
+    {
+      cnx_close (gate->calls->connection);
+      free_call (gate->calls);
+    }
+  gat_close_idle (gate);
+  evl_timer_stop (&gate->expiry);
+  free (gate);
+}
+
+/* Plans the next look at calls that have waited too long.  */
+static void
+plan_expiry (struct gat *gate)
+{
+  evl_timer_set (&gate->expiry, que_wake (&gate->queue, gate->service));
+}
+
+void
+gat_end_call (struct gat_call *call)
+{
+  struct gat *gate = call->gate;
+
+  free_call (call);
+  gat_next (gate);
+}
+
+/* Returns why a call of SERVICE for UPSTREAM ("": any) cannot run here.  */
+static enum gat_refusal
+check_upstream (const struct gat *gate, const Mesh__Call *call)
+{
+  const struct reg *registration = gate->registration;
+
+  if (gate->stopping)
+    return GAT_STOPPING;
+  if (registration->state == REG_NONE
+      || strcmp (registration->upstream.service, call->service) != 0)
+    return GAT_NO_UPSTREAM;
+  if (registration->state == REG_LEAVING)
+    return GAT_LEAVING;
+  if (registration->state == REG_SILENT)
+    return GAT_UNREACHABLE;
+  return GAT_NONE;
+}
+
+void
+gat_next (struct gat *gate)
+{
+  const struct reg *registration = gate->registration;
+
+  while (registration->state == REG_READY
+         && gate->running < registration->upstream.slots)
+    {
+      struct gat_call *call
+          = que_pop (&gate->queue, evl_now (gate->loop), gate->service);
+
+      if (call == NULL)
+        break;
+      call->state = GAT_RECEIVING;
+      gat_run (call);
+    }
+  plan_expiry (gate);
+}
+
+/* Returns the expected wait of a call that would be queued now, in ns.  */
+static clk_time
+expect_wait (const struct gat *gate, const struct que_item *item)
+{
+  uint32_t slots = gate->registration->upstream.slots;
+  size_t ahead;
+
+  if (gate->running < slots)
+    return 0;
+  ahead = que_ahead (&gate->queue, item, evl_now (gate->loop), gate->service);
+  return gate->service * (clk_time)(ahead + 1) / slots;
+}
+
+static void
+on_expiry (void *context)
+{
+  struct gat *gate = context;
+  struct gat_call *call;
+
+  while (
+      (call = que_expire (&gate->queue, evl_now (gate->loop), gate->service))
+      != NULL)
+    {
+      call->state = GAT_RECEIVING;
+      gat_refuse (call, GAT_TOO_LATE);
+    }
+  plan_expiry (gate);
+}
+
+/* Runs, queues or refuses a call whose body is complete.  */
+static void
+admit (struct gat_call *call)
+{
+  struct gat *gate = call->gate;
+  const Mesh__Call *message = call->frame->call;
+  struct que_item item = { call, message->priority, call->arrival,
+                           call->target, call->deadline };
+  enum gat_refusal refusal = check_upstream (gate, message);
+  clk_time wait;
+
+  if (refusal != GAT_NONE)
+    {
+      gat_refuse (call, refusal);
+      return;
+    }
+  wait = expect_wait (gate, &item);
+  if (wait == 0)
+    {
+      gat_run (call);
+      return;
+    }
+  if (wait > message->max_wait_us * CLK_MICROSECOND
+      || call->arrival + wait + gate->service > call->deadline
+      || !que_push (&gate->queue, &item))
+    {
+      gat_refuse (call, GAT_BUSY);
+      return;
+    }
+  call->state = GAT_WAITING;
+  plan_expiry (gate);
+}
+
+static struct gat_call *
+find_call (const struct gat *gate, const struct hub_origin *origin,
+           const Mesh__CallId *id)
+{
+  struct gat_call *call = gate->calls;
+
+  while (call != NULL
+         && (call->origin != origin || id == NULL
+             || call->frame->call->id->number != id->number))
+    call = call->next;
+  return call;
+}
+
+static void
+start_call (struct gat *gate, struct hub_origin *origin, Mesh__Frame *frame)
+{
+  Mesh__Call *message = frame->call;
+  struct gat_call *call;
+  clk_time now = evl_now (gate->loop);
+
+  if (message->id == NULL)
+    {
+      log_write (LOG_WARNING, "gat", "a call without a number was dropped");
+      frm_free (frame);
+      return;
+    }
+  call = mem_alloc (1, sizeof *call);
+  call->gate = gate;
+  call->origin = origin;
+  call->frame = frame;
+  call->id = frm_find_header (message->headers, message->n_headers,
+                              gate->platform->headers[PTF_CALL_ID]);
+  call->state = GAT_RECEIVING;
+  call->arrival = now;
+  call->target = now + (clk_time)message->target_us * CLK_MICROSECOND;
+  call->deadline = now + (clk_time)message->remaining_us * CLK_MICROSECOND;
+  call->next = gate->calls;
+  call->place = &gate->calls;
+  if (call->next != NULL)
+    call->next->place = &call->next;
+  gate->calls = call;
+  gate->call_count++;
+  evl_timer_init (&call->timer, gate->loop, NULL, call);
+  if (!message->more)
+    admit (call);
+}
+
+/* Adds a part of a body that came in several frames.  */
+static void
+add_body (struct gat *gate, const struct hub_origin *origin,
+          const Mesh__BodyPart *part)
+{
+  struct gat_call *call = find_call (gate, origin, part->id);
+  Mesh__Call *message;
+
+  if (call == NULL || call->state != GAT_RECEIVING)
+    return;
+  message = call->frame->call;
+  message->body.data
+      = mem_resize (message->body.data, message->body.len + part->data.len, 1);
+  if (part->data.len > 0)
+    memcpy (message->body.data + message->body.len, part->data.data,
+            part->data.len);
+  message->body.len += part->data.len;
+  if (!part->more)
+    admit (call);
+}
+
+static void
+cancel (struct gat_call *call)
+{
+  cnx_close (call->connection);
+  gat_end_call (call);
+}
+
+void
+gat_take (struct gat *gate, struct hub_origin *origin, Mesh__Frame *frame)
+{
+  struct gat_call *call;
+
+  if (frame->body_case == MESH__FRAME__BODY_CALL)
+    {
+      start_call (gate, origin, frame);
+      return;
+    }
+  if (frame->body_case == MESH__FRAME__BODY_CALL_BODY)
+    add_body (gate, origin, frame->call_body);
+  else if (frame->body_case == MESH__FRAME__BODY_CANCEL)
+    {
+      call = find_call (gate, origin, frame->cancel->id);
+      if (call != NULL)
+        cancel (call);
+    }
+  frm_free (frame);
+}
+
+void
+gat_drop_origin (struct gat *gate, const struct hub_origin *origin)
+{
+  struct gat_call *call = gate->calls;
+
+  while (call != NULL)
+    {
+      struct gat_call *next = call->next;
+
+      if (call->origin == origin)
+        {
+          cnx_close (call->connection);
+          free_call (call);
+        }
+      call = next;
+    }
+  gat_next (gate);
+}
+
+/* Refuses the waiting calls, which the upstream will not run.  */
+static void
+refuse_waiting (struct gat *gate, enum gat_refusal refusal)
+{
+  while (gate->queue.count > 0)
+    {
+      struct gat_call *call = gate->queue.items[0].call;
+
+      que_remove (&gate->queue, call);
+      call->state = GAT_RECEIVING;
+      gat_refuse (call, refusal);
+    }
+}
+
+void
+gat_refresh (struct gat *gate)
+{
+  const struct reg *registration = gate->registration;
+
+  if (strcmp (gate->upstream, registration->upstream.name) != 0)
+    {
+      gat_close_idle (gate);
+      gate->service = 0;
+      gate->failed = 0;
+      gate->keep_time = DEFAULT_KEEP_TIME;
+      memcpy (gate->upstream, registration->upstream.name,
+              sizeof gate->upstream);
+    }
+  if (registration->state == REG_LEAVING)
+    refuse_waiting (gate, GAT_LEAVING);
+  else if (registration->state == REG_SILENT)
+    refuse_waiting (gate, GAT_UNREACHABLE);
+  gat_next (gate);
+}
+
+void
+gat_stop (struct gat *gate)
+{
+  gate->stopping = true;
+}
+
+void
+gat_load (const struct gat *gate, Mesh__Load *load)
+{
+  const struct reg *registration = gate->registration;
+
+  mesh__load__init (load);
+  load->running = gate->running;
+  load->waiting = (uint32_t)gate->queue.count;
+  if (registration->state == REG_READY && !gate->stopping)
+    load->slots = registration->upstream.slots;
+  load->service_us = (uint32_t)(gate->service / CLK_MICROSECOND);
+  load->failed_permille = (uint32_t)(gate->failed * 1000);
+}
+
+size_t
+gat_in_progress (const struct gat *gate)
+{
+  return gate->call_count;
+}
+
+const char *
+gat_refusal_name (enum gat_refusal refusal)
+{
+  static const char *const names[GAT_REFUSAL_COUNT]
+      = { "none", "busy",        "leaving",  "no upstream",
+          "shed", "unreachable", "too late", "stopping" };
+
+  return refusal < GAT_REFUSAL_COUNT ? names[refusal] : "other";
+}
--- /dev/null
+++ b/src/gat/gat.h
@@ -0,0 +1,86 @@
+/* Gate: admits calls to the upstream beside this node and runs them there.  It
+   alone reaches the upstream, so it knows exactly how many calls run; it never
+   sends the upstream more than it has slots for, and never sends a call
+   twice.  */
+
+#ifndef MULBERRYSHIFT_GAT_GAT_H
+#define MULBERRYSHIFT_GAT_GAT_H
+
+#include "evl/evl.h"
+#include "hub/hub.h"
+#include "ptf/ptf.h"
+#include "reg/reg.h"
+
+#include <stddef.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  struct gat;
+
+  /* Why a call was not run; 0 when it was.  */
+  enum gat_refusal
+  {
+    GAT_NONE,
+    GAT_BUSY,        /* it would wait longer than its sender allows */
+    GAT_LEAVING,     /* the upstream takes no new calls */
+    GAT_NO_UPSTREAM, /* no upstream of this service, or another one */
+    GAT_SHED,        /* the upstream refused to run it */
+    GAT_UNREACHABLE, /* the upstream accepts no connection */
+    GAT_TOO_LATE,    /* its deadline passed while it waited */
+    GAT_STOPPING,    /* this node shuts down */
+    GAT_REFUSAL_COUNT
+  };
+
+  struct gat_hooks
+  {
+    void *context;
+    /* Sends an answer back.  */
+    void (*reply) (void *context, struct hub_origin *origin,
+                   const Mesh__Frame *frame);
+    /* The upstream refused a connection.  */
+    void (*unreachable) (void *context);
+    /* Returns the configuration version that this node holds.  */
+    uint64_t (*config_version) (void *context);
+  };
+
+  /* Creates a gate to the upstream of REGISTRATION, which must outlive it.  */
+  struct gat *gat_create (struct evl *loop,
+                          const struct ptf_platform *platform,
+                          const struct reg *registration,
+                          const struct gat_hooks *hooks);
+
+  /* Drops all calls without answers.  Null is allowed.  */
+  void gat_destroy (struct gat *gate);
+
+  /* Takes a frame with a call, a part of its body, or its cancellation.  The
+     gate owns FRAME afterwards.  */
+  void gat_take (struct gat *gate, struct hub_origin *origin,
+                 Mesh__Frame *frame);
+
+  /* Cancels the calls of an origin that is gone.  */
+  void gat_drop_origin (struct gat *gate, const struct hub_origin *origin);
+
+  /* Looks at the registration again after it has changed.  */
+  void gat_refresh (struct gat *gate);
+
+  /* Refuses new calls from now on; waiting and running ones go on.  */
+  void gat_stop (struct gat *gate);
+
+  /* Fills in the load, for answers and pongs.  */
+  void gat_load (const struct gat *gate, Mesh__Load *load);
+
+  /* Returns the calls that wait or run.  */
+  size_t gat_in_progress (const struct gat *gate);
+
+  /* Returns a short name, for logs and metrics.  */
+  const char *gat_refusal_name (enum gat_refusal refusal);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/gat/gat_internal.h
@@ -0,0 +1,87 @@
+/* State of the gate.  Used inside this module.  */
+
+#ifndef MULBERRYSHIFT_GAT_GAT_INTERNAL_H
+#define MULBERRYSHIFT_GAT_GAT_INTERNAL_H
+
+#include "cnx/cnx.h"
+#include "gat/gat.h"
+#include "out/out.h"
+#include "que/que.h"
+
+/* Connections to the upstream that are kept.  */
+#define GAT_MAX_IDLE 64
+
+enum gat_state
+{
+  GAT_RECEIVING, /* parts of the body are missing */
+  GAT_WAITING,
+  GAT_RUNNING
+};
+
+/* One call at this gate.  */
+struct gat_call
+{
+  struct gat *gate;
+  struct gat_call *next;
+  struct gat_call **place; /* that points to this call */
+  struct hub_origin *origin;
+  Mesh__Frame *frame; /* owns the call */
+  const char *id;     /* the caller's, from its header; null: none */
+  enum gat_state state;
+  clk_time arrival;
+  clk_time target;
+  clk_time deadline;
+  clk_time started;
+  struct cnx *connection;
+  struct evl_timer timer; /* of the deadline while it runs */
+};
+
+/* A connection to the upstream without a call.  */
+struct gat_idle
+{
+  struct cnx *connection;
+  clk_time since;
+};
+
+struct gat
+{
+  struct evl *loop;
+  const struct ptf_platform *platform;
+  const struct reg *registration;
+  struct gat_hooks hooks;
+  struct gat_call *calls;
+  size_t call_count;
+  struct que queue;
+  struct evl_timer expiry; /* of waiting calls */
+  uint32_t running;
+  clk_time service; /* mean time of a call in a slot, ns; 0: unknown */
+  double failed;    /* recent share of calls that the upstream failed */
+  struct gat_idle idle[GAT_MAX_IDLE];
+  size_t idle_count;
+  clk_time keep_time; /* for which the upstream keeps idle connections */
+  char upstream[PTF_NAME_SIZE]; /* whose connections are kept */
+  bool stopping;
+};
+
+/* Answers that the call was not run and frees it.  */
+void gat_refuse (struct gat_call *call, enum gat_refusal refusal);
+
+/* Answers that the call may have run, and frees it.  */
+void gat_answer_unknown (struct gat_call *call, const char *reason);
+
+/* Passes the upstream's response on and frees the call.  */
+void gat_answer (struct gat_call *call, const struct htp_message *response);
+
+/* Frees a call and starts the next one.  */
+void gat_end_call (struct gat_call *call);
+
+/* Sends a call to the upstream.  */
+void gat_run (struct gat_call *call);
+
+/* Starts waiting calls while there are slots.  */
+void gat_next (struct gat *gate);
+
+/* Closes the kept connections.  */
+void gat_close_idle (struct gat *gate);
+
+#endif
--- /dev/null
+++ b/src/gat/gat_run.c
@@ -0,0 +1,359 @@
+/* Runs calls at the upstream and answers them.  */
+
+#include "base/err.h"
+#include "base/log.h"
+#include "gat/gat_internal.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/* Weight of the newest call in the mean time in a slot, and in the share of
+   failures.  */
+#define SERVICE_WEIGHT 8
+#define FAILED_WEIGHT 16.
+
+/* Largest response accepted, in bytes.  */
+static const struct htp_limits response_limits
+    = { 64u * 1024u, 64u * 1024u * 1024u };
+
+/* Longest part of a body in one frame, in bytes.  */
+#define PART_SIZE (128u * 1024u)
+
+/* Share of the upstream's idle time for which a connection is used again;
+   later the upstream might close it while a call is on its way.  */
+#define KEEP_NUMERATOR 3
+#define KEEP_DENOMINATOR 4
+
+static void
+send_frame (struct gat_call *call, const Mesh__Frame *frame)
+{
+  struct gat *gate = call->gate;
+
+  gate->hooks.reply (gate->hooks.context, call->origin, frame);
+}
+
+/* Sends the parts of a body after the first.  */
+static void
+send_parts (struct gat_call *call, const uint8_t *data, size_t length)
+{
+  Mesh__BodyPart part = MESH__BODY_PART__INIT;
+  Mesh__Frame frame = MESH__FRAME__INIT;
+
+  frame.body_case = MESH__FRAME__BODY_ANSWER_BODY;
+  frame.answer_body = &part;
+  part.id = call->frame->call->id;
+  for (size_t at = 0; at < length; at += PART_SIZE)
+    {
+      size_t size = length - at < PART_SIZE ? length - at : PART_SIZE;
+
+      part.data.data = (uint8_t *)data + at;
+      part.data.len = size;
+      part.more = at + size < length;
+      send_frame (call, &frame);
+    }
+}
+
+static void
+send_answer (struct gat_call *call, Mesh__Answer *answer,
+             const struct buf *body)
+{
+  struct gat *gate = call->gate;
+  Mesh__Load load;
+  Mesh__Frame frame = MESH__FRAME__INIT;
+
+  gat_load (gate, &load);
+  answer->id = call->frame->call->id;
+  answer->load = &load;
+  answer->config_version = gate->hooks.config_version (gate->hooks.context);
+  if (body != NULL)
+    {
+      answer->body.data = body->data;
+      answer->body.len = body->length < PART_SIZE ? body->length : PART_SIZE;
+      answer->more = body->length > PART_SIZE;
+    }
+  frame.body_case = MESH__FRAME__BODY_ANSWER;
+  frame.answer = answer;
+  send_frame (call, &frame);
+  if (answer->more)
+    send_parts (call, body->data + PART_SIZE, body->length - PART_SIZE);
+}
+
+void
+gat_refuse (struct gat_call *call, enum gat_refusal refusal)
+{
+  Mesh__Answer answer = MESH__ANSWER__INIT;
+  struct gat *gate = call->gate;
+
+  if (call->state == GAT_RUNNING)
+    {
+      gate->running--;
+      call->state = GAT_RECEIVING;
+    }
+  answer.outcome = OUT_NOT_RUN;
+  answer.refusal = refusal;
+  send_answer (call, &answer, NULL);
+  gat_end_call (call);
+}
+
+void
+gat_answer_unknown (struct gat_call *call, const char *reason)
+{
+  Mesh__Answer answer = MESH__ANSWER__INIT;
+  struct gat *gate = call->gate;
+
+  if (call->state == GAT_RUNNING)
+    {
+      gate->running--;
+      call->state = GAT_RECEIVING;
+    }
+  answer.outcome = OUT_UNKNOWN;
+  answer.reason = (char *)reason;
+  send_answer (call, &answer, NULL);
+  gat_end_call (call);
+}
+
+void
+gat_answer (struct gat_call *call, const struct htp_message *response)
+{
+  Mesh__Answer answer = MESH__ANSWER__INIT;
+  Mesh__Header headers[HTP_MAX_HEADERS];
+  Mesh__Header *pointers[HTP_MAX_HEADERS];
+  struct gat *gate = call->gate;
+
+  answer.outcome = OUT_ANSWERED;
+  answer.status = response->status;
+  answer.headers = pointers;
+  for (unsigned i = 0; i < response->header_count; i++)
+    {
+      Mesh__Header *header = &headers[answer.n_headers];
+
+      if (htp_is_hop_by_hop (htp_name (response, i)))
+        continue;
+      mesh__header__init (header);
+      header->name = (char *)htp_name (response, i);
+      header->value = (char *)htp_value (response, i);
+      pointers[answer.n_headers++] = header;
+    }
+  gate->running--;
+  call->state = GAT_RECEIVING;
+  send_answer (call, &answer, &response->body);
+  gat_end_call (call);
+}
+
+/* Learns from the end of a call in a slot.  */
+static void
+learn (struct gat_call *call, bool failed)
+{
+  struct gat *gate = call->gate;
+  clk_time elapsed = evl_now (gate->loop) - call->started;
+
+  gate->failed += ((failed ? 1. : 0.) - gate->failed) / FAILED_WEIGHT;
+  if (failed)
+    return;
+  if (gate->service == 0)
+    gate->service = elapsed;
+  else
+    gate->service += (elapsed - gate->service) / SERVICE_WEIGHT;
+}
+
+/* Reads the upstream's idle time from "timeout=N".  */
+static void
+learn_keep_time (struct gat *gate, const struct htp_message *response)
+{
+  const char *value = htp_find (response, "Keep-Alive");
+  const char *timeout = value != NULL ? strstr (value, "timeout=") : NULL;
+  unsigned long seconds;
+
+  if (timeout == NULL)
+    return;
+  seconds = strtoul (timeout + strlen ("timeout="), NULL, 10);
+  if (seconds < 86400)
+    gate->keep_time = (clk_time)seconds * CLK_SECOND;
+}
+
+static void
+keep_connection (struct gat *gate, struct cnx *connection)
+{
+  cnx_set_data (connection, NULL);
+  if (!cnx_is_kept (connection) || gate->idle_count == GAT_MAX_IDLE)
+    {
+      cnx_close (connection);
+      return;
+    }
+  gate->idle[gate->idle_count++]
+      = (struct gat_idle){ connection, evl_now (gate->loop) };
+}
+
+void
+gat_close_idle (struct gat *gate)
+{
+  while (gate->idle_count > 0)
+    cnx_close (gate->idle[--gate->idle_count].connection);
+}
+
+/* Returns what is wrong with a response, null when it can be passed on.  */
+static const char *
+find_fault (const struct gat *gate, const struct htp_message *response)
+{
+  const char *const *names = gate->platform->headers;
+
+  if (htp_find (response, "Content-Encoding") != NULL)
+    return "the response is encoded";
+  if (response->status / 100 == 2
+      && htp_find (response, names[PTF_SIGNATURE]) == NULL)
+    return "the response has no signature";
+  return NULL;
+}
+
+static bool
+says_not_run (const struct gat *gate, const struct htp_message *response)
+{
+  return response->status == 421
+         || htp_find (response, gate->platform->headers[PTF_NOT_RUN]) != NULL;
+}
+
+static bool
+on_response (void *context, struct cnx *connection,
+             struct htp_message *message)
+{
+  struct gat_call *call = cnx_data (connection);
+  struct gat *gate = context;
+  const char *id = htp_find (message, gate->platform->headers[PTF_CALL_ID]);
+  const char *fault;
+
+  if (id != NULL && call->id != NULL && strcmp (id, call->id) != 0)
+    {
+      log_write (LOG_WARNING, "gat",
+                 "a response to another request was dropped");
+      return false;
+    }
+  learn_keep_time (gate, message);
+  call->connection = NULL;
+  keep_connection (gate, connection);
+  if (says_not_run (gate, message))
+    {
+      learn (call, true);
+      gat_refuse (call, GAT_SHED);
+      return true;
+    }
+  fault = find_fault (gate, message);
+  learn (call, fault != NULL || message->status >= 500);
+  if (fault != NULL)
+    gat_answer_unknown (call, fault);
+  else
+    gat_answer (call, message);
+  return true;
+}
+
+/* Forgets a kept connection that has ended.  */
+static void
+drop_idle (struct gat *gate, struct cnx *connection)
+{
+  for (size_t i = 0; i < gate->idle_count; i++)
+    if (gate->idle[i].connection == connection)
+      {
+        gate->idle_count--;
+        memmove (&gate->idle[i], &gate->idle[i + 1],
+                 (gate->idle_count - i) * sizeof *gate->idle);
+        break;
+      }
+  cnx_close (connection);
+}
+
+static void
+on_failed (void *context, struct cnx *connection, enum cnx_failure failure)
+{
+  struct gat_call *call = cnx_data (connection);
+  struct gat *gate = context;
+
+  if (call == NULL)
+    {
+      drop_idle (gate, connection);
+      return;
+    }
+  call->connection = NULL;
+  cnx_close (connection);
+  learn (call, true);
+  if (failure == CNX_REFUSED)
+    {
+      gat_refuse (call, GAT_UNREACHABLE);
+      gate->hooks.unreachable (gate->hooks.context);
+    }
+  else
+    gat_answer_unknown (call, failure == CNX_GARBLED
+                                  ? "the response cannot be read"
+                                  : "the connection was lost");
+}
+
+static const struct cnx_handlers handlers = { on_response, on_failed };
+
+/* Returns a kept connection that the upstream will not close soon, or a new
+   one.  */
+static struct cnx *
+take_connection (struct gat *gate)
+{
+  clk_time oldest = evl_now (gate->loop)
+                    - gate->keep_time * KEEP_NUMERATOR / KEEP_DENOMINATOR;
+
+  /* The newest is at the end; the older ones are closed once too old.  */
+  while (gate->idle_count > 0 && gate->idle[0].since < oldest)
+    drop_idle (gate, gate->idle[0].connection);
+  if (gate->idle_count > 0)
+    return gate->idle[--gate->idle_count].connection;
+  return cnx_open (gate->loop, gate->registration->upstream.address, &handlers,
+                   gate, &response_limits);
+}
+
+static void
+put_headers (const struct gat_call *call, struct buf *output)
+{
+  const Mesh__Call *message = call->frame->call;
+  const struct gat *gate = call->gate;
+  clk_time left = call->deadline - evl_now (gate->loop);
+  char text[24];
+
+  for (size_t i = 0; i < message->n_headers; i++)
+    htp_put_header (output, message->headers[i]->name,
+                    message->headers[i]->value);
+  snprintf (text, sizeof text, "%" PRId64,
+            left < CLK_MILLISECOND ? 1 : left / CLK_MILLISECOND);
+  htp_put_header (output, gate->platform->headers[PTF_REMAINING_MS], text);
+  htp_put_header (output, gate->platform->headers[PTF_TARGET],
+                  gate->registration->upstream.name);
+}
+
+/* The deadline of a running call.  */
+static void
+on_deadline (void *context)
+{
+  struct gat_call *call = context;
+
+  cnx_close (call->connection);
+  call->connection = NULL;
+  learn (call, true);
+  gat_answer_unknown (call, "the deadline passed");
+}
+
+void
+gat_run (struct gat_call *call)
+{
+  const Mesh__Call *message = call->frame->call;
+  struct gat *gate = call->gate;
+  struct buf *output;
+
+  call->state = GAT_RUNNING;
+  call->started = evl_now (gate->loop);
+  gate->running++;
+  call->connection = take_connection (gate);
+  cnx_set_data (call->connection, call);
+  output = cnx_request (call->connection);
+  htp_put_request (output, message->method, message->target);
+  put_headers (call, output);
+  htp_put_body (output, message->body.data, message->body.len);
+  call->timer.action = on_deadline;
+  evl_timer_set (&call->timer, call->deadline);
+  cnx_send (call->connection, strcmp (message->method, "HEAD") == 0);
+}
--- /dev/null
+++ b/src/htp/htp_reader.c
@@ -0,0 +1,280 @@
+/* Assembles messages over http_parser.  */
+
+#include "base/mem.h"
+#include "htp/htp.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* First allocation for header fields.  */
+#define FIRST_HEADERS 12
+
+/* http_parser's own limit of a header is raised to this; the reader counts
+   itself.  */
+#define PARSER_HEADER_LIMIT (64u * 1024u * 1024u)
+
+static int
+fail (struct htp_reader *reader, enum htp_status failure)
+{
+  reader->failure = failure;
+  return 1;
+}
+
+/* Counts header bytes.  Returns 0 while they are within the limit.  */
+static int
+count_header (struct htp_reader *reader, size_t length)
+{
+  reader->header_bytes += length;
+  if (reader->header_bytes > reader->limits.header)
+    return fail (reader, HTP_HEADER_TOO_LARGE);
+  return 0;
+}
+
+static int
+on_begin (http_parser *parser)
+{
+  struct htp_reader *reader = parser->data;
+
+  reader->started = true;
+  return 0;
+}
+
+static int
+on_url (http_parser *parser, const char *data, size_t length)
+{
+  struct htp_reader *reader = parser->data;
+
+  if (count_header (reader, length) != 0)
+    return 1;
+  buf_append (&reader->message.text, data, length);
+  return 0;
+}
+
+/* Ends the string that was being appended.  */
+static void
+end_string (struct htp_message *message)
+{
+  buf_append (&message->text, "", 1);
+}
+
+static int
+add_header (struct htp_reader *reader)
+{
+  struct htp_message *message = &reader->message;
+
+  if (message->header_count == HTP_MAX_HEADERS)
+    return fail (reader, HTP_HEADER_TOO_LARGE);
+  if (message->header_count == message->header_capacity)
+    {
+      message->header_capacity = message->header_capacity == 0
+                                     ? FIRST_HEADERS
+                                     : 2 * message->header_capacity;
+      message->headers
+          = mem_resize (message->headers, message->header_capacity,
+                        sizeof *message->headers);
+    }
+  end_string (message);
+  message->headers[message->header_count++]
+      = (struct htp_header){ .name = (uint32_t)message->text.length };
+  return 0;
+}
+
+static int
+on_field (http_parser *parser, const char *data, size_t length)
+{
+  struct htp_reader *reader = parser->data;
+
+  if (count_header (reader, length) != 0)
+    return 1;
+  /* Trailers come after the body; they are read and dropped.  */
+  if (reader->headers_done)
+    return 0;
+  if (reader->in_value || reader->message.header_count == 0)
+    {
+      if (add_header (reader) != 0)
+        return 1;
+      reader->in_value = false;
+    }
+  buf_append (&reader->message.text, data, length);
+  return 0;
+}
+
+static int
+on_value (http_parser *parser, const char *data, size_t length)
+{
+  struct htp_reader *reader = parser->data;
+  struct htp_message *message = &reader->message;
+
+  if (count_header (reader, length) != 0)
+    return 1;
+  if (reader->headers_done)
+    return 0;
+  if (!reader->in_value)
+    {
+      end_string (message);
+      message->headers[message->header_count - 1].value
+          = (uint32_t)message->text.length;
+      reader->in_value = true;
+    }
+  buf_append (&message->text, data, length);
+  return 0;
+}
+
+static int
+on_headers (http_parser *parser)
+{
+  struct htp_reader *reader = parser->data;
+  struct htp_message *message = &reader->message;
+
+  end_string (message);
+  reader->headers_done = true;
+  message->method = (unsigned char)parser->method;
+  message->status = (unsigned short)parser->status_code;
+  message->keep_alive = http_should_keep_alive (parser) != 0;
+  message->ends_at_close
+      = reader->kind == HTP_RESPONSE
+        && (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+  parser->upgrade = 0;
+  /* A length that is stated twice with a chunked body, or that a limit
+     forbids, is refused before a byte of the body is kept.  */
+  if (reader->kind == HTP_REQUEST && (parser->flags & F_CONTENTLENGTH) != 0
+      && parser->content_length > reader->limits.body)
+    {
+      fail (reader, HTP_BODY_TOO_LARGE);
+      return -1;
+    }
+  return reader->without_body ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *data, size_t length)
+{
+  struct htp_reader *reader = parser->data;
+
+  if (reader->message.body.length + length > reader->limits.body)
+    return fail (reader, HTP_BODY_TOO_LARGE);
+  buf_append (&reader->message.body, data, length);
+  return 0;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  struct htp_reader *reader = parser->data;
+
+  reader->done = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings callbacks = {
+  .on_message_begin = on_begin,
+  .on_url = on_url,
+  .on_header_field = on_field,
+  .on_header_value = on_value,
+  .on_headers_complete = on_headers,
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+static void
+start_message (struct htp_reader *reader)
+{
+  http_parser_init (&reader->parser, reader->kind == HTP_REQUEST
+                                         ? HTTP_REQUEST
+                                         : HTTP_RESPONSE);
+  reader->parser.data = reader;
+  reader->header_bytes = 0;
+  reader->failure = HTP_MORE;
+  reader->in_value = false;
+  reader->started = false;
+  reader->headers_done = false;
+  reader->done = false;
+}
+
+void
+htp_reader_init (struct htp_reader *reader, enum htp_kind kind,
+                 const struct htp_limits *limits)
+{
+  http_parser_set_max_header_size (PARSER_HEADER_LIMIT);
+  *reader = (struct htp_reader){ .kind = kind, .limits = *limits };
+  start_message (reader);
+}
+
+void
+htp_reader_close (struct htp_reader *reader)
+{
+  htp_message_close (&reader->message);
+}
+
+void
+htp_reader_reset (struct htp_reader *reader)
+{
+  htp_message_close (&reader->message);
+  reader->without_body = false;
+  start_message (reader);
+}
+
+/* Drops an interim response, so that the final one can be read.  */
+static bool
+skip_interim (struct htp_reader *reader)
+{
+  bool without_body = reader->without_body;
+
+  if (reader->kind != HTP_RESPONSE || reader->message.status < 100
+      || reader->message.status >= 200)
+    return false;
+  htp_reader_reset (reader);
+  reader->without_body = without_body;
+  return true;
+}
+
+/* Returns the status after the parser has stopped.  */
+static enum htp_status
+judge (struct htp_reader *reader)
+{
+  if (reader->failure != HTP_MORE)
+    return reader->failure;
+  if (reader->done)
+    return HTP_MESSAGE;
+  if (HTTP_PARSER_ERRNO (&reader->parser) != HPE_OK)
+    return reader->failure = HTP_INVALID;
+  return HTP_MORE;
+}
+
+enum htp_status
+htp_read (struct htp_reader *reader, const void *data, size_t length,
+          size_t *used)
+{
+  enum htp_status status = judge (reader);
+
+  *used = 0;
+  while (status == HTP_MORE && *used < length)
+    {
+      *used
+          += http_parser_execute (&reader->parser, &callbacks,
+                                  (const char *)data + *used, length - *used);
+      status = judge (reader);
+      if (status == HTP_MESSAGE && skip_interim (reader))
+        status = HTP_MORE;
+    }
+  return status;
+}
+
+enum htp_status
+htp_end (struct htp_reader *reader)
+{
+  if (!reader->started)
+    return HTP_MORE;
+  if (reader->headers_done && reader->message.ends_at_close)
+    http_parser_execute (&reader->parser, &callbacks, NULL, 0);
+  return reader->done ? HTP_MESSAGE : HTP_INVALID;
+}
+
+void
+htp_take (struct htp_reader *reader, struct htp_message *message)
+{
+  *message = reader->message;
+  reader->message = (struct htp_message){ 0 };
+  htp_reader_reset (reader);
+}
--- /dev/null
+++ b/src/hub/hub.c
@@ -0,0 +1,220 @@
+/* Creation of links, sending, and links that others open.  */
+
+#include "hub/hub.h"
+
+#include "base/mem.h"
+#include "hub/hub_internal.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Link number of frames from the node to itself.  */
+#define LOOP_LINK 0
+
+struct hub_peer *
+hub_peer (struct hub *hub, dir_handle peer)
+{
+  dir_handle count = peer + 1;
+
+  if (peer >= hub->peer_count)
+    {
+      hub->peers = mem_resize (hub->peers, count, sizeof *hub->peers);
+      memset (hub->peers + hub->peer_count, 0,
+              (count - hub->peer_count) * sizeof *hub->peers);
+      hub->peer_count = count;
+    }
+  return &hub->peers[peer];
+}
+
+static bool
+on_origin_frame (void *context, struct chn *channel, Mesh__Frame *frame)
+{
+  struct hub_origin *origin = context;
+  struct hub *hub = origin->hub;
+
+  if (frame->body_case == MESH__FRAME__BODY_HELLO)
+    return false;
+  (void)channel;
+  return hub->handlers->request (hub->context, origin, frame);
+}
+
+static void
+free_origin (struct hub_origin *origin)
+{
+  *origin->place = origin->next;
+  if (origin->next != NULL)
+    origin->next->place = origin->place;
+  chn_close (origin->channel);
+  free (origin);
+}
+
+static void
+on_origin_closed (void *context, struct chn *channel)
+{
+  struct hub_origin *origin = context;
+  struct hub *hub = origin->hub;
+
+  (void)channel;
+  hub->handlers->origin_lost (hub->context, origin);
+  free_origin (origin);
+}
+
+static const struct chn_handlers origin_handlers
+    = { NULL, on_origin_frame, on_origin_closed };
+
+static void
+on_listener (void *context, int events)
+{
+  struct hub *hub = context;
+  int descriptor;
+
+  (void)events;
+  while ((descriptor = net_accept (hub->listener)) >= 0)
+    {
+      struct hub_origin *origin = mem_alloc (1, sizeof *origin);
+
+      origin->hub = hub;
+      origin->next = hub->origins;
+      origin->place = &hub->origins;
+      if (origin->next != NULL)
+        origin->next->place = &origin->next;
+      hub->origins = origin;
+      origin->channel
+          = chn_accept (hub->loop, descriptor, &origin_handlers, origin);
+    }
+}
+
+enum hub_status
+hub_create (struct evl *loop, struct net_address address,
+            const struct dir *directory, dir_handle self,
+            const struct hub_handlers *handlers, void *context,
+            struct hub **hub)
+{
+  int listener = net_listen (address);
+  struct hub *result;
+
+  *hub = NULL;
+  if (listener < 0)
+    return HUB_ADDRESS;
+  fcntl (listener, F_SETFL, fcntl (listener, F_GETFL) | O_NONBLOCK);
+  result = mem_alloc (1, sizeof *result);
+  result->loop = loop;
+  result->directory = directory;
+  result->self = self;
+  result->handlers = handlers;
+  result->context = context;
+  result->listener = listener;
+  result->own.hub = result;
+  result->next_link = LOOP_LINK + 1;
+  result->last_frame = &result->first_frame;
+  evl_timer_init (&result->check, loop, hub_check, result);
+  evl_task_init (&result->deliver, loop, hub_deliver, result);
+  evl_task_init (&result->report, loop, hub_report_losses, result);
+  evl_socket_init (&result->socket, loop, listener, on_listener, result);
+  evl_socket_watch (&result->socket, EVL_READ);
+  *hub = result;
+  return HUB_OK;
+}
+
+void
+hub_destroy (struct hub *hub)
+{
+  if (hub == NULL)
+    return;
+  while (hub->origins != NULL)
+    free_origin (hub->origins);
+  while (hub->links != NULL)
+    hub_close_link (hub->links);
+  while (hub->first_frame != NULL)
+    {
+      struct hub_loop_frame *frame = hub->first_frame;
+
+      hub->first_frame = frame->next;
+      frm_free (frame->frame);
+      free (frame);
+    }
+  while (hub->losses != NULL)
+    {
+      struct hub_loss *loss = hub->losses;
+
+      hub->losses = loss->next;
+      free (loss);
+    }
+  evl_timer_stop (&hub->check);
+  evl_task_stop (&hub->deliver);
+  evl_task_stop (&hub->report);
+  evl_socket_watch (&hub->socket, 0);
+  close (hub->listener);
+  free (hub->peers);
+  free (hub);
+}
+
+enum hub_status
+hub_send (struct hub *hub, dir_handle peer, const Mesh__Frame *frame,
+          unsigned expected, uint64_t *link)
+{
+  struct hub_peer *entry;
+
+  *link = LOOP_LINK;
+  if (peer == hub->self)
+    return hub_loop (hub, frame, false);
+  if (!hub_can_send (hub, peer))
+    return HUB_DOWN;
+  entry = hub_peer (hub, peer);
+  if (entry->link == NULL)
+    hub_open_link (hub, peer);
+  *link = entry->link->number;
+  if (!chn_send (entry->link->channel, frame))
+    return HUB_TOO_LONG;
+  if (expected > 0 && entry->link->outstanding == 0)
+    entry->link->expecting = evl_now (hub->loop);
+  entry->link->outstanding += expected;
+  if (entry->link->outstanding > 0)
+    hub_start_check (hub);
+  return HUB_OK;
+}
+
+void
+hub_send_on (struct hub *hub, uint64_t number, const Mesh__Frame *frame)
+{
+  if (number == LOOP_LINK)
+    hub_loop (hub, frame, false);
+  for (struct hub_link *link = hub->links; link != NULL; link = link->next)
+    if (link->number == number)
+      chn_send (link->channel, frame);
+}
+
+void
+hub_reply (struct hub *hub, struct hub_origin *origin,
+           const Mesh__Frame *frame)
+{
+  if (origin->channel == NULL)
+    hub_loop (hub, frame, true);
+  else
+    chn_send (origin->channel, frame);
+}
+
+bool
+hub_can_send (const struct hub *hub, dir_handle peer)
+{
+  return peer == hub->self
+         || (dir_get (hub->directory, peer) != NULL
+             && hub_health (hub, peer) == HUB_HEALTHY);
+}
+
+enum hub_health
+hub_health (const struct hub *hub, dir_handle peer)
+{
+  if (peer == hub->self || peer >= hub->peer_count)
+    return HUB_HEALTHY;
+  return hub->peers[peer].health;
+}
+
+clk_time
+hub_round_trip (const struct hub *hub, dir_handle peer)
+{
+  return peer < hub->peer_count ? hub->peers[peer].round_trip : 0;
+}
--- /dev/null
+++ b/src/hub/hub.h
@@ -0,0 +1,104 @@
+/* Links to the other nodes: opened when first needed, watched for silence,
+   replaced when they fail.  Frames to the node itself take the same way
+   without a socket.
+
+   A node opens links to the nodes that it sends calls to; answers come back on
+   the same link.  Links that others opened are their origin's.  */
+
+#ifndef MULBERRYSHIFT_HUB_HUB_H
+#define MULBERRYSHIFT_HUB_HUB_H
+
+#include "dir/dir.h"
+#include "evl/evl.h"
+#include "wire/frm.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  struct hub;
+
+  /* A link that another node opened, or the node itself: identifies who sent
+     a frame, for hub_reply.  */
+  struct hub_origin;
+
+  enum hub_status
+  {
+    HUB_OK,
+    HUB_ADDRESS, /* cannot listen there; see err_last */
+    HUB_DOWN,    /* the peer cannot be reached at present */
+    HUB_TOO_LONG /* the frame exceeds the largest size */
+  };
+
+  /* How a peer seems from here.  */
+  enum hub_health
+  {
+    HUB_HEALTHY, /* connected, or never tried */
+    HUB_SILENT,  /* has not replied in time; tried again at times */
+    HUB_LOST     /* the connection failed; tried again at times */
+  };
+
+  struct hub_handlers
+  {
+    /* A frame of a node that opened its link.  Returns true to keep FRAME.  */
+    bool (*request) (void *context, struct hub_origin *origin,
+                     Mesh__Frame *frame);
+    /* A frame that came back on a link to PEER.  Returns true to keep it.  */
+    bool (*reply) (void *context, dir_handle peer, Mesh__Frame *frame);
+    /* ORIGIN is gone and invalid afterwards; its calls are cancelled.  */
+    void (*origin_lost) (void *context, struct hub_origin *origin);
+    /* The link with this number has ended: no reply comes on it any more.  */
+    void (*link_lost) (void *context, dir_handle peer, uint64_t link);
+    /* The health of PEER has changed.  */
+    void (*health) (void *context, dir_handle peer, enum hub_health health);
+  };
+
+  /* Listens at ADDRESS.  SELF is this node's own record in DIRECTORY.  */
+  enum hub_status hub_create (struct evl *loop, struct net_address address,
+                              const struct dir *directory, dir_handle self,
+                              const struct hub_handlers *handlers,
+                              void *context, struct hub **hub);
+
+  /* Closes all links without reports.  Null is allowed.  */
+  void hub_destroy (struct hub *hub);
+
+  /* Sends FRAME to PEER and stores the number of the link that carries it.
+     EXPECTED replies are counted as outstanding until hub_settle.  */
+  enum hub_status hub_send (struct hub *hub, dir_handle peer,
+                            const Mesh__Frame *frame, unsigned expected,
+                            uint64_t *link);
+
+  /* Sends FRAME on the link with this number, after what was sent there
+     before; does nothing when the link has ended.  */
+  void hub_send_on (struct hub *hub, uint64_t link, const Mesh__Frame *frame);
+
+  /* Counts one expected reply of a link as come or no longer awaited.  */
+  void hub_settle (struct hub *hub, uint64_t link);
+
+  /* Sends FRAME to the node that opened a link.  */
+  void hub_reply (struct hub *hub, struct hub_origin *origin,
+                  const Mesh__Frame *frame);
+
+  /* Returns whether a frame to PEER has a chance now: it is healthy.  */
+  bool hub_can_send (const struct hub *hub, dir_handle peer);
+
+  /* Returns the health of PEER.  */
+  enum hub_health hub_health (const struct hub *hub, dir_handle peer);
+
+  /* Returns the last round trip of a ping to PEER in ns, 0 before one.  */
+  clk_time hub_round_trip (const struct hub *hub, dir_handle peer);
+
+  /* Forgets what is known of PEER, whose handle is free or has a new
+     address.  */
+  void hub_forget (struct hub *hub, dir_handle peer);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/main.c
+++ b/src/main.c
@@ -1,9 +1,11 @@
 /* Entry point of the mulberryshift binary.  */
 
 #include "cli/cli.h"
+#include "pfm.h"
 
 int
 main (int count, char **arguments)
 {
+  cli_use_platform (&pfm_platform);
   return cli_run (count, arguments);
 }
--- a/src/mbr/mbr_member.c
+++ b/src/mbr/mbr_member.c
@@ -19,6 +19,9 @@
   message->ip = member->address.ip;
   message->port = member->address.port;
   message->slots = member->slots;
+  message->upstream_born = member->upstream_born;
+  message->upstream_leaving = member->upstream_leaving;
+  message->platform_distance = member->platform_distance;
 }
 
 static bool
@@ -42,6 +45,9 @@
   member->address.ip = message->ip;
   member->address.port = (uint16_t)message->port;
   member->slots = message->slots;
+  member->upstream_born = message->upstream_born;
+  member->upstream_leaving = message->upstream_leaving != 0;
+  member->platform_distance = message->platform_distance;
   return message->name[0] != '\0' && message->state <= MBR_DEAD
          && message->port <= UINT16_MAX
          && copy_name (member->name, message->name)
@@ -63,7 +69,10 @@
          && left->incarnation == right->incarnation
          && left->sequence == right->sequence
          && net_equal (left->address, right->address)
-         && left->slots == right->slots && left->state == right->state;
+         && left->slots == right->slots && left->state == right->state
+         && left->upstream_born == right->upstream_born
+         && left->upstream_leaving == right->upstream_leaving
+         && left->platform_distance == right->platform_distance;
 }
 
 const char *
--- a/src/mbr/mbr_member.h
+++ b/src/mbr/mbr_member.h
@@ -39,6 +39,9 @@
     struct net_address address; /* mesh address, TCP and UDP */
     uint32_t slots;             /* of the upstream */
     enum mbr_state state;
+    uint64_t upstream_born;     /* start of the upstream, ms since the epoch */
+    bool upstream_leaving;      /* the upstream takes no new calls */
+    uint32_t platform_distance; /* round trip to the platform, ms */
   };
 
   /* Fills in a wire message whose strings point into MEMBER.  */
--- /dev/null
+++ b/src/que/que.h
@@ -0,0 +1,71 @@
+/* Calls that wait at a gate for a slot of the upstream.  Pure: the owner asks
+   which call is next when a slot is free, and which ones can no longer be
+   served.
+
+   Load that it answers: bursts of 1.4 to 1.8 times a service's capacity for
+   some seconds.  Calls that can still be on time go first, the more urgent
+   before the others and within one priority the one whose time runs out first;
+   calls that are late already take what is left.  Thus a burst makes the calls
+   late that are late in any case, instead of all of them a little.  */
+
+#ifndef MULBERRYSHIFT_QUE_QUE_H
+#define MULBERRYSHIFT_QUE_QUE_H
+
+#include "base/clk.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+/* Calls that may wait at a gate.  */
+#define QUE_MAX 512
+
+  /* One waiting call.  */
+  struct que_item
+  {
+    void *call;
+    uint32_t priority; /* 0 is the highest */
+    clk_time arrival;
+    clk_time target;   /* an answer by then is on time */
+    clk_time deadline; /* an answer after that is worth nothing */
+  };
+
+  /* The waiting calls, in order of arrival.  Zero-initialise.  */
+  struct que
+  {
+    struct que_item items[QUE_MAX];
+    size_t count;
+  };
+
+  /* Adds a call.  Returns false when the queue is full.  */
+  bool que_push (struct que *queue, const struct que_item *item);
+
+  /* Removes and returns the next call to run, null when none waits.  SERVICE
+     is the expected time of a call in a slot, in ns.  */
+  void *que_pop (struct que *queue, clk_time now, clk_time service);
+
+  /* Removes and returns a call that cannot end by its deadline any more, null
+     when there is none.  */
+  void *que_expire (struct que *queue, clk_time now, clk_time service);
+
+  /* Removes a call.  Returns false when it does not wait.  */
+  bool que_remove (struct que *queue, const void *call);
+
+  /* Returns how many waiting calls would run before ITEM.  */
+  size_t que_ahead (const struct que *queue, const struct que_item *item,
+                    clk_time now, clk_time service);
+
+  /* Returns when que_expire will next find a call, CLK_NEVER when none
+     waits.  */
+  clk_time que_wake (const struct que *queue, clk_time service);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/reg/reg.h
@@ -0,0 +1,76 @@
+/* Registration of the upstream beside this node: which start of which upstream
+   is there, and whether it takes new calls.  Announcements may be late,
+   repeated or those of an earlier start; they never bring back an upstream
+   that has left.  Pure.  */
+
+#ifndef MULBERRYSHIFT_REG_REG_H
+#define MULBERRYSHIFT_REG_REG_H
+
+#include "base/clk.h"
+#include "mbr/mbr_member.h"
+#include "ptf/ptf.h"
+
+#include <stdbool.h>
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  enum reg_state
+  {
+    REG_NONE,    /* no upstream is known */
+    REG_READY,   /* it takes calls */
+    REG_LEAVING, /* it takes no new calls */
+    REG_SILENT   /* announcements have stopped, or its address refuses */
+  };
+
+  /* What an announcement did.  */
+  enum reg_verdict
+  {
+    REG_RENEWED, /* nothing changed but the time of the last one */
+    REG_CHANGED, /* the state or the upstream changed: publish it */
+    REG_LATE     /* of an earlier time or start; ignored */
+  };
+
+  /* The registration.  Zero-initialise.  */
+  struct reg
+  {
+    enum reg_state state;
+    struct ptf_announcement upstream; /* the newest accepted */
+    clk_time heard;                   /* when it was accepted */
+    clk_time cold_until;
+    bool left; /* deregistered: announcements of this start are late */
+  };
+
+  /* Takes an announcement that arrived at NOW.  */
+  enum reg_verdict reg_announce (struct reg *registration,
+                                 const struct ptf_announcement *announcement,
+                                 clk_time now);
+
+  /* Takes the farewell of the upstream NAME, started at BORN (0: not told). */
+  enum reg_verdict reg_leave (struct reg *registration, const char *name,
+                              uint64_t born, clk_time now);
+
+  /* Adopts what an earlier process of this node knew of the upstream at
+     ADDRESS, as long as nothing newer is known.  Returns whether it did.  */
+  bool reg_adopt (struct reg *registration, const struct mbr_member *record,
+                  struct net_address address, clk_time now);
+
+  /* The upstream refused a connection, or its announcements are overdue.
+     Returns whether the state changed.  */
+  bool reg_set_silent (struct reg *registration);
+
+  /* Writes the upstream into this node's record.  Returns whether the record
+     changed.  */
+  bool reg_fill_record (const struct reg *registration,
+                        struct mbr_member *record);
+
+  /* Returns "none", "ready", "leaving" or "silent".  */
+  const char *reg_state_name (enum reg_state state);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/sdc/sdc_internal.h
@@ -0,0 +1,84 @@
+/* Parts of a sidecar.  Used inside this module.  */
+
+#ifndef MULBERRYSHIFT_SDC_SDC_INTERNAL_H
+#define MULBERRYSHIFT_SDC_SDC_INTERNAL_H
+
+#include "dir/dir.h"
+#include "evl/evl.h"
+#include "fwd/fwd.h"
+#include "gat/gat.h"
+#include "hub/hub.h"
+#include "pub/pub.h"
+#include "reg/reg.h"
+#include "sdc/sdc.h"
+#include "snp/snp.h"
+#include "srv/srv.h"
+#include "sto/sto.h"
+#include "wch/wch.h"
+
+/* A heartbeat whose acknowledgement waits until what it says is safe.  */
+struct sdc_ack
+{
+  struct srv_connection *connection;
+  uint64_t sequence; /* of the record that must be stored */
+  clk_time deadline;
+  struct sdc_ack *next;
+};
+
+struct sdc
+{
+  struct cfg_sidecar settings;
+  const char *file;
+  const struct ptf_platform *platform;
+  struct evl *loop;
+  struct sto *store;
+  struct dir *directory;
+  dir_handle self;
+  struct mbr_member record; /* this node's own */
+  struct reg registration;
+  struct hub *hub;
+  struct gat *gate;
+  struct fwd *forwarder;
+  struct srv *calls;
+  struct srv *ready;
+  struct srv *control;
+  struct srv *metrics;
+  struct wch *config_watch;
+  struct wch *node_watch;
+  struct pub *publisher;
+  struct snp_snapshot *snapshot;
+  bool *listed; /* nodes named by the list under way, by handle */
+  size_t listed_count;
+  bool nodes_known; /* the directory was listed once */
+  struct sdc_ack *acks;
+  struct evl_timer tick; /* of the sidecar's own deadlines */
+  clk_time stop_at;      /* latest end of a shutdown; 0: none is under way */
+  clk_time leave_at;     /* when idle callers are sent away */
+  int64_t settings_time; /* of the settings file, ns since the epoch */
+};
+
+/* Handlers of the watches of the store.  */
+extern const struct wch_handlers sdc_config_handlers;
+extern const struct wch_handlers sdc_node_handlers;
+extern const struct pub_handlers sdc_publish_handlers;
+
+/* Handlers of the servers for heartbeats, probes and metrics.  */
+extern const struct srv_handlers sdc_control_handlers;
+extern const struct srv_handlers sdc_ready_handlers;
+extern const struct srv_handlers sdc_metrics_handlers;
+
+/* Uses a newer configuration.  Returns false with a log line when it is not
+   valid, or not newer.  */
+bool sdc_use_config (struct sdc *sidecar, const json_t *content);
+
+/* Passes a change of the registration on: to the gate, the directory and the
+   store.  */
+void sdc_registration_changed (struct sdc *sidecar);
+
+/* Answers heartbeats whose content is safe, or whose time is over.  */
+void sdc_check_acks (struct sdc *sidecar);
+
+/* Returns whether the sidecar takes new work.  */
+bool sdc_is_ready (const struct sdc *sidecar);
+
+#endif
--- /dev/null
+++ b/src/sdc/sdc_run.c
@@ -0,0 +1,367 @@
+/* Assembles a sidecar, runs it and stops it.  */
+
+#include "base/err.h"
+#include "base/log.h"
+#include "sdc/sdc_internal.h"
+
+#include <malloc.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+
+/* How often the sidecar looks at its own deadlines.  */
+#define TICK (100 * CLK_MILLISECOND)
+
+/* How long one call waits for a change in the store; a store that has gone
+   silent is noticed after that.  */
+#define CONFIG_WAIT_MS 2000
+#define NODES_WAIT_MS 10000
+
+/* Callers are told of a shutdown by the readiness probe, which asks every
+   second and believes the second refusal.  */
+#define LEAVE_PAUSE (2300 * CLK_MILLISECOND)
+
+/* The process is gone this long before it would be killed.  */
+#define KILL_MARGIN (400 * CLK_MILLISECOND)
+
+/* Silent heartbeats after which an upstream counts as gone; one may be late by
+   seconds.  */
+#define MISSED_HEARTBEATS 4
+
+/* One arena: only one thread allocates much.  */
+#define MAX_ARENAS 1
+
+/* Limits of the servers for the platform.  */
+static const struct srv_limits internal_limits
+    = { { 16384, 256u * 1024u }, 5 * CLK_SECOND, 120 * CLK_SECOND, 256 };
+
+static bool
+on_request (void *context, struct hub_origin *origin, Mesh__Frame *frame)
+{
+  struct sdc *sidecar = context;
+  Mesh__Frame reply = MESH__FRAME__INIT;
+  Mesh__Pong pong = MESH__PONG__INIT;
+  Mesh__Load load;
+
+  if (frame->body_case != MESH__FRAME__BODY_PING)
+    {
+      gat_take (sidecar->gate, origin, frame);
+      return true;
+    }
+  gat_load (sidecar->gate, &load);
+  pong.nonce = frame->ping->nonce;
+  pong.load = &load;
+  reply.body_case = MESH__FRAME__BODY_PONG;
+  reply.pong = &pong;
+  hub_reply (sidecar->hub, origin, &reply);
+  return false;
+}
+
+static bool
+on_reply (void *context, dir_handle peer, Mesh__Frame *frame)
+{
+  struct sdc *sidecar = context;
+
+  return fwd_take_reply (sidecar->forwarder, peer, frame);
+}
+
+static void
+on_origin_lost (void *context, struct hub_origin *origin)
+{
+  struct sdc *sidecar = context;
+
+  gat_drop_origin (sidecar->gate, origin);
+}
+
+static void
+on_link_lost (void *context, dir_handle peer, uint64_t link)
+{
+  struct sdc *sidecar = context;
+
+  fwd_link_lost (sidecar->forwarder, peer, link);
+}
+
+static void
+on_health (void *context, dir_handle peer, enum hub_health health)
+{
+  static const char *const names[] = { "healthy", "silent", "lost" };
+  struct sdc *sidecar = context;
+  const struct mbr_member *member = dir_get (sidecar->directory, peer);
+
+  log_write (LOG_INFO, "sdc", "node %s is %s",
+             member != NULL ? member->name : "?", names[health]);
+}
+
+static const struct hub_handlers hub_handlers
+    = { on_request, on_reply, on_origin_lost, on_link_lost, on_health };
+
+static void
+reply_hook (void *context, struct hub_origin *origin, const Mesh__Frame *frame)
+{
+  struct sdc *sidecar = context;
+
+  hub_reply (sidecar->hub, origin, frame);
+}
+
+static void
+unreachable_hook (void *context)
+{
+  struct sdc *sidecar = context;
+
+  if (!reg_set_silent (&sidecar->registration))
+    return;
+  log_write (LOG_WARNING, "sdc", "upstream %s accepts no connection",
+             sidecar->registration.upstream.name);
+  gat_refresh (sidecar->gate);
+}
+
+static uint64_t
+version_hook (void *context)
+{
+  struct sdc *sidecar = context;
+
+  return sidecar->snapshot != NULL ? sidecar->snapshot->stamp.version : 0;
+}
+
+static void
+fill_record (struct sdc *sidecar)
+{
+  const struct cfg_sidecar *settings = &sidecar->settings;
+  struct mbr_member *record = &sidecar->record;
+
+  memcpy (record->name, settings->name, sizeof record->name);
+  memcpy (record->data_centre, settings->data_centre,
+          sizeof record->data_centre);
+  memcpy (record->region, settings->region, sizeof record->region);
+  record->address = settings->links;
+  record->incarnation = clk_wall_ms ();
+  record->sequence = 1;
+  record->state = MBR_ALIVE;
+  dir_merge (sidecar->directory, record, &sidecar->self);
+}
+
+static bool
+start_servers (struct sdc *sidecar)
+{
+  const struct cfg_sidecar *settings = &sidecar->settings;
+  struct evl *loop = sidecar->loop;
+
+  return srv_create (loop, settings->calls, &fwd_handlers, sidecar->forwarder,
+                     &internal_limits, &sidecar->calls)
+             == SRV_OK
+         && srv_create (loop, settings->ready, &sdc_ready_handlers, sidecar,
+                        &internal_limits, &sidecar->ready)
+                == SRV_OK
+         && srv_create (loop, settings->control, &sdc_control_handlers,
+                        sidecar, &internal_limits, &sidecar->control)
+                == SRV_OK
+         && srv_create (loop, settings->metrics, &sdc_metrics_handlers,
+                        sidecar, &internal_limits, &sidecar->metrics)
+                == SRV_OK;
+}
+
+static bool
+start_parts (struct sdc *sidecar)
+{
+  const struct cfg_sidecar *settings = &sidecar->settings;
+  struct evl *loop = sidecar->loop;
+  struct gat_hooks hooks
+      = { sidecar, reply_hook, unreachable_hook, version_hook };
+  struct fwd_parts parts
+      = { .loop = loop,
+          .platform = sidecar->platform,
+          .directory = sidecar->directory,
+          .self = sidecar->self,
+          .service = sidecar->settings.service,
+          .budget = { settings->retry_ratio, (double)settings->retry_slack,
+                      settings->retry_window, 0 } };
+
+  if (hub_create (loop, settings->links, sidecar->directory, sidecar->self,
+                  &hub_handlers, sidecar, &sidecar->hub)
+      != HUB_OK)
+    return false;
+  sidecar->store = sto_create (loop, settings->platform, sidecar->platform);
+  sidecar->gate
+      = gat_create (loop, sidecar->platform, &sidecar->registration, &hooks);
+  parts.hub = sidecar->hub;
+  sidecar->forwarder = fwd_create (&parts);
+  sidecar->publisher
+      = pub_create (loop, sidecar->store, &sdc_publish_handlers, sidecar);
+  sidecar->config_watch
+      = wch_create (loop, sidecar->store, sidecar->platform->config_kind,
+                    CONFIG_WAIT_MS, &sdc_config_handlers, sidecar);
+  sidecar->node_watch
+      = wch_create (loop, sidecar->store, PUB_KIND, NODES_WAIT_MS,
+                    &sdc_node_handlers, sidecar);
+  if (!start_servers (sidecar))
+    return false;
+  wch_start (sidecar->config_watch);
+  wch_start (sidecar->node_watch);
+  return true;
+}
+
+static void
+stop_parts (struct sdc *sidecar)
+{
+  wch_destroy (sidecar->config_watch);
+  wch_destroy (sidecar->node_watch);
+  pub_destroy (sidecar->publisher);
+  srv_destroy (sidecar->calls);
+  srv_destroy (sidecar->ready);
+  srv_destroy (sidecar->control);
+  srv_destroy (sidecar->metrics);
+  fwd_destroy (sidecar->forwarder);
+  gat_destroy (sidecar->gate);
+  sto_destroy (sidecar->store);
+  hub_destroy (sidecar->hub);
+  while (sidecar->acks != NULL)
+    {
+      struct sdc_ack *ack = sidecar->acks;
+
+      sidecar->acks = ack->next;
+      free (ack);
+    }
+  snp_release (sidecar->snapshot);
+  free (sidecar->listed);
+  dir_destroy (sidecar->directory);
+  /* Connections that were closed are freed by the loop's tasks.  */
+  evl_run_once (sidecar->loop, evl_now (sidecar->loop));
+  evl_timer_stop (&sidecar->tick);
+  evl_destroy (sidecar->loop);
+}
+
+/* Starts a shutdown: no new work, and the end when requests in progress have
+   finished.  */
+static void
+on_terminate (void *context)
+{
+  struct sdc *sidecar = context;
+  clk_time now = evl_now (sidecar->loop);
+
+  if (sidecar->stop_at != 0)
+    return;
+  log_write (LOG_INFO, "sdc", "shutting down");
+  sidecar->leave_at = now + LEAVE_PAUSE;
+  sidecar->stop_at = now + sidecar->settings.grace - KILL_MARGIN;
+  gat_stop (sidecar->gate);
+  srv_drain (sidecar->calls, false);
+  if (sidecar->registration.state == REG_LEAVING
+      || sidecar->registration.state == REG_NONE)
+    pub_withdraw (sidecar->publisher);
+}
+
+static int64_t
+read_settings_time (const char *file)
+{
+  struct stat status;
+
+  if (stat (file, &status) != 0)
+    return 0;
+  return status.st_mtim.tv_sec * 1000000000 + status.st_mtim.tv_nsec;
+}
+
+/* Reads the settings again and applies those that may change while a sidecar
+   runs.  Invalid settings change nothing.  */
+static void
+reload (void *context)
+{
+  struct sdc *sidecar = context;
+  struct cfg_sidecar settings;
+  struct buf report = { 0 };
+
+  sidecar->settings_time = read_settings_time (sidecar->file);
+  if (cfg_load_sidecar (sidecar->file, &settings, &report) == CFG_OK)
+    {
+      log_set_level ((enum log_level)settings.log_level);
+      sidecar->settings.log_level = settings.log_level;
+      memcpy (sidecar->settings.service, settings.service,
+              sizeof sidecar->settings.service);
+      sidecar->settings.heartbeat = settings.heartbeat;
+      log_write (LOG_INFO, "sdc", "settings read again");
+    }
+  else
+    log_write (LOG_ERROR, "sdc", "settings not read again: %s%s",
+               buf_text (&report), err_last ());
+  buf_close (&report);
+}
+
+static bool
+is_idle (const struct sdc *sidecar)
+{
+  return srv_in_progress (sidecar->calls) == 0
+         && gat_in_progress (sidecar->gate) == 0;
+}
+
+static void
+check_shutdown (struct sdc *sidecar, clk_time now)
+{
+  if (sidecar->stop_at == 0)
+    return;
+  if (now >= sidecar->leave_at)
+    srv_drain (sidecar->calls, true);
+  if (now >= sidecar->stop_at
+      || (now >= sidecar->leave_at && is_idle (sidecar)))
+    evl_stop (sidecar->loop);
+}
+
+static void
+check_upstream (struct sdc *sidecar, clk_time now)
+{
+  struct reg *registration = &sidecar->registration;
+
+  if (registration->state != REG_READY
+      || now - registration->heard
+             < MISSED_HEARTBEATS * sidecar->settings.heartbeat)
+    return;
+  log_write (LOG_WARNING, "sdc", "upstream %s sends no heartbeats",
+             registration->upstream.name);
+  reg_set_silent (registration);
+  gat_refresh (sidecar->gate);
+}
+
+static void
+on_tick (void *context)
+{
+  struct sdc *sidecar = context;
+  clk_time now = evl_now (sidecar->loop);
+
+  sdc_check_acks (sidecar);
+  check_upstream (sidecar, now);
+  if (read_settings_time (sidecar->file) != sidecar->settings_time)
+    reload (sidecar);
+  check_shutdown (sidecar, now);
+  evl_timer_set (&sidecar->tick, now + TICK);
+}
+
+int
+sdc_run (const struct cfg_sidecar *settings, const char *file,
+         const struct ptf_platform *platform)
+{
+  struct sdc sidecar
+      = { .settings = *settings, .file = file, .platform = platform };
+  bool started;
+
+  mallopt (M_ARENA_MAX, MAX_ARENAS);
+  signal (SIGPIPE, SIG_IGN);
+  sidecar.loop = evl_create ();
+  sidecar.directory = dir_create ();
+  sidecar.settings_time = read_settings_time (file);
+  evl_timer_init (&sidecar.tick, sidecar.loop, on_tick, &sidecar);
+  fill_record (&sidecar);
+  started = start_parts (&sidecar);
+  if (started)
+    {
+      evl_on_signal (sidecar.loop, SIGTERM, on_terminate, &sidecar);
+      evl_on_signal (sidecar.loop, SIGINT, on_terminate, &sidecar);
+      evl_on_signal (sidecar.loop, SIGHUP, reload, &sidecar);
+      evl_timer_set (&sidecar.tick, evl_now (sidecar.loop) + TICK);
+      log_write (LOG_INFO, "sdc", "started");
+      evl_run (sidecar.loop);
+    }
+  else
+    log_write (LOG_ERROR, "sdc", "cannot start: %s", err_last ());
+  stop_parts (&sidecar);
+  log_write (LOG_INFO, "sdc", "stopped");
+  return started ? 0 : 1;
+}
--- /dev/null
+++ b/src/sdc/sdc_store.c
@@ -0,0 +1,247 @@
+/* What the store tells: configuration and nodes.  */
+
+#include "base/err.h"
+#include "base/log.h"
+#include "base/mem.h"
+#include "sdc/sdc_internal.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Limits of callers as long as the configuration does not say.  */
+static const struct srv_limits default_limits
+    = { { 16384, 16u * 1024u * 1024u }, 5 * CLK_SECOND, 60 * CLK_SECOND, 0 };
+
+/* Part of the memory that one body may take.  */
+#define BODY_SHARE 8
+
+static void
+apply_limits (struct sdc *sidecar)
+{
+  const struct doc_caller_limits *given
+      = &sidecar->snapshot->document->caller_limits;
+  struct srv_limits limits = default_limits;
+  uint64_t largest
+      = (uint64_t)sidecar->settings.memory_mb * 1024 * 1024 / BODY_SHARE;
+
+  if (given->header_bytes > 0)
+    limits.sizes.header = given->header_bytes;
+  if (given->body_bytes > 0)
+    limits.sizes.body = given->body_bytes;
+  if (limits.sizes.body > largest)
+    limits.sizes.body = largest;
+  if (given->header_ms > 0)
+    limits.header_time = given->header_ms * CLK_MILLISECOND;
+  if (given->idle_ms > 0)
+    limits.idle_time = given->idle_ms * CLK_MILLISECOND;
+  srv_set_limits (sidecar->calls, &limits);
+}
+
+bool
+sdc_use_config (struct sdc *sidecar, const json_t *content)
+{
+  uint64_t held
+      = sidecar->snapshot != NULL ? sidecar->snapshot->stamp.version : 0;
+  struct doc_document *document;
+  uint64_t version;
+  char *text;
+
+  if (sidecar->platform->read_config (content, &version, &document) != PTF_OK)
+    {
+      log_write (LOG_ERROR, "sdc", "the configuration is not valid: %s",
+                 err_last ());
+      return false;
+    }
+  if (version <= held)
+    {
+      doc_destroy (document);
+      return false;
+    }
+  text = json_dumps (content, JSON_COMPACT);
+  snp_release (sidecar->snapshot);
+  sidecar->snapshot = snp_compile (version, text, strlen (text), document);
+  free (text);
+  fwd_set_snapshot (sidecar->forwarder, sidecar->snapshot);
+  apply_limits (sidecar);
+  log_set_version (version);
+  log_write (LOG_INFO, "sdc", "version %" PRIu64 " is in effect", version);
+  return true;
+}
+
+static void
+on_config (void *context, const struct sto_object *object)
+{
+  struct sdc *sidecar = context;
+
+  if (strcmp (object->name, sidecar->platform->config_name) == 0)
+    sdc_use_config (sidecar, object->content);
+}
+
+static void
+on_config_removed (void *context, const char *name)
+{
+  (void)context;
+  log_write (LOG_WARNING, "sdc",
+             "the document %s was removed; the held version stays", name);
+}
+
+static void
+ignore (void *context)
+{
+  (void)context;
+}
+
+static void
+on_health (void *context, enum wch_health health)
+{
+  (void)context;
+  if (health == WCH_CURRENT)
+    log_write (LOG_INFO, "sdc", "the store answers");
+  else
+    log_write (LOG_WARNING, "sdc", "the store does not answer");
+}
+
+const struct wch_handlers sdc_config_handlers
+    = { on_config, on_config_removed, ignore, ignore, on_health };
+
+/* Takes over what an earlier process of this node had stored.  */
+static void
+take_own_record (struct sdc *sidecar, const struct mbr_member *record)
+{
+  if (record->incarnation >= sidecar->record.incarnation)
+    sidecar->record.incarnation = record->incarnation + 1;
+  if (reg_adopt (&sidecar->registration, record, sidecar->settings.upstream,
+                 evl_now (sidecar->loop)))
+    {
+      log_write (LOG_INFO, "sdc", "the upstream %s was known to the store",
+                 record->upstream);
+      sdc_registration_changed (sidecar);
+    }
+}
+
+static void
+mark_listed (struct sdc *sidecar, dir_handle node)
+{
+  if (node >= sidecar->listed_count)
+    {
+      sidecar->listed = mem_resize (sidecar->listed, node + 1, sizeof (bool));
+      memset (sidecar->listed + sidecar->listed_count, 0,
+              node + 1 - sidecar->listed_count);
+      sidecar->listed_count = node + 1;
+    }
+  sidecar->listed[node] = true;
+}
+
+static void
+merge_node (struct sdc *sidecar, const struct mbr_member *record)
+{
+  dir_handle known = dir_find (sidecar->directory, record->name);
+  const struct mbr_member *before = dir_get (sidecar->directory, known);
+  bool moved = before != NULL && !net_equal (before->address, record->address);
+  dir_handle node;
+
+  if (dir_merge (sidecar->directory, record, &node) == DIR_FULL)
+    {
+      log_write (LOG_ERROR, "sdc", "the directory has no room for %s",
+                 record->name);
+      return;
+    }
+  if (moved || before == NULL)
+    hub_forget (sidecar->hub, node);
+  mark_listed (sidecar, node);
+}
+
+static void
+on_node (void *context, const struct sto_object *object)
+{
+  struct sdc *sidecar = context;
+  struct mbr_member record;
+
+  if (!dir_from_json (object->content, &record)
+      || strcmp (record.name, object->name) != 0)
+    {
+      log_write (LOG_WARNING, "sdc", "the record of node %s is not valid",
+                 object->name);
+      return;
+    }
+  if (strcmp (record.name, sidecar->record.name) != 0)
+    {
+      merge_node (sidecar, &record);
+      return;
+    }
+  pub_learn (sidecar->publisher, object, &record);
+  take_own_record (sidecar, &record);
+}
+
+static void
+remove_node (struct sdc *sidecar, dir_handle node)
+{
+  if (node == DIR_NONE || node == sidecar->self)
+    return;
+  log_write (LOG_INFO, "sdc", "node %s is gone",
+             dir_get (sidecar->directory, node)->name);
+  dir_remove (sidecar->directory, node);
+  hub_forget (sidecar->hub, node);
+}
+
+static void
+on_node_removed (void *context, const char *name)
+{
+  struct sdc *sidecar = context;
+
+  remove_node (sidecar, dir_find (sidecar->directory, name));
+}
+
+static void
+on_listing (void *context)
+{
+  struct sdc *sidecar = context;
+
+  if (sidecar->listed_count > 0)
+    memset (sidecar->listed, 0, sidecar->listed_count);
+}
+
+static void
+on_listed (void *context)
+{
+  struct sdc *sidecar = context;
+
+  for (dir_handle i = 0; i < dir_end (sidecar->directory); i++)
+    if (dir_get (sidecar->directory, i) != NULL
+        && (i >= sidecar->listed_count || !sidecar->listed[i]))
+      remove_node (sidecar, i);
+  sidecar->nodes_known = true;
+  pub_set (sidecar->publisher, &sidecar->record);
+}
+
+const struct wch_handlers sdc_node_handlers
+    = { on_node, on_node_removed, on_listing, on_listed, on_health };
+
+static void
+on_stored (void *context, uint64_t sequence)
+{
+  struct sdc *sidecar = context;
+
+  (void)sequence;
+  sdc_check_acks (sidecar);
+}
+
+static void
+on_found (void *context, const struct mbr_member *record)
+{
+  take_own_record (context, record);
+}
+
+const struct pub_handlers sdc_publish_handlers = { on_stored, on_found };
+
+void
+sdc_registration_changed (struct sdc *sidecar)
+{
+  if (reg_fill_record (&sidecar->registration, &sidecar->record))
+    sidecar->record.sequence++;
+  dir_merge (sidecar->directory, &sidecar->record, &sidecar->self);
+  if (sidecar->nodes_known)
+    pub_set (sidecar->publisher, &sidecar->record);
+  gat_refresh (sidecar->gate);
+}
--- a/src/snp/snp.h
+++ b/src/snp/snp.h
@@ -33,7 +33,8 @@
   struct snp_snapshot
   {
     struct snp_stamp stamp;
-    char *text; /* the document, LENGTH bytes and a null */
+    char *text; /* the document as its source wrote it, LENGTH bytes and a
+                   null */
     size_t length;
     struct doc_document *document;
     struct rte_index *index; /* of the document's routes; see rte_match */
@@ -45,6 +46,12 @@
   enum snp_status snp_create (uint64_t version, const char *text,
                               size_t length, struct snp_snapshot **snapshot);
 
+  /* Does the same with a document that was decoded from TEXT already, and
+     takes over DOCUMENT.  */
+  struct snp_snapshot *snp_compile (uint64_t version, const char *text,
+                                    size_t length,
+                                    struct doc_document *document);
+
   /* Returns the hash that a stamp carries.  */
   uint64_t snp_hash (const char *text, size_t length);
 
--- a/src/snp/snp_create.c
+++ b/src/snp/snp_create.c
@@ -15,13 +15,28 @@
   return XXH3_64bits (text, length);
 }
 
+struct snp_snapshot *
+snp_compile (uint64_t version, const char *text, size_t length,
+             struct doc_document *document)
+{
+  struct snp_snapshot *result = mem_alloc (1, sizeof *result);
+
+  result->stamp.version = version;
+  result->stamp.hash = snp_hash (text, length);
+  result->text = mem_copy (text, length);
+  result->length = length;
+  result->document = document;
+  result->references = 1;
+  result->index = rte_index_create (document);
+  return result;
+}
+
 enum snp_status
 snp_create (uint64_t version, const char *text, size_t length,
             struct snp_snapshot **snapshot)
 {
   struct buf report = { 0 };
   struct doc_document *document;
-  struct snp_snapshot *result;
 
   *snapshot = NULL;
   if (doc_parse ("document", text, length, &document, &report) != DOC_OK)
@@ -32,15 +47,7 @@
       return SNP_INVALID;
     }
   buf_close (&report);
-  result = mem_alloc (1, sizeof *result);
-  result->stamp.version = version;
-  result->stamp.hash = snp_hash (text, length);
-  result->text = mem_copy (text, length);
-  result->length = length;
-  result->document = document;
-  result->references = 1;
-  result->index = rte_index_create (document);
-  *snapshot = result;
+  *snapshot = snp_compile (version, text, length, document);
   return SNP_OK;
 }
 
--- /dev/null
+++ b/src/srv/srv.c
@@ -0,0 +1,138 @@
+/* Listener of the HTTP server.  */
+
+#include "srv/srv.h"
+
+#include "base/log.h"
+#include "base/mem.h"
+#include "srv/srv_internal.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Connections accepted in one round, so that a storm of new ones does not
+   hold up requests.  */
+#define ACCEPTS_PER_ROUND 32
+
+/* Wait before accepting again when descriptors or memory ran out.  */
+#define ACCEPT_PAUSE (100 * CLK_MILLISECOND)
+
+static void
+on_retry (void *context)
+{
+  struct srv *server = context;
+
+  evl_socket_watch (&server->socket, EVL_READ);
+}
+
+static bool
+is_full (const struct srv *server)
+{
+  return server->limits.connections > 0
+         && server->connection_count >= server->limits.connections;
+}
+
+static void
+on_listener (void *context, int events)
+{
+  struct srv *server = context;
+
+  (void)events;
+  for (int i = 0; i < ACCEPTS_PER_ROUND; i++)
+    {
+      int descriptor = net_accept (server->listener);
+
+      if (descriptor >= 0 && is_full (server))
+        close (descriptor);
+      else if (descriptor >= 0)
+        srv_open_connection (server, descriptor);
+      else if (errno == EMFILE || errno == ENFILE || errno == ENOMEM
+               || errno == ENOBUFS)
+        {
+          log_write (LOG_WARNING, "srv", "cannot accept a connection: %s",
+                     strerror (errno));
+          evl_socket_watch (&server->socket, 0);
+          evl_timer_set (&server->retry,
+                         evl_now (server->loop) + ACCEPT_PAUSE);
+          return;
+        }
+      else if (errno == EAGAIN || errno == EWOULDBLOCK)
+        return;
+    }
+}
+
+enum srv_status
+srv_create (struct evl *loop, struct net_address address,
+            const struct srv_handlers *handlers, void *context,
+            const struct srv_limits *limits, struct srv **server)
+{
+  int listener = net_listen (address);
+  struct srv *result;
+
+  *server = NULL;
+  if (listener < 0)
+    return SRV_ADDRESS;
+  fcntl (listener, F_SETFL, fcntl (listener, F_GETFL) | O_NONBLOCK);
+  result = mem_alloc (1, sizeof *result);
+  result->loop = loop;
+  result->listener = listener;
+  result->handlers = handlers;
+  result->context = context;
+  result->limits = *limits;
+  evl_timer_init (&result->retry, loop, on_retry, result);
+  evl_task_init (&result->sweep, loop, srv_sweep, result);
+  evl_socket_init (&result->socket, loop, listener, on_listener, result);
+  evl_socket_watch (&result->socket, EVL_READ);
+  *server = result;
+  return SRV_OK;
+}
+
+void
+srv_destroy (struct srv *server)
+{
+  if (server == NULL)
+    return;
+  while (server->connections != NULL)
+    srv_close_connection (server->connections);
+  srv_sweep (server);
+  evl_task_stop (&server->sweep);
+  evl_timer_stop (&server->retry);
+  evl_socket_watch (&server->socket, 0);
+  close (server->listener);
+  free (server);
+}
+
+void
+srv_set_limits (struct srv *server, const struct srv_limits *limits)
+{
+  server->limits = *limits;
+}
+
+void
+srv_drain (struct srv *server, bool close_idle)
+{
+  struct srv_connection *next;
+
+  server->draining = true;
+  for (struct srv_connection *connection = server->connections;
+       connection != NULL && close_idle; connection = next)
+    {
+      next = connection->next;
+      if (connection->state == SRV_IDLE && connection->output.length == 0)
+        srv_close_connection (connection);
+    }
+}
+
+size_t
+srv_in_progress (const struct srv *server)
+{
+  return server->in_progress;
+}
+
+size_t
+srv_connections (const struct srv *server)
+{
+  return server->connection_count;
+}
--- /dev/null
+++ b/src/sto/sto.c
@@ -0,0 +1,249 @@
+/* Client of the platform's store.  */
+
+#include "sto/sto.h"
+
+#include "base/err.h"
+#include "base/mem.h"
+#include "cnx/cnx.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Idle connections kept for later calls.  */
+#define MAX_IDLE 2
+
+/* A silent store is noticed after this many probes, one a second.  */
+#define KEEPALIVE_PROBES 2
+
+/* Largest reply accepted, in bytes: a page of a list is about 1 MB.  */
+static const struct htp_limits reply_limits = { 16384, 4u * 1024u * 1024u };
+
+struct sto_call
+{
+  struct sto *store;
+  struct sto_call *next;
+  struct sto_call **place; /* that points to this call */
+  struct sto_request request;
+  sto_done done;
+  void *context;
+  struct cnx *connection;
+  struct evl_timer timer;
+  clk_time started;
+};
+
+struct sto
+{
+  struct evl *loop;
+  struct net_address address;
+  char host[NET_TEXT_SIZE];
+  const struct ptf_platform *platform;
+  struct sto_call *calls;
+  struct cnx *idle[MAX_IDLE];
+  size_t idle_count;
+  uint64_t call_count;
+  clk_time distance;
+};
+
+void
+sto_reply_close (struct sto_reply *reply)
+{
+  free (reply->objects);
+  json_decref (reply->root);
+  *reply = (struct sto_reply){ 0 };
+}
+
+const char *
+sto_status_name (enum sto_status status)
+{
+  static const char *const names[]
+      = { "ok",   "absent",      "conflict", "history gone",
+          "busy", "unreachable", "unknown",  "invalid reply" };
+
+  return names[status];
+}
+
+static void
+free_call (struct sto_call *call)
+{
+  *call->place = call->next;
+  if (call->next != NULL)
+    call->next->place = call->place;
+  evl_timer_stop (&call->timer);
+  free (call);
+}
+
+/* Keeps a connection for a later call, or closes it.  */
+static void
+release_connection (struct sto *store, struct cnx *connection)
+{
+  cnx_set_data (connection, NULL);
+  if (cnx_is_kept (connection) && store->idle_count < MAX_IDLE)
+    store->idle[store->idle_count++] = connection;
+  else
+    cnx_close (connection);
+}
+
+static void
+end_call (struct sto_call *call, struct sto_reply *reply)
+{
+  sto_done done = call->done;
+  void *context = call->context;
+  struct sto_request request = call->request;
+
+  free_call (call);
+  done (context, &request, reply);
+  sto_reply_close (reply);
+}
+
+static void
+measure_distance (struct sto_call *call)
+{
+  struct sto *store = call->store;
+  clk_time elapsed = evl_now (store->loop) - call->started;
+
+  if (call->request.operation != STO_WATCH
+      && (store->distance == 0 || elapsed < store->distance))
+    store->distance = elapsed;
+}
+
+static bool
+on_response (void *context, struct cnx *connection,
+             struct htp_message *message)
+{
+  struct sto *store = context;
+  struct sto_call *call = cnx_data (connection);
+  struct sto_reply reply;
+
+  store->platform->read_store_reply (&call->request, message, &reply);
+  measure_distance (call);
+  release_connection (store, connection);
+  end_call (call, &reply);
+  return true;
+}
+
+static void
+forget_idle (struct sto *store, const struct cnx *connection)
+{
+  for (size_t i = 0; i < store->idle_count; i++)
+    if (store->idle[i] == connection)
+      {
+        store->idle[i] = store->idle[--store->idle_count];
+        return;
+      }
+}
+
+static void
+on_failed (void *context, struct cnx *connection, enum cnx_failure failure)
+{
+  struct sto *store = context;
+  struct sto_call *call = cnx_data (connection);
+  struct sto_reply reply = { .status = STO_UNKNOWN };
+
+  if (failure == CNX_REFUSED)
+    reply.status = STO_UNREACHABLE;
+  if (failure == CNX_GARBLED)
+    err_set ("the store's reply is not HTTP");
+  forget_idle (store, connection);
+  cnx_close (connection);
+  if (call != NULL)
+    end_call (call, &reply);
+}
+
+static const struct cnx_handlers handlers = { on_response, on_failed };
+
+static void
+on_deadline (void *context)
+{
+  struct sto_call *call = context;
+  struct sto_reply reply = { .status = STO_UNKNOWN };
+
+  cnx_close (call->connection);
+  end_call (call, &reply);
+}
+
+struct sto *
+sto_create (struct evl *loop, struct net_address address,
+            const struct ptf_platform *platform)
+{
+  struct sto *store = mem_alloc (1, sizeof *store);
+
+  store->loop = loop;
+  store->address = address;
+  store->platform = platform;
+  net_format (address, store->host);
+  return store;
+}
+
+void
+sto_destroy (struct sto *store)
+{
+  if (store == NULL)
+    return;
+  while (store->calls != NULL)
+    sto_cancel (store->calls);
+  for (size_t i = 0; i < store->idle_count; i++)
+    cnx_close (store->idle[i]);
+  free (store);
+}
+
+static struct cnx *
+take_connection (struct sto *store)
+{
+  struct cnx *connection;
+
+  if (store->idle_count > 0)
+    return store->idle[--store->idle_count];
+  connection = cnx_open (store->loop, store->address, &handlers, store,
+                         &reply_limits);
+  cnx_set_keepalive (connection, KEEPALIVE_PROBES);
+  return connection;
+}
+
+struct sto_call *
+sto_start (struct sto *store, const struct sto_request *request,
+           clk_time deadline, sto_done done, void *context)
+{
+  struct sto_call *call = mem_alloc (1, sizeof *call);
+
+  call->store = store;
+  call->request = *request;
+  call->request.content = NULL;
+  call->done = done;
+  call->context = context;
+  call->started = evl_now (store->loop);
+  call->next = store->calls;
+  call->place = &store->calls;
+  if (call->next != NULL)
+    call->next->place = &call->next;
+  store->calls = call;
+  store->call_count++;
+  evl_timer_init (&call->timer, store->loop, on_deadline, call);
+  evl_timer_set (&call->timer, deadline);
+  call->connection = take_connection (store);
+  cnx_set_data (call->connection, call);
+  store->platform->put_store_call (request, store->host,
+                                   cnx_request (call->connection));
+  cnx_send (call->connection, false);
+  return call;
+}
+
+void
+sto_cancel (struct sto_call *call)
+{
+  if (call == NULL)
+    return;
+  cnx_close (call->connection);
+  free_call (call);
+}
+
+uint64_t
+sto_call_count (const struct sto *store)
+{
+  return store->call_count;
+}
+
+clk_time
+sto_distance (const struct sto *store)
+{
+  return store->distance;
+}
--- /dev/null
+++ b/src/sto/sto.h
@@ -0,0 +1,57 @@
+/* Client of the platform's store on an event loop.  It sends a call once and
+   reports how it ended; what is tried again is the caller's decision.
+
+   Example:
+
+     struct sto_request request = { STO_GET, "config", "main" };
+
+     call = sto_start (store, &request, deadline, on_reply, context);  */
+
+#ifndef MULBERRYSHIFT_STO_STO_H
+#define MULBERRYSHIFT_STO_STO_H
+
+#include "base/net.h"
+#include "evl/evl.h"
+#include "ptf/ptf.h"
+#include "sto/sto_request.h"
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  struct sto;
+  struct sto_call;
+
+  /* The call has ended; it is freed when this returns.  */
+  typedef void (*sto_done) (void *context, const struct sto_request *request,
+                            const struct sto_reply *reply);
+
+  /* Creates a client without connections.  */
+  struct sto *sto_create (struct evl *loop, struct net_address address,
+                          const struct ptf_platform *platform);
+
+  /* Ends all calls without a report and frees the client.  */
+  void sto_destroy (struct sto *store);
+
+  /* Starts a call; REQUEST's strings must live until its end, its content only
+     until this returns.  At DEADLINE the call ends as STO_UNKNOWN.  */
+  struct sto_call *sto_start (struct sto *store,
+                              const struct sto_request *request,
+                              clk_time deadline, sto_done done, void *context);
+
+  /* Ends a call without a report.  */
+  void sto_cancel (struct sto_call *call);
+
+  /* Returns the calls started so far.  */
+  uint64_t sto_call_count (const struct sto *store);
+
+  /* Returns the shortest round trip of a call that does not wait, in ns; 0
+     before the first reply.  */
+  clk_time sto_distance (const struct sto *store);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/wch/wch.h
@@ -0,0 +1,66 @@
+/* Follows all objects of one kind in the platform's store: lists them, then
+   waits for changes, and lists again when the history is gone.  */
+
+#ifndef MULBERRYSHIFT_WCH_WCH_H
+#define MULBERRYSHIFT_WCH_WCH_H
+
+#include "base/rnd.h"
+#include "sto/sto.h"
+
+#include <stdbool.h>
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  struct wch;
+
+  /* How the store seems from here.  */
+  enum wch_health
+  {
+    WCH_STARTING, /* nothing was listed yet */
+    WCH_CURRENT,  /* all changes up to now are known */
+    WCH_BLIND     /* the store does not answer; changes may be missing */
+  };
+
+  struct wch_handlers
+  {
+    /* An object that exists, as listed or after a change.  */
+    void (*object) (void *context, const struct sto_object *object);
+    /* An object that is gone.  */
+    void (*removed) (void *context, const char *name);
+    /* A list begins; objects that are not named until LISTED are gone.  */
+    void (*listing) (void *context);
+    void (*listed) (void *context);
+    /* The health has changed.  */
+    void (*health) (void *context, enum wch_health health);
+  };
+
+  /* Follows KIND; KIND must live as long as the watch.  A change is waited for
+     WAIT_MS at most in one call: a store that does not reply by then is
+     noticed.  */
+  struct wch *wch_create (struct evl *loop, struct sto *store,
+                          const char *kind, uint32_t wait_ms,
+                          const struct wch_handlers *handlers, void *context);
+
+  /* Starts to follow, or continues after wch_stop.  */
+  void wch_start (struct wch *watch);
+
+  /* Ends the call under way.  */
+  void wch_stop (struct wch *watch);
+
+  /* Frees the watch.  Null is allowed.  */
+  void wch_destroy (struct wch *watch);
+
+  /* Returns the health.  */
+  enum wch_health wch_health (const struct wch *watch);
+
+  /* Returns whether the watch is started.  */
+  bool wch_is_started (const struct wch *watch);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -592,6 +592,51 @@
   assert(message->base.descriptor == &mesh__call__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mesh__load__init
+                     (Mesh__Load         *message)
+{
+  static const Mesh__Load init_value = MESH__LOAD__INIT;
+  *message = init_value;
+}
+size_t mesh__load__get_packed_size
+                     (const Mesh__Load *message)
+{
+  assert(message->base.descriptor == &mesh__load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mesh__load__pack
+                     (const Mesh__Load *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mesh__load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mesh__load__pack_to_buffer
+                     (const Mesh__Load *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mesh__load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mesh__Load *
+       mesh__load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mesh__Load *)
+     protobuf_c_message_unpack (&mesh__load__descriptor,
+                                allocator, len, data);
+}
+void   mesh__load__free_unpacked
+                     (Mesh__Load *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mesh__load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mesh__body_part__init
                      (Mesh__BodyPart         *message)
 {
@@ -952,6 +997,231 @@
   assert(message->base.descriptor == &mesh__fetch_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mesh__ping__init
+                     (Mesh__Ping         *message)
+{
+  static const Mesh__Ping init_value = MESH__PING__INIT;
+  *message = init_value;
+}
+size_t mesh__ping__get_packed_size
+                     (const Mesh__Ping *message)
+{
+  assert(message->base.descriptor == &mesh__ping__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mesh__ping__pack
+                     (const Mesh__Ping *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mesh__ping__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mesh__ping__pack_to_buffer
+                     (const Mesh__Ping *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mesh__ping__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mesh__Ping *
+       mesh__ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mesh__Ping *)
+     protobuf_c_message_unpack (&mesh__ping__descriptor,
+                                allocator, len, data);
+}
+void   mesh__ping__free_unpacked
+                     (Mesh__Ping *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mesh__ping__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mesh__pong__init
+                     (Mesh__Pong         *message)
+{
+  static const Mesh__Pong init_value = MESH__PONG__INIT;
+  *message = init_value;
+}
+size_t mesh__pong__get_packed_size
+                     (const Mesh__Pong *message)
+{
+  assert(message->base.descriptor == &mesh__pong__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mesh__pong__pack
+                     (const Mesh__Pong *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mesh__pong__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mesh__pong__pack_to_buffer
+                     (const Mesh__Pong *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mesh__pong__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mesh__Pong *
+       mesh__pong__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mesh__Pong *)
+     protobuf_c_message_unpack (&mesh__pong__descriptor,
+                                allocator, len, data);
+}
+void   mesh__pong__free_unpacked
+                     (Mesh__Pong *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mesh__pong__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mesh__subscribe__init
+                     (Mesh__Subscribe         *message)
+{
+  static const Mesh__Subscribe init_value = MESH__SUBSCRIBE__INIT;
+  *message = init_value;
+}
+size_t mesh__subscribe__get_packed_size
+                     (const Mesh__Subscribe *message)
+{
+  assert(message->base.descriptor == &mesh__subscribe__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mesh__subscribe__pack
+                     (const Mesh__Subscribe *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mesh__subscribe__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mesh__subscribe__pack_to_buffer
+                     (const Mesh__Subscribe *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mesh__subscribe__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mesh__Subscribe *
+       mesh__subscribe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mesh__Subscribe *)
+     protobuf_c_message_unpack (&mesh__subscribe__descriptor,
+                                allocator, len, data);
+}
+void   mesh__subscribe__free_unpacked
+                     (Mesh__Subscribe *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mesh__subscribe__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mesh__members__init
+                     (Mesh__Members         *message)
+{
+  static const Mesh__Members init_value = MESH__MEMBERS__INIT;
+  *message = init_value;
+}
+size_t mesh__members__get_packed_size
+                     (const Mesh__Members *message)
+{
+  assert(message->base.descriptor == &mesh__members__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mesh__members__pack
+                     (const Mesh__Members *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mesh__members__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mesh__members__pack_to_buffer
+                     (const Mesh__Members *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mesh__members__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mesh__Members *
+       mesh__members__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mesh__Members *)
+     protobuf_c_message_unpack (&mesh__members__descriptor,
+                                allocator, len, data);
+}
+void   mesh__members__free_unpacked
+                     (Mesh__Members *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mesh__members__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mesh__members_ack__init
+                     (Mesh__MembersAck         *message)
+{
+  static const Mesh__MembersAck init_value = MESH__MEMBERS_ACK__INIT;
+  *message = init_value;
+}
+size_t mesh__members_ack__get_packed_size
+                     (const Mesh__MembersAck *message)
+{
+  assert(message->base.descriptor == &mesh__members_ack__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mesh__members_ack__pack
+                     (const Mesh__MembersAck *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mesh__members_ack__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mesh__members_ack__pack_to_buffer
+                     (const Mesh__MembersAck *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mesh__members_ack__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mesh__MembersAck *
+       mesh__members_ack__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mesh__MembersAck *)
+     protobuf_c_message_unpack (&mesh__members_ack__descriptor,
+                                allocator, len, data);
+}
+void   mesh__members_ack__free_unpacked
+                     (Mesh__MembersAck *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mesh__members_ack__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mesh__frame__init
                      (Mesh__Frame         *message)
 {
@@ -1048,7 +1318,7 @@
   (ProtobufCMessageInit) mesh__stamp__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__member__field_descriptors[11] =
+static const ProtobufCFieldDescriptor mesh__member__field_descriptors[14] =
 {
   {
     "name",
@@ -1182,12 +1452,49 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "upstream_born",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, upstream_born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream_leaving",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, upstream_leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "platform_distance",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, platform_distance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__member__field_indices_by_name[] = {
   6,   /* field[6] = data_centre */
   1,   /* field[1] = incarnation */
   4,   /* field[4] = ip */
   0,   /* field[0] = name */
+  13,   /* field[13] = platform_distance */
   5,   /* field[5] = port */
   7,   /* field[7] = region */
   2,   /* field[2] = sequence */
@@ -1195,11 +1502,13 @@
   10,   /* field[10] = slots */
   3,   /* field[3] = state */
   9,   /* field[9] = upstream */
+  11,   /* field[11] = upstream_born */
+  12,   /* field[12] = upstream_leaving */
 };
 static const ProtobufCIntRange mesh__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor mesh__member__descriptor =
 {
@@ -1209,7 +1518,7 @@
   "Mesh__Member",
   "mesh",
   sizeof(Mesh__Member),
-  11,
+  14,
   mesh__member__field_descriptors,
   mesh__member__field_indices_by_name,
   1,  mesh__member__number_ranges,
@@ -1935,7 +2244,7 @@
   (ProtobufCMessageInit) mesh__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__call__field_descriptors[17] =
+static const ProtobufCFieldDescriptor mesh__call__field_descriptors[22] =
 {
   {
     "id",
@@ -2141,6 +2450,66 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "priority",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_us",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, target_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeat",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, repeat),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_wait_us",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, max_wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__call__field_indices_by_name[] = {
   10,   /* field[10] = body */
@@ -2150,21 +2519,26 @@
   15,   /* field[15] = gate_incarnation */
   3,   /* field[3] = headers */
   0,   /* field[0] = id */
+  21,   /* field[21] = max_wait_us */
   1,   /* field[1] = method */
   11,   /* field[11] = more */
   9,   /* field[9] = order_key */
   14,   /* field[14] = order_keys */
   16,   /* field[16] = parent */
+  17,   /* field[17] = priority */
   4,   /* field[4] = remaining_us */
+  19,   /* field[19] = repeat */
   6,   /* field[6] = retries_left */
   13,   /* field[13] = service */
   2,   /* field[2] = target */
+  18,   /* field[18] = target_us */
   8,   /* field[8] = tenant */
+  20,   /* field[20] = upstream */
 };
 static const ProtobufCIntRange mesh__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor mesh__call__descriptor =
 {
@@ -2174,57 +2548,147 @@
   "Mesh__Call",
   "mesh",
   sizeof(Mesh__Call),
-  17,
+  22,
   mesh__call__field_descriptors,
   mesh__call__field_indices_by_name,
   1,  mesh__call__number_ranges,
   (ProtobufCMessageInit) mesh__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__body_part__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mesh__load__field_descriptors[5] =
 {
   {
-    "id",
+    "running",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Mesh__BodyPart, id),
-    &mesh__call_id__descriptor,
+    offsetof(Mesh__Load, running),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data",
+    "waiting",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Mesh__BodyPart, data),
+    offsetof(Mesh__Load, waiting),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "more",
+    "slots",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Mesh__BodyPart, more),
+    offsetof(Mesh__Load, slots),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned mesh__body_part__field_indices_by_name[] = {
-  1,   /* field[1] = data */
-  0,   /* field[0] = id */
-  2,   /* field[2] = more */
-};
+  {
+    "service_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Load, service_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed_permille",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Load, failed_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mesh__load__field_indices_by_name[] = {
+  4,   /* field[4] = failed_permille */
+  0,   /* field[0] = running */
+  3,   /* field[3] = service_us */
+  2,   /* field[2] = slots */
+  1,   /* field[1] = waiting */
+};
+static const ProtobufCIntRange mesh__load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mesh__load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mesh.Load",
+  "Load",
+  "Mesh__Load",
+  "mesh",
+  sizeof(Mesh__Load),
+  5,
+  mesh__load__field_descriptors,
+  mesh__load__field_indices_by_name,
+  1,  mesh__load__number_ranges,
+  (ProtobufCMessageInit) mesh__load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__body_part__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__BodyPart, id),
+    &mesh__call_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__BodyPart, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "more",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__BodyPart, more),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mesh__body_part__field_indices_by_name[] = {
+  1,   /* field[1] = data */
+  0,   /* field[0] = id */
+  2,   /* field[2] = more */
+};
 static const ProtobufCIntRange mesh__body_part__number_ranges[1 + 1] =
 {
   { 1, 0 },
@@ -2245,7 +2709,7 @@
   (ProtobufCMessageInit) mesh__body_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__answer__field_descriptors[8] =
+static const ProtobufCFieldDescriptor mesh__answer__field_descriptors[11] =
 {
   {
     "id",
@@ -2343,21 +2807,60 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Answer, load),
+    &mesh__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refusal",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Answer, refusal),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Answer, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__answer__field_indices_by_name[] = {
   4,   /* field[4] = body */
+  10,   /* field[10] = config_version */
   3,   /* field[3] = headers */
   0,   /* field[0] = id */
+  8,   /* field[8] = load */
   5,   /* field[5] = more */
   1,   /* field[1] = outcome */
   6,   /* field[6] = reason */
+  9,   /* field[9] = refusal */
   7,   /* field[7] = retries_spent */
   2,   /* field[2] = status */
 };
 static const ProtobufCIntRange mesh__answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor mesh__answer__descriptor =
 {
@@ -2367,7 +2870,7 @@
   "Mesh__Answer",
   "mesh",
   sizeof(Mesh__Answer),
-  8,
+  11,
   mesh__answer__field_descriptors,
   mesh__answer__field_indices_by_name,
   1,  mesh__answer__number_ranges,
@@ -2745,7 +3248,262 @@
   (ProtobufCMessageInit) mesh__fetch_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__frame__field_descriptors[12] =
+static const ProtobufCFieldDescriptor mesh__ping__field_descriptors[1] =
+{
+  {
+    "nonce",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Ping, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mesh__ping__field_indices_by_name[] = {
+  0,   /* field[0] = nonce */
+};
+static const ProtobufCIntRange mesh__ping__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor mesh__ping__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mesh.Ping",
+  "Ping",
+  "Mesh__Ping",
+  "mesh",
+  sizeof(Mesh__Ping),
+  1,
+  mesh__ping__field_descriptors,
+  mesh__ping__field_indices_by_name,
+  1,  mesh__ping__number_ranges,
+  (ProtobufCMessageInit) mesh__ping__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__pong__field_descriptors[4] =
+{
+  {
+    "nonce",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Pong, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Pong, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Pong, load),
+    &mesh__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "watching",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Pong, watching),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mesh__pong__field_indices_by_name[] = {
+  1,   /* field[1] = config_version */
+  2,   /* field[2] = load */
+  0,   /* field[0] = nonce */
+  3,   /* field[3] = watching */
+};
+static const ProtobufCIntRange mesh__pong__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mesh__pong__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mesh.Pong",
+  "Pong",
+  "Mesh__Pong",
+  "mesh",
+  sizeof(Mesh__Pong),
+  4,
+  mesh__pong__field_descriptors,
+  mesh__pong__field_indices_by_name,
+  1,  mesh__pong__number_ranges,
+  (ProtobufCMessageInit) mesh__pong__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__subscribe__field_descriptors[2] =
+{
+  {
+    "held",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Subscribe, held),
+    &mesh__stamp__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Subscribe, member),
+    &mesh__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mesh__subscribe__field_indices_by_name[] = {
+  0,   /* field[0] = held */
+  1,   /* field[1] = member */
+};
+static const ProtobufCIntRange mesh__subscribe__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mesh__subscribe__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mesh.Subscribe",
+  "Subscribe",
+  "Mesh__Subscribe",
+  "mesh",
+  sizeof(Mesh__Subscribe),
+  2,
+  mesh__subscribe__field_descriptors,
+  mesh__subscribe__field_indices_by_name,
+  1,  mesh__subscribe__number_ranges,
+  (ProtobufCMessageInit) mesh__subscribe__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__members__field_descriptors[2] =
+{
+  {
+    "members",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Members, n_members),
+    offsetof(Mesh__Members, members),
+    &mesh__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "acknowledge",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Members, acknowledge),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mesh__members__field_indices_by_name[] = {
+  1,   /* field[1] = acknowledge */
+  0,   /* field[0] = members */
+};
+static const ProtobufCIntRange mesh__members__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mesh__members__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mesh.Members",
+  "Members",
+  "Mesh__Members",
+  "mesh",
+  sizeof(Mesh__Members),
+  2,
+  mesh__members__field_descriptors,
+  mesh__members__field_indices_by_name,
+  1,  mesh__members__number_ranges,
+  (ProtobufCMessageInit) mesh__members__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__members_ack__field_descriptors[1] =
+{
+  {
+    "acknowledge",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__MembersAck, acknowledge),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mesh__members_ack__field_indices_by_name[] = {
+  0,   /* field[0] = acknowledge */
+};
+static const ProtobufCIntRange mesh__members_ack__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor mesh__members_ack__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mesh.MembersAck",
+  "MembersAck",
+  "Mesh__MembersAck",
+  "mesh",
+  sizeof(Mesh__MembersAck),
+  1,
+  mesh__members_ack__field_descriptors,
+  mesh__members_ack__field_indices_by_name,
+  1,  mesh__members_ack__number_ranges,
+  (ProtobufCMessageInit) mesh__members_ack__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__frame__field_descriptors[18] =
 {
   {
     "hello",
@@ -2891,6 +3649,78 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ping",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, ping),
+    &mesh__ping__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pong",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, pong),
+    &mesh__pong__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "subscribe",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, subscribe),
+    &mesh__subscribe__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, members),
+    &mesh__members__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members_ack",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, members_ack),
+    &mesh__members_ack__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "push",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, push),
+    &mesh__fetch_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__frame__field_indices_by_name[] = {
   4,   /* field[4] = answer */
@@ -2901,15 +3731,21 @@
   11,   /* field[11] = fetch_reply */
   10,   /* field[10] = fetch_request */
   0,   /* field[0] = hello */
+  15,   /* field[15] = members */
+  16,   /* field[16] = members_ack */
+  12,   /* field[12] = ping */
+  13,   /* field[13] = pong */
+  17,   /* field[17] = push */
   7,   /* field[7] = query */
   8,   /* field[8] = query_reply */
   1,   /* field[1] = refusal */
+  14,   /* field[14] = subscribe */
   9,   /* field[9] = window_grant */
 };
 static const ProtobufCIntRange mesh__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor mesh__frame__descriptor =
 {
@@ -2919,7 +3755,7 @@
   "Mesh__Frame",
   "mesh",
   sizeof(Mesh__Frame),
-  12,
+  18,
   mesh__frame__field_descriptors,
   mesh__frame__field_indices_by_name,
   1,  mesh__frame__number_ranges,
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct Mesh__CallId Mesh__CallId;
 typedef struct Mesh__Header Mesh__Header;
 typedef struct Mesh__Call Mesh__Call;
+typedef struct Mesh__Load Mesh__Load;
 typedef struct Mesh__BodyPart Mesh__BodyPart;
 typedef struct Mesh__Answer Mesh__Answer;
 typedef struct Mesh__Cancel Mesh__Cancel;
@@ -36,6 +37,11 @@
 typedef struct Mesh__WindowGrant Mesh__WindowGrant;
 typedef struct Mesh__FetchRequest Mesh__FetchRequest;
 typedef struct Mesh__FetchReply Mesh__FetchReply;
+typedef struct Mesh__Ping Mesh__Ping;
+typedef struct Mesh__Pong Mesh__Pong;
+typedef struct Mesh__Subscribe Mesh__Subscribe;
+typedef struct Mesh__Members Mesh__Members;
+typedef struct Mesh__MembersAck Mesh__MembersAck;
 typedef struct Mesh__Frame Mesh__Frame;
 
 
@@ -88,10 +94,22 @@
   char *service;
   char *upstream;
   uint32_t slots;
+  /*
+   * start of the upstream, ms since the epoch
+   */
+  uint64_t upstream_born;
+  /*
+   * the upstream takes no new calls
+   */
+  protobuf_c_boolean upstream_leaving;
+  /*
+   * round trip to the platform, ms, rounded up
+   */
+  uint32_t platform_distance;
 };
 #define MESH__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mesh__member__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Mesh__Probe
@@ -291,10 +309,56 @@
    * The call whose upstream made this one; for traces only.
    */
   Mesh__CallId *parent;
+  /*
+   * of the route; 0 is the highest
+   */
+  uint32_t priority;
+  /*
+   * left of the target latency; 0: it has passed
+   */
+  uint32_t target_us;
+  /*
+   * the call may have reached an upstream before
+   */
+  protobuf_c_boolean repeat;
+  /*
+   * only this upstream may run the call
+   */
+  char *upstream;
+  /*
+   * longest expected wait that the sender accepts
+   */
+  uint32_t max_wait_us;
 };
 #define MESH__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mesh__call__descriptor) \
-    , NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, NULL }
+    , NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Load of the upstream beside a node, as its gate sees it.
+ */
+struct  Mesh__Load
+{
+  ProtobufCMessage base;
+  uint32_t running;
+  uint32_t waiting;
+  /*
+   * 0: no upstream takes calls
+   */
+  uint32_t slots;
+  /*
+   * mean time of a call in a slot
+   */
+  uint32_t service_us;
+  /*
+   * recent calls that the upstream failed
+   */
+  uint32_t failed_permille;
+};
+#define MESH__LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mesh__load__descriptor) \
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Mesh__BodyPart
@@ -324,10 +388,19 @@
   protobuf_c_boolean more;
   char *reason;
   protobuf_c_boolean retries_spent;
+  Mesh__Load *load;
+  /*
+   * enum gat_refusal, when the call was not run
+   */
+  uint32_t refusal;
+  /*
+   * held by the gate's node
+   */
+  uint64_t config_version;
 };
 #define MESH__ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mesh__answer__descriptor) \
-    , NULL, 0, 0, 0,NULL, {0,NULL}, 0, (char *)protobuf_c_empty_string, 0 }
+    , NULL, 0, 0, 0,NULL, {0,NULL}, 0, (char *)protobuf_c_empty_string, 0, NULL, 0, 0 }
 
 
 struct  Mesh__Cancel
@@ -422,6 +495,80 @@
     , NULL, NULL, {0,NULL}, 0,NULL, 0 }
 
 
+/*
+ * Asks whether the peer is alive; the reply repeats the nonce.
+ */
+struct  Mesh__Ping
+{
+  ProtobufCMessage base;
+  uint32_t nonce;
+};
+#define MESH__PING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mesh__ping__descriptor) \
+    , 0 }
+
+
+struct  Mesh__Pong
+{
+  ProtobufCMessage base;
+  uint32_t nonce;
+  uint64_t config_version;
+  Mesh__Load *load;
+  /*
+   * the peer hears of changes from the platform itself
+   */
+  protobuf_c_boolean watching;
+};
+#define MESH__PONG__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mesh__pong__descriptor) \
+    , 0, 0, NULL, 0 }
+
+
+/*
+ * Asks the peer for everything that changes: versions and members.
+ */
+struct  Mesh__Subscribe
+{
+  ProtobufCMessage base;
+  Mesh__Stamp *held;
+  /*
+   * the subscriber
+   */
+  Mesh__Member *member;
+};
+#define MESH__SUBSCRIBE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mesh__subscribe__descriptor) \
+    , NULL, NULL }
+
+
+/*
+ * Records that are newer than the receiver may know.
+ */
+struct  Mesh__Members
+{
+  ProtobufCMessage base;
+  size_t n_members;
+  Mesh__Member **members;
+  /*
+   * not 0: repeat it in a MembersAck
+   */
+  uint32_t acknowledge;
+};
+#define MESH__MEMBERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mesh__members__descriptor) \
+    , 0,NULL, 0 }
+
+
+struct  Mesh__MembersAck
+{
+  ProtobufCMessage base;
+  uint32_t acknowledge;
+};
+#define MESH__MEMBERS_ACK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mesh__members_ack__descriptor) \
+    , 0 }
+
+
 typedef enum {
   MESH__FRAME__BODY__NOT_SET = 0,
   MESH__FRAME__BODY_HELLO = 1,
@@ -435,7 +582,13 @@
   MESH__FRAME__BODY_QUERY_REPLY = 9,
   MESH__FRAME__BODY_WINDOW_GRANT = 10,
   MESH__FRAME__BODY_FETCH_REQUEST = 11,
-  MESH__FRAME__BODY_FETCH_REPLY = 12
+  MESH__FRAME__BODY_FETCH_REPLY = 12,
+  MESH__FRAME__BODY_PING = 13,
+  MESH__FRAME__BODY_PONG = 14,
+  MESH__FRAME__BODY_SUBSCRIBE = 15,
+  MESH__FRAME__BODY_MEMBERS = 16,
+  MESH__FRAME__BODY_MEMBERS_ACK = 17,
+  MESH__FRAME__BODY_PUSH = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MESH__FRAME__BODY__CASE)
 } Mesh__Frame__BodyCase;
 
@@ -456,6 +609,15 @@
     Mesh__WindowGrant *window_grant;
     Mesh__FetchRequest *fetch_request;
     Mesh__FetchReply *fetch_reply;
+    Mesh__Ping *ping;
+    Mesh__Pong *pong;
+    Mesh__Subscribe *subscribe;
+    Mesh__Members *members;
+    Mesh__MembersAck *members_ack;
+    /*
+     * a version that the receiver did not ask for
+     */
+    Mesh__FetchReply *push;
   };
 };
 #define MESH__FRAME__INIT \
@@ -710,6 +872,25 @@
 void   mesh__call__free_unpacked
                      (Mesh__Call *message,
                       ProtobufCAllocator *allocator);
+/* Mesh__Load methods */
+void   mesh__load__init
+                     (Mesh__Load         *message);
+size_t mesh__load__get_packed_size
+                     (const Mesh__Load   *message);
+size_t mesh__load__pack
+                     (const Mesh__Load   *message,
+                      uint8_t             *out);
+size_t mesh__load__pack_to_buffer
+                     (const Mesh__Load   *message,
+                      ProtobufCBuffer     *buffer);
+Mesh__Load *
+       mesh__load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mesh__load__free_unpacked
+                     (Mesh__Load *message,
+                      ProtobufCAllocator *allocator);
 /* Mesh__BodyPart methods */
 void   mesh__body_part__init
                      (Mesh__BodyPart         *message);
@@ -862,6 +1043,101 @@
 void   mesh__fetch_reply__free_unpacked
                      (Mesh__FetchReply *message,
                       ProtobufCAllocator *allocator);
+/* Mesh__Ping methods */
+void   mesh__ping__init
+                     (Mesh__Ping         *message);
+size_t mesh__ping__get_packed_size
+                     (const Mesh__Ping   *message);
+size_t mesh__ping__pack
+                     (const Mesh__Ping   *message,
+                      uint8_t             *out);
+size_t mesh__ping__pack_to_buffer
+                     (const Mesh__Ping   *message,
+                      ProtobufCBuffer     *buffer);
+Mesh__Ping *
+       mesh__ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mesh__ping__free_unpacked
+                     (Mesh__Ping *message,
+                      ProtobufCAllocator *allocator);
+/* Mesh__Pong methods */
+void   mesh__pong__init
+                     (Mesh__Pong         *message);
+size_t mesh__pong__get_packed_size
+                     (const Mesh__Pong   *message);
+size_t mesh__pong__pack
+                     (const Mesh__Pong   *message,
+                      uint8_t             *out);
+size_t mesh__pong__pack_to_buffer
+                     (const Mesh__Pong   *message,
+                      ProtobufCBuffer     *buffer);
+Mesh__Pong *
+       mesh__pong__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mesh__pong__free_unpacked
+                     (Mesh__Pong *message,
+                      ProtobufCAllocator *allocator);
+/* Mesh__Subscribe methods */
+void   mesh__subscribe__init
+                     (Mesh__Subscribe         *message);
+size_t mesh__subscribe__get_packed_size
+                     (const Mesh__Subscribe   *message);
+size_t mesh__subscribe__pack
+                     (const Mesh__Subscribe   *message,
+                      uint8_t             *out);
+size_t mesh__subscribe__pack_to_buffer
+                     (const Mesh__Subscribe   *message,
+                      ProtobufCBuffer     *buffer);
+Mesh__Subscribe *
+       mesh__subscribe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mesh__subscribe__free_unpacked
+                     (Mesh__Subscribe *message,
+                      ProtobufCAllocator *allocator);
+/* Mesh__Members methods */
+void   mesh__members__init
+                     (Mesh__Members         *message);
+size_t mesh__members__get_packed_size
+                     (const Mesh__Members   *message);
+size_t mesh__members__pack
+                     (const Mesh__Members   *message,
+                      uint8_t             *out);
+size_t mesh__members__pack_to_buffer
+                     (const Mesh__Members   *message,
+                      ProtobufCBuffer     *buffer);
+Mesh__Members *
+       mesh__members__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mesh__members__free_unpacked
+                     (Mesh__Members *message,
+                      ProtobufCAllocator *allocator);
+/* Mesh__MembersAck methods */
+void   mesh__members_ack__init
+                     (Mesh__MembersAck         *message);
+size_t mesh__members_ack__get_packed_size
+                     (const Mesh__MembersAck   *message);
+size_t mesh__members_ack__pack
+                     (const Mesh__MembersAck   *message,
+                      uint8_t             *out);
+size_t mesh__members_ack__pack_to_buffer
+                     (const Mesh__MembersAck   *message,
+                      ProtobufCBuffer     *buffer);
+Mesh__MembersAck *
+       mesh__members_ack__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mesh__members_ack__free_unpacked
+                     (Mesh__MembersAck *message,
+                      ProtobufCAllocator *allocator);
 /* Mesh__Frame methods */
 void   mesh__frame__init
                      (Mesh__Frame         *message);
@@ -922,6 +1198,9 @@
 typedef void (*Mesh__Call_Closure)
                  (const Mesh__Call *message,
                   void *closure_data);
+typedef void (*Mesh__Load_Closure)
+                 (const Mesh__Load *message,
+                  void *closure_data);
 typedef void (*Mesh__BodyPart_Closure)
                  (const Mesh__BodyPart *message,
                   void *closure_data);
@@ -946,6 +1225,21 @@
 typedef void (*Mesh__FetchReply_Closure)
                  (const Mesh__FetchReply *message,
                   void *closure_data);
+typedef void (*Mesh__Ping_Closure)
+                 (const Mesh__Ping *message,
+                  void *closure_data);
+typedef void (*Mesh__Pong_Closure)
+                 (const Mesh__Pong *message,
+                  void *closure_data);
+typedef void (*Mesh__Subscribe_Closure)
+                 (const Mesh__Subscribe *message,
+                  void *closure_data);
+typedef void (*Mesh__Members_Closure)
+                 (const Mesh__Members *message,
+                  void *closure_data);
+typedef void (*Mesh__MembersAck_Closure)
+                 (const Mesh__MembersAck *message,
+                  void *closure_data);
 typedef void (*Mesh__Frame_Closure)
                  (const Mesh__Frame *message,
                   void *closure_data);
@@ -968,6 +1262,7 @@
 extern const ProtobufCMessageDescriptor mesh__call_id__descriptor;
 extern const ProtobufCMessageDescriptor mesh__header__descriptor;
 extern const ProtobufCMessageDescriptor mesh__call__descriptor;
+extern const ProtobufCMessageDescriptor mesh__load__descriptor;
 extern const ProtobufCMessageDescriptor mesh__body_part__descriptor;
 extern const ProtobufCMessageDescriptor mesh__answer__descriptor;
 extern const ProtobufCMessageDescriptor mesh__cancel__descriptor;
@@ -976,6 +1271,11 @@
 extern const ProtobufCMessageDescriptor mesh__window_grant__descriptor;
 extern const ProtobufCMessageDescriptor mesh__fetch_request__descriptor;
 extern const ProtobufCMessageDescriptor mesh__fetch_reply__descriptor;
+extern const ProtobufCMessageDescriptor mesh__ping__descriptor;
+extern const ProtobufCMessageDescriptor mesh__pong__descriptor;
+extern const ProtobufCMessageDescriptor mesh__subscribe__descriptor;
+extern const ProtobufCMessageDescriptor mesh__members__descriptor;
+extern const ProtobufCMessageDescriptor mesh__members_ack__descriptor;
 extern const ProtobufCMessageDescriptor mesh__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
