End a shutdown with answers; accept only responses that repeat the id

It now stops accepting once the readiness probe had time to be refused twice and the upstream's calls have ended, limits what it takes to the time left, and answers the rest.

A response must repeat the request's id.

--- a/src/fwd/fwd.c
+++ b/src/fwd/fwd.c
@@ -26,6 +26,7 @@
   forwarder->parts = *parts;
   forwarder->budget = bud_create ();
   forwarder->next_number = 1;
+  forwarder->latest = CLK_NEVER;
   rnd_init (&forwarder->random, rnd_system_seed ());
   return forwarder;
 }
@@ -168,6 +169,8 @@
 
   if (limit < call->deadline)
     call->deadline = limit;
+  if (call->forwarder->latest < call->deadline)
+    call->deadline = call->forwarder->latest;
   call->target = call->deadline;
   if (route->target_ms > 0 && target < call->target)
     call->target = target;
@@ -225,6 +228,19 @@
     forwarder->share_points[i] = rnd_unit (&forwarder->random);
 }
 
+void
+fwd_limit (struct fwd *forwarder, clk_time deadline)
+{
+  forwarder->latest = deadline;
+}
+
+void
+fwd_abandon (struct fwd *forwarder)
+{
+  while (forwarder->calls != NULL)
+    on_deadline (forwarder->calls);
+}
+
 size_t
 fwd_in_progress (const struct fwd *forwarder)
 {
--- a/src/fwd/fwd.h
+++ b/src/fwd/fwd.h
@@ -55,6 +55,14 @@
   /* No more answers come on LINK.  */
   void fwd_link_lost (struct fwd *forwarder, dir_handle peer, uint64_t link);
 
+  /* Makes every request that comes from now on end by DEADLINE, at which the
+     process stops.  */
+  void fwd_limit (struct fwd *forwarder, clk_time deadline);
+
+  /* Answers all requests that have none yet: as not run, or as unknown when
+     they may have run.  */
+  void fwd_abandon (struct fwd *forwarder);
+
   /* Returns the requests without an answer.  */
   size_t fwd_in_progress (const struct fwd *forwarder);
 
--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -63,6 +63,7 @@
   dir_handle peer_count;
   struct bud *budget;
   struct rnd random;
+  clk_time latest;      /* end of every request; CLK_NEVER: not limited */
   double *share_points; /* of each route with shares; see fwd_route.c */
 };
 
--- a/src/gat/gat_run.c
+++ b/src/gat/gat_run.c
@@ -224,7 +224,9 @@
   const char *id = htp_find (message, gate->platform->headers[PTF_CALL_ID]);
   const char *fault;
 
-  if (id != NULL && call->id != NULL && strcmp (id, call->id) != 0)
+  /* A second response to an earlier request may come first.  Every response
+     to this one repeats its id.  */
+  if (call->id != NULL && (id == NULL || strcmp (id, call->id) != 0))
     {
       log_write (LOG_WARNING, "gat",
                  "a response to another request was dropped");
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -53,7 +53,8 @@
   struct sdc_ack *acks;
   struct evl_timer tick; /* of the sidecar's own deadlines */
   clk_time stop_at;      /* latest end of a shutdown; 0: none is under way */
-  clk_time leave_at;     /* when idle callers are sent away */
+  clk_time leave_at;     /* when callers have heard of the shutdown */
+  clk_time close_at;     /* when no request is taken any more */
   int64_t settings_time; /* of the settings file, ns since the epoch */
 };
 
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -25,6 +25,9 @@
 /* The process is gone this long before it would be killed.  */
 #define KILL_MARGIN (400 * CLK_MILLISECOND)
 
+/* Requests end this long before the process, so that their answers leave.  */
+#define ANSWER_MARGIN (200 * CLK_MILLISECOND)
+
 /* Silent heartbeats after which an upstream counts as gone; one may be late by
    seconds.  */
 #define MISSED_HEARTBEATS 4
@@ -244,8 +247,10 @@
   log_write (LOG_INFO, "sdc", "shutting down");
   sidecar->leave_at = now + LEAVE_PAUSE;
   sidecar->stop_at = now + sidecar->settings.grace - KILL_MARGIN;
+  sidecar->close_at = now + sidecar->settings.grace / 2;
   gat_stop (sidecar->gate);
-  srv_drain (sidecar->calls, false);
+  fwd_limit (sidecar->forwarder, sidecar->stop_at - ANSWER_MARGIN);
+  srv_drain (sidecar->calls);
   if (sidecar->registration.state == REG_LEAVING
       || sidecar->registration.state == REG_NONE)
     pub_withdraw (sidecar->publisher);
@@ -289,7 +294,8 @@
 static bool
 is_idle (const struct sdc *sidecar)
 {
-  return srv_in_progress (sidecar->calls) == 0
+  return !srv_is_accepting (sidecar->calls)
+         && srv_in_progress (sidecar->calls) == 0
          && gat_in_progress (sidecar->gate) == 0;
 }
 
@@ -298,8 +304,13 @@
 {
   if (sidecar->stop_at == 0)
     return;
-  if (now >= sidecar->leave_at)
-    srv_drain (sidecar->calls, true);
+  /* Calls that still run at the upstream may make calls of their own, so
+     callers are turned away only after them.  */
+  if (now >= sidecar->close_at
+      || (now >= sidecar->leave_at && gat_in_progress (sidecar->gate) == 0))
+    srv_stop_accepting (sidecar->calls);
+  if (now >= sidecar->stop_at)
+    fwd_abandon (sidecar->forwarder);
   if (now >= sidecar->stop_at
       || (now >= sidecar->leave_at && is_idle (sidecar)))
     evl_stop (sidecar->loop);
--- a/src/srv/srv.c
+++ b/src/srv/srv.c
@@ -96,11 +96,9 @@
     return;
   while (server->connections != NULL)
     srv_close_connection (server->connections);
+  srv_stop_accepting (server);
   srv_sweep (server);
   evl_task_stop (&server->sweep);
-  evl_timer_stop (&server->retry);
-  evl_socket_watch (&server->socket, 0);
-  close (server->listener);
   free (server);
 }
 
@@ -111,13 +109,26 @@
 }
 
 void
-srv_drain (struct srv *server, bool close_idle)
+srv_drain (struct srv *server)
+{
+  server->draining = true;
+}
+
+void
+srv_stop_accepting (struct srv *server)
 {
   struct srv_connection *next;
 
   server->draining = true;
+  if (server->listener >= 0)
+    {
+      evl_timer_stop (&server->retry);
+      evl_socket_watch (&server->socket, 0);
+      close (server->listener);
+      server->listener = -1;
+    }
   for (struct srv_connection *connection = server->connections;
-       connection != NULL && close_idle; connection = next)
+       connection != NULL; connection = next)
     {
       next = connection->next;
       if (connection->state == SRV_IDLE && connection->output.length == 0)
@@ -125,6 +136,12 @@
     }
 }
 
+bool
+srv_is_accepting (const struct srv *server)
+{
+  return server->listener >= 0;
+}
+
 size_t
 srv_in_progress (const struct srv *server)
 {
--- a/src/srv/srv.h
+++ b/src/srv/srv.h
@@ -73,9 +73,17 @@
   /* Replaces the limits, for what begins afterwards.  */
   void srv_set_limits (struct srv *server, const struct srv_limits *limits);
 
-  /* Makes every later answer the last one of its connection, and closes idle
-     connections when CLOSE_IDLE is true.  New ones are still accepted.  */
-  void srv_drain (struct srv *server, bool close_idle);
+  /* Makes every later answer the last one of its connection.  Connections are
+     still accepted.  */
+  void srv_drain (struct srv *server);
+
+  /* Accepts no more connections and closes those without a request.  A request
+     whose bytes have not been read yet is not answered; its caller knows that
+     it was not read.  */
+  void srv_stop_accepting (struct srv *server);
+
+  /* Returns whether new connections are accepted.  */
+  bool srv_is_accepting (const struct srv *server);
 
   /* Returns the number of requests that wait for their answer.  */
   size_t srv_in_progress (const struct srv *server);
