--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -35,8 +35,6 @@
   struct hub_origin *origin = context;
   struct hub *hub = origin->hub;
 
-  if (frame->body_case == MESH__FRAME__BODY_HELLO)
-    return false;
   (void)channel;
   return hub->handlers->request (hub->context, origin, frame);
 }
@@ -205,6 +203,30 @@
              && hub_health (hub, peer) == HUB_HEALTHY);
 }
 
+bool
+hub_is_connected (const struct hub *hub, dir_handle peer)
+{
+  return peer < hub->peer_count && hub->peers[peer].link != NULL
+         && chn_is_open (hub->peers[peer].link->channel)
+         && hub->peers[peer].health == HUB_HEALTHY;
+}
+
+void
+hub_watch (struct hub *hub, dir_handle peer, bool watched)
+{
+  struct hub_peer *entry;
+
+  if (peer == hub->self)
+    return;
+  entry = hub_peer (hub, peer);
+  entry->watched = watched;
+  if (!watched)
+    return;
+  if (entry->link == NULL && hub_can_send (hub, peer))
+    hub_open_link (hub, peer);
+  hub_start_check (hub);
+}
+
 enum hub_health
 hub_health (const struct hub *hub, dir_handle peer)
 {
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -54,6 +54,8 @@
     void (*origin_lost) (void *context, struct hub_origin *origin);
     /* The link with this number has ended: no reply comes on it any more.  */
     void (*link_lost) (void *context, dir_handle peer, uint64_t link);
+    /* PEER can be reached on a new link, and nothing was sent there yet.  */
+    void (*connected) (void *context, dir_handle peer);
     /* The health of PEER has changed.  */
     void (*health) (void *context, dir_handle peer, enum hub_health health);
   };
@@ -87,12 +89,22 @@
   /* Returns whether a frame to PEER has a chance now: it is healthy.  */
   bool hub_can_send (const struct hub *hub, dir_handle peer);
 
+  /* Keeps a link to PEER open and checks that it replies, also when nothing is
+     outstanding; or stops to.  */
+  void hub_watch (struct hub *hub, dir_handle peer, bool watched);
+
+  /* Returns whether the link to PEER is up and PEER is healthy.  */
+  bool hub_is_connected (const struct hub *hub, dir_handle peer);
+
   /* Returns the health of PEER.  */
   enum hub_health hub_health (const struct hub *hub, dir_handle peer);
 
   /* Returns the last round trip of a ping to PEER in ns, 0 before one.  */
   clk_time hub_round_trip (const struct hub *hub, dir_handle peer);
 
+  /* PEER has started again: it is tried at once if it was lost.  */
+  void hub_retry (struct hub *hub, dir_handle peer);
+
   /* Forgets what is known of PEER, whose handle is free or has a new
      address.  */
   void hub_forget (struct hub *hub, dir_handle peer);
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -37,6 +37,7 @@
   clk_time retry;    /* when a lost peer may be tried again */
   unsigned failures; /* in a row */
   clk_time round_trip;
+  bool watched;
 };
 
 /* A frame from the node to itself.  */
--- a/src/hub/hub_link.c
+++ b/src/hub/hub_link.c
@@ -13,6 +13,9 @@
    call may take its time, but a ping is answered at once.  */
 #define PING_AFTER (150 * CLK_MILLISECOND)
 
+/* A watched peer that has sent nothing for this long is pinged.  */
+#define WATCH_INTERVAL (500 * CLK_MILLISECOND)
+
 /* A peer that does not answer a ping for this long counts as silent.  A slowed
    VM and a lost packet take less, a frozen VM and a cut take more.  */
 #define PING_PATIENCE (300 * CLK_MILLISECOND)
@@ -50,6 +53,12 @@
   free (link);
 }
 
+static bool
+is_current (const struct hub_link *link)
+{
+  return hub_peer (link->hub, link->peer)->link == link;
+}
+
 /* Plans the next attempt to connect.  */
 static void
 back_off (struct hub *hub, dir_handle peer)
@@ -106,7 +115,7 @@
 {
   struct hub *hub = link->hub;
   dir_handle peer = link->peer;
-  bool current = hub_peer (hub, peer)->link == link;
+  bool current = is_current (link);
 
   report_loss (hub, peer, link->number);
   hub_close_link (link);
@@ -118,6 +127,20 @@
     }
 }
 
+/* Uses a link that has answered.  */
+static void
+accept_link (struct hub_link *link)
+{
+  struct hub *hub = link->hub;
+  struct hub_peer *peer = hub_peer (hub, link->peer);
+
+  peer->failures = 0;
+  if (peer->health == HUB_HEALTHY)
+    return;
+  hub_set_health (hub, link->peer, HUB_HEALTHY);
+  hub->handlers->connected (hub->context, link->peer);
+}
+
 static void
 on_opened (void *context, struct chn *channel)
 {
@@ -125,6 +148,9 @@
 
   (void)channel;
   link->expecting = evl_now (link->hub->loop);
+  if (is_current (link)
+      && hub_peer (link->hub, link->peer)->health == HUB_HEALTHY)
+    link->hub->handlers->connected (link->hub->context, link->peer);
 }
 
 static bool
@@ -136,11 +162,8 @@
   (void)channel;
   if (frame->body_case == MESH__FRAME__BODY_PONG)
     hub_take_pong (link, frame->pong);
-  if (hub_peer (hub, link->peer)->link == link)
-    {
-      hub_peer (hub, link->peer)->failures = 0;
-      hub_set_health (hub, link->peer, HUB_HEALTHY);
-    }
+  if (is_current (link))
+    accept_link (link);
   return hub->handlers->reply (hub->context, link->peer, frame);
 }
 
@@ -162,10 +185,13 @@
       = dir_get (link->hub->directory, link->hub->self);
   Mesh__Hello hello = MESH__HELLO__INIT;
   Mesh__Frame frame = MESH__FRAME__INIT;
+  Mesh__Member member;
 
   hello.protocol = FRM_PROTOCOL;
   hello.from = (char *)self->name;
   hello.incarnation = self->incarnation;
+  mbr_member_to_wire (self, &member);
+  hello.member = &member;
   frame.body_case = MESH__FRAME__BODY_HELLO;
   frame.hello = &hello;
   chn_send (link->channel, &frame);
@@ -225,7 +251,7 @@
   struct hub *hub = link->hub;
   struct hub_peer *peer = hub_peer (hub, link->peer);
 
-  if (peer->link != link)
+  if (!is_current (link))
     return;
   hub_set_health (hub, link->peer, HUB_SILENT);
   peer->link = NULL;
@@ -248,7 +274,8 @@
     heard = link->expecting;
   if (link->ping_sent != 0 && chn_last_heard (link->channel) > link->ping_sent)
     link->ping_sent = 0;
-  if (link->ping_sent == 0 && now - heard >= PING_AFTER)
+  if (link->ping_sent == 0
+      && now - heard >= (link->outstanding > 0 ? PING_AFTER : WATCH_INTERVAL))
     send_ping (link);
   else if (link->ping_sent != 0 && now - link->ping_sent >= PING_PATIENCE)
     replace_link (link);
@@ -272,7 +299,8 @@
 is_awaited (const struct hub_link *link)
 {
   return link->outstanding > 0 || link->ping_sent != 0
-         || !chn_is_open (link->channel);
+         || !chn_is_open (link->channel)
+         || (is_current (link) && hub_peer (link->hub, link->peer)->watched);
 }
 
 void
@@ -295,6 +323,9 @@
         needed = true;
         retry_peer (hub, peer);
       }
+    else if (hub->peers[peer].watched && hub->peers[peer].link == NULL
+             && dir_get (hub->directory, peer) != NULL)
+      hub_open_link (hub, peer);
   if (needed)
     hub_start_check (hub);
 }
@@ -314,6 +345,18 @@
       }
 }
 
+void
+hub_retry (struct hub *hub, dir_handle peer)
+{
+  struct hub_peer *entry = hub_peer (hub, peer);
+
+  if (entry->health == HUB_HEALTHY)
+    return;
+  entry->failures = 0;
+  entry->retry = evl_now (hub->loop);
+  hub_start_check (hub);
+}
+
 void
 hub_forget (struct hub *hub, dir_handle peer)
 {
@@ -329,5 +372,7 @@
         }
     }
   if (peer < hub->peer_count)
-    hub->peers[peer] = (struct hub_peer){ .health = HUB_HEALTHY };
+    hub->peers[peer]
+        = (struct hub_peer){ .health = HUB_HEALTHY,
+                             .watched = hub->peers[peer].watched };
 }
--- /dev/null
+++ b/src/rel/rel.c
@@ -0,0 +1,149 @@
+/* Roles of nodes in the spreading of changes.  */
+
+#include "rel/rel.h"
+
+#include "base/mem.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Nodes whose round trips to the platform differ by less than this, in ms, are
+   equally near: it is between the round trips within a region and between
+   regions.  */
+#define DISTANCE_STEP 8
+
+/* A relay, with what orders it.  */
+struct relay
+{
+  size_t node;
+  uint32_t step; /* of distance */
+  size_t place;  /* in its data centre */
+  uint64_t hash;
+};
+
+uint64_t
+rel_hash (const char *name)
+{
+  return XXH3_64bits (name, strlen (name));
+}
+
+static bool
+is_alive (const struct rel_node *nodes, size_t index, size_t self)
+{
+  return index == self || nodes[index].alive;
+}
+
+/* Returns the place of a node in its data centre by hash.  */
+static size_t
+find_place (const struct rel_node *nodes, size_t count, size_t self,
+            size_t index)
+{
+  const struct rel_node *node = &nodes[index];
+  size_t place = 0;
+
+  for (size_t i = 0; i < count; i++)
+    if (i != index && is_alive (nodes, i, self)
+        && strcmp (nodes[i].data_centre, node->data_centre) == 0
+        && (nodes[i].hash < node->hash
+            || (nodes[i].hash == node->hash && i < index)))
+      place++;
+  return place;
+}
+
+static int
+compare_relays (const void *left, const void *right)
+{
+  const struct relay *a = left;
+  const struct relay *b = right;
+
+  if (a->step != b->step)
+    return a->step < b->step ? -1 : 1;
+  if (a->place != b->place)
+    return a->place < b->place ? -1 : 1;
+  if (a->hash != b->hash)
+    return a->hash < b->hash ? -1 : 1;
+  return a->node < b->node ? -1 : a->node > b->node;
+}
+
+/* Stores the relays of all data centres in order and returns their number.  */
+static size_t
+find_relays (const struct rel_node *nodes, size_t count, size_t self,
+             struct relay *relays)
+{
+  size_t found = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      size_t place;
+
+      if (!is_alive (nodes, i, self))
+        continue;
+      place = find_place (nodes, count, self, i);
+      if (place < REL_RELAYS)
+        relays[found++] = (struct relay){ i, nodes[i].distance / DISTANCE_STEP,
+                                          place, nodes[i].hash };
+    }
+  qsort (relays, found, sizeof *relays, compare_relays);
+  return found;
+}
+
+/* Returns whether this node, at place AT of the relays, watches.  */
+static bool
+should_watch (const struct rel_node *nodes, const struct relay *relays,
+              size_t at)
+{
+  size_t watching = 0;
+  size_t blind = 0;
+
+  for (size_t i = 0; i < at; i++)
+    if (nodes[relays[i].node].sight == REL_BLIND)
+      blind++;
+    else
+      watching++;
+  return watching < REL_WATCHERS && blind < REL_MAX_BLIND;
+}
+
+/* Adds a parent when there is room.  */
+static void
+add_parent (struct rel_plan *plan, size_t node)
+{
+  for (size_t i = 0; i < REL_PARENTS; i++)
+    if (plan->parents[i] == REL_NONE)
+      {
+        plan->parents[i] = node;
+        return;
+      }
+}
+
+/* A relay hears from the first relays that the platform answers.  */
+static void
+plan_relay (const struct rel_node *nodes, size_t self,
+            const struct relay *relays, size_t relay_count,
+            struct rel_plan *plan)
+{
+  for (size_t i = 0; i < relay_count; i++)
+    if (relays[i].node == self)
+      plan->watches = should_watch (nodes, relays, i);
+    else if (nodes[relays[i].node].sight != REL_BLIND)
+      add_parent (plan, relays[i].node);
+}
+
+struct rel_plan
+rel_decide (const struct rel_node *nodes, size_t count, size_t self)
+{
+  struct rel_plan plan = { .parents = { REL_NONE, REL_NONE } };
+  struct relay *relays = mem_alloc (count, sizeof *relays);
+  size_t relay_count = find_relays (nodes, count, self, relays);
+
+  plan.relays = find_place (nodes, count, self, self) < REL_RELAYS;
+  if (plan.relays)
+    plan_relay (nodes, self, relays, relay_count, &plan);
+  else
+    for (size_t i = 0; i < relay_count; i++)
+      if (strcmp (nodes[relays[i].node].data_centre, nodes[self].data_centre)
+          == 0)
+        add_parent (&plan, relays[i].node);
+  free (relays);
+  return plan;
+}
--- /dev/null
+++ b/src/rel/rel.h
@@ -0,0 +1,74 @@
+/* Relays: which nodes hear of changes from the platform themselves, and from
+   whom the others hear.  Pure; each node works it out from what it knows, and
+   nobody grants or leases a role.  A role only offers news, and a node takes
+   only what is newer, so two nodes in one role do no harm.
+
+   In each data centre the first nodes by rendezvous hashing are its relays.
+   The first relays, those near the platform before others, watch the platform;
+   the other relays hear from them, and all other nodes from the relays of
+   their data centre.  Calls to the platform therefore do not grow with the
+   mesh, and the link between regions carries each change a few times.  */
+
+#ifndef MULBERRYSHIFT_REL_REL_H
+#define MULBERRYSHIFT_REL_REL_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+/* Relays of a data centre, and watchers of the platform.  Two of each: one may
+   fail without a gap.  */
+#define REL_RELAYS 2
+#define REL_WATCHERS 2
+
+/* Relays that try to watch although the platform does not answer them; beyond
+   these it is taken to be down for all.  */
+#define REL_MAX_BLIND 5
+
+/* Nodes that one node hears from.  */
+#define REL_PARENTS 2
+
+/* Not a node.  */
+#define REL_NONE SIZE_MAX
+
+  /* What is known of a node's view of the platform.  */
+  enum rel_sight
+  {
+    REL_UNKNOWN, /* it has not said */
+    REL_CURRENT, /* it hears of changes at once */
+    REL_BLIND    /* it tried and the platform does not answer it */
+  };
+
+  struct rel_node
+  {
+    const char *data_centre;
+    uint64_t hash;     /* of the node's name */
+    uint32_t distance; /* round trip to the platform, ms */
+    bool alive;        /* as far as this node knows */
+    enum rel_sight sight;
+  };
+
+  struct rel_plan
+  {
+    bool watches;                /* this node watches the platform */
+    bool relays;                 /* it is a relay of its data centre */
+    size_t parents[REL_PARENTS]; /* whom it hears from; REL_NONE at the end */
+  };
+
+  /* Returns the roles of NODES[SELF], which counts as alive.  */
+  struct rel_plan rel_decide (const struct rel_node *nodes, size_t count,
+                              size_t self);
+
+  /* Returns the hash of a node's name.  */
+  uint64_t rel_hash (const char *name);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/sdc/sdc_control.c
+++ b/src/sdc/sdc_control.c
@@ -22,11 +22,13 @@
   srv_finish (connection, body, strlen (body));
 }
 
-/* Returns whether the store holds what this node's record says.  */
+/* Returns whether the store, or another node, holds what this node's record
+   says.  */
 static bool
 is_safe (const struct sdc *sidecar)
 {
-  return sidecar->nodes_known && pub_is_settled (sidecar->publisher);
+  return (sidecar->nodes_known && pub_is_settled (sidecar->publisher))
+         || sidecar->confirmed >= sidecar->record.sequence;
 }
 
 /* Acknowledges once the departure would survive this process.  */
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -14,6 +14,7 @@
 #include "snp/snp.h"
 #include "srv/srv.h"
 #include "sto/sto.h"
+#include "syn/syn.h"
 #include "wch/wch.h"
 
 /* A heartbeat whose acknowledgement waits until what it says is safe.  */
@@ -46,10 +47,15 @@
   struct wch *config_watch;
   struct wch *node_watch;
   struct pub *publisher;
+  struct syn *sync;
   struct snp_snapshot *snapshot;
   bool *listed; /* nodes named by the list under way, by handle */
   size_t listed_count;
   bool nodes_known; /* the directory was listed once */
+  bool joined;      /* roles are taken; see sdc_join.c */
+  clk_time join_at; /* next step of the join; CLK_NEVER: it waits */
+  struct sto_call *config_call; /* reads the configuration after a start */
+  uint64_t confirmed; /* sequence of this node's record that a parent holds */
   struct sdc_ack *acks;
   struct evl_timer tick; /* of the sidecar's own deadlines */
   clk_time stop_at;      /* latest end of a shutdown; 0: none is under way */
@@ -68,6 +74,23 @@
 extern const struct srv_handlers sdc_ready_handlers;
 extern const struct srv_handlers sdc_metrics_handlers;
 
+/* Hooks of the spreading between nodes.  */
+struct syn_hooks sdc_sync_hooks (struct sdc *sidecar);
+
+/* Starts to join the mesh, and takes the steps that are due.  */
+void sdc_join (struct sdc *sidecar);
+void sdc_check_join (struct sdc *sidecar, clk_time now);
+
+/* The store's list of nodes has been read during the join.  */
+void sdc_nodes_listed (struct sdc *sidecar);
+
+/* Takes the introduction of a node that opened a link.  */
+void sdc_take_hello (struct sdc *sidecar, const Mesh__Hello *hello);
+
+/* Takes a record of a node that another node sent.  Returns whether it was
+   news.  */
+bool sdc_take_member (struct sdc *sidecar, const struct mbr_member *record);
+
 /* Uses a newer configuration.  Returns false with a log line when it is not
    valid, or not newer.  */
 bool sdc_use_config (struct sdc *sidecar, const json_t *content);
--- /dev/null
+++ b/src/sdc/sdc_join.c
@@ -0,0 +1,192 @@
+/* Joining the mesh: finds the other nodes through the store, takes roles, and
+   makes sure that a configuration comes.
+
+   When the whole mesh starts for the first time nobody is in the store yet;
+   each node then publishes itself first and lists the nodes a little later,
+   so that all agree on their roles from the start.  A node that starts while
+   the store is away learns of the others from those that open links to it.  */
+
+#include "base/err.h"
+#include "base/log.h"
+#include "sdc/sdc_internal.h"
+
+#include <string.h>
+
+/* On a first start: from a node's own record to the list of all.  VMs start
+   within 0.3 s of each other.  */
+#define FIRST_PAUSE (500 * CLK_MILLISECOND)
+
+/* A node that knows others but not the store's list joins after this time.  */
+#define LIST_PATIENCE (400 * CLK_MILLISECOND)
+
+/* A node without a configuration reads it from the store when no other node
+   has given it one for this long.  */
+#define CONFIG_PATIENCE (600 * CLK_MILLISECOND)
+
+static void
+take_roles (struct sdc *sidecar)
+{
+  sidecar->joined = true;
+  sidecar->join_at = evl_now (sidecar->loop) + CONFIG_PATIENCE;
+  wch_stop (sidecar->node_watch);
+  log_write (LOG_INFO, "sdc", "joined, with %zu nodes known",
+             dir_count (sidecar->directory));
+  syn_start (sidecar->sync);
+}
+
+void
+sdc_nodes_listed (struct sdc *sidecar)
+{
+  clk_time distance = sto_distance (sidecar->store);
+
+  if (sidecar->record.platform_distance == 0)
+    {
+      sidecar->record.platform_distance
+          = (uint32_t)(distance / CLK_MILLISECOND) + 1;
+      sidecar->record.sequence++;
+      dir_merge (sidecar->directory, &sidecar->record, &sidecar->self);
+      pub_set (sidecar->publisher, &sidecar->record);
+    }
+  if (sidecar->settings.first_start && sidecar->join_at == CLK_NEVER)
+    {
+      sidecar->join_at = evl_now (sidecar->loop) + FIRST_PAUSE;
+      wch_stop (sidecar->node_watch);
+      return;
+    }
+  take_roles (sidecar);
+}
+
+void
+sdc_join (struct sdc *sidecar)
+{
+  sidecar->join_at = CLK_NEVER;
+  wch_start (sidecar->node_watch);
+}
+
+static void
+on_config (void *context, const struct sto_request *request,
+           const struct sto_reply *reply)
+{
+  struct sdc *sidecar = context;
+
+  (void)request;
+  sidecar->config_call = NULL;
+  if (reply->status == STO_OK && reply->object_count > 0)
+    sdc_use_config (sidecar, reply->objects[0].content);
+  else
+    log_write (LOG_WARNING, "sdc", "reading the configuration failed: %s",
+               sto_status_name (reply->status));
+}
+
+static void
+read_config (struct sdc *sidecar, clk_time now)
+{
+  struct sto_request request = { .operation = STO_GET,
+                                 .kind = sidecar->platform->config_kind,
+                                 .name = sidecar->platform->config_name };
+
+  sidecar->config_call = sto_start (sidecar->store, &request,
+                                    now + CONFIG_PATIENCE, on_config, sidecar);
+}
+
+void
+sdc_check_join (struct sdc *sidecar, clk_time now)
+{
+  if (now < sidecar->join_at)
+    return;
+  if (!sidecar->joined)
+    {
+      /* The second list of a first start, or nodes that have introduced
+         themselves while the store is away.  */
+      if (!wch_is_started (sidecar->node_watch))
+        wch_start (sidecar->node_watch);
+      else if (dir_count (sidecar->directory) > 1)
+        take_roles (sidecar);
+      return;
+    }
+  if (sidecar->snapshot != NULL)
+    {
+      sidecar->join_at = CLK_NEVER;
+      return;
+    }
+  sidecar->join_at = now + CONFIG_PATIENCE;
+  if (sidecar->config_call == NULL
+      && wch_health (sidecar->config_watch) != WCH_CURRENT)
+    read_config (sidecar, now);
+}
+
+void
+sdc_take_hello (struct sdc *sidecar, const Mesh__Hello *hello)
+{
+  struct mbr_member record;
+
+  if (hello->member == NULL || !mbr_member_from_wire (hello->member, &record))
+    {
+      log_write (LOG_WARNING, "sdc", "an introduction was not valid");
+      return;
+    }
+  sdc_take_member (sidecar, &record);
+  if (!sidecar->joined && sidecar->join_at == CLK_NEVER)
+    sidecar->join_at = evl_now (sidecar->loop) + LIST_PATIENCE;
+}
+
+static void
+version_hook (void *context, const char *text, size_t length)
+{
+  struct sdc *sidecar = context;
+  json_error_t error;
+  json_t *content = json_loadb (text, length, 0, &error);
+
+  if (content == NULL)
+    log_write (LOG_ERROR, "sdc", "a version from another node is not JSON: %s",
+               error.text);
+  else
+    sdc_use_config (sidecar, content);
+  json_decref (content);
+}
+
+static bool
+member_hook (void *context, const struct mbr_member *member)
+{
+  return sdc_take_member (context, member);
+}
+
+static void
+watch_hook (void *context, bool watches)
+{
+  struct sdc *sidecar = context;
+
+  if (watches == wch_is_started (sidecar->config_watch))
+    return;
+  log_write (LOG_INFO, "sdc",
+             watches ? "watching the platform"
+                     : "no longer watching the platform");
+  if (watches)
+    {
+      wch_start (sidecar->config_watch);
+      wch_start (sidecar->node_watch);
+      return;
+    }
+  wch_stop (sidecar->config_watch);
+  wch_stop (sidecar->node_watch);
+  syn_set_sight (sidecar->sync, REL_UNKNOWN);
+}
+
+static void
+confirmed_hook (void *context, uint64_t sequence)
+{
+  struct sdc *sidecar = context;
+
+  if (sequence > sidecar->confirmed)
+    sidecar->confirmed = sequence;
+  sdc_check_acks (sidecar);
+}
+
+struct syn_hooks
+sdc_sync_hooks (struct sdc *sidecar)
+{
+  struct syn_hooks hooks
+      = { sidecar, version_hook, member_hook, watch_hook, confirmed_hook };
+
+  return hooks;
+}
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -43,22 +43,16 @@
 on_request (void *context, struct hub_origin *origin, Mesh__Frame *frame)
 {
   struct sdc *sidecar = context;
-  Mesh__Frame reply = MESH__FRAME__INIT;
-  Mesh__Pong pong = MESH__PONG__INIT;
-  Mesh__Load load;
 
-  if (frame->body_case != MESH__FRAME__BODY_PING)
+  if (frame->body_case == MESH__FRAME__BODY_HELLO)
     {
-      gat_take (sidecar->gate, origin, frame);
-      return true;
+      sdc_take_hello (sidecar, frame->hello);
+      return false;
     }
-  gat_load (sidecar->gate, &load);
-  pong.nonce = frame->ping->nonce;
-  pong.load = &load;
-  reply.body_case = MESH__FRAME__BODY_PONG;
-  reply.pong = &pong;
-  hub_reply (sidecar->hub, origin, &reply);
-  return false;
+  if (syn_take_request (sidecar->sync, origin, frame))
+    return false;
+  gat_take (sidecar->gate, origin, frame);
+  return true;
 }
 
 static bool
@@ -66,6 +60,10 @@
 {
   struct sdc *sidecar = context;
 
+  if (frame->body_case == MESH__FRAME__BODY_ANSWER)
+    syn_hear (sidecar->sync, peer, frame->answer->config_version);
+  if (syn_take_reply (sidecar->sync, peer, frame))
+    return false;
   return fwd_take_reply (sidecar->forwarder, peer, frame);
 }
 
@@ -75,6 +73,15 @@
   struct sdc *sidecar = context;
 
   gat_drop_origin (sidecar->gate, origin);
+  syn_origin_lost (sidecar->sync, origin);
+}
+
+static void
+on_connected (void *context, dir_handle peer)
+{
+  struct sdc *sidecar = context;
+
+  syn_connected (sidecar->sync, peer);
 }
 
 static void
@@ -94,10 +101,12 @@
 
   log_write (LOG_INFO, "sdc", "node %s is %s",
              member != NULL ? member->name : "?", names[health]);
+  syn_refresh (sidecar->sync);
 }
 
 static const struct hub_handlers hub_handlers
-    = { on_request, on_reply, on_origin_lost, on_link_lost, on_health };
+    = { on_request,   on_reply,     on_origin_lost,
+        on_link_lost, on_connected, on_health };
 
 static void
 reply_hook (void *context, struct hub_origin *origin, const Mesh__Frame *frame)
@@ -171,6 +180,7 @@
   struct evl *loop = sidecar->loop;
   struct gat_hooks hooks
       = { sidecar, reply_hook, unreachable_hook, version_hook };
+  struct syn_hooks sync_hooks = sdc_sync_hooks (sidecar);
   struct fwd_parts parts
       = { .loop = loop,
           .platform = sidecar->platform,
@@ -184,6 +194,8 @@
                   &hub_handlers, sidecar, &sidecar->hub)
       != HUB_OK)
     return false;
+  sidecar->sync = syn_create (loop, sidecar->hub, sidecar->directory,
+                              sidecar->self, &sync_hooks);
   sidecar->store = sto_create (loop, settings->platform, sidecar->platform);
   sidecar->gate
       = gat_create (loop, sidecar->platform, &sidecar->registration, &hooks);
@@ -199,14 +211,14 @@
                     &sdc_node_handlers, sidecar);
   if (!start_servers (sidecar))
     return false;
-  wch_start (sidecar->config_watch);
-  wch_start (sidecar->node_watch);
+  sdc_join (sidecar);
   return true;
 }
 
 static void
 stop_parts (struct sdc *sidecar)
 {
+  sto_cancel (sidecar->config_call);
   wch_destroy (sidecar->config_watch);
   wch_destroy (sidecar->node_watch);
   pub_destroy (sidecar->publisher);
@@ -217,6 +229,7 @@
   fwd_destroy (sidecar->forwarder);
   gat_destroy (sidecar->gate);
   sto_destroy (sidecar->store);
+  syn_destroy (sidecar->sync);
   hub_destroy (sidecar->hub);
   while (sidecar->acks != NULL)
     {
@@ -251,6 +264,10 @@
   gat_stop (sidecar->gate);
   fwd_limit (sidecar->forwarder, sidecar->stop_at - ANSWER_MARGIN);
   srv_drain (sidecar->calls);
+  sidecar->record.state = MBR_LEAVING;
+  sidecar->record.sequence++;
+  dir_merge (sidecar->directory, &sidecar->record, &sidecar->self);
+  syn_publish (sidecar->sync, &sidecar->record);
   if (sidecar->registration.state == REG_LEAVING
       || sidecar->registration.state == REG_NONE)
     pub_withdraw (sidecar->publisher);
@@ -339,6 +356,7 @@
 
   sdc_check_acks (sidecar);
   check_upstream (sidecar, now);
+  sdc_check_join (sidecar, now);
   if (read_settings_time (sidecar->file) != sidecar->settings_time)
     reload (sidecar);
   check_shutdown (sidecar, now);
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -63,6 +63,7 @@
   sidecar->snapshot = snp_compile (version, text, strlen (text), document);
   free (text);
   fwd_set_snapshot (sidecar->forwarder, sidecar->snapshot);
+  syn_set_snapshot (sidecar->sync, sidecar->snapshot);
   apply_limits (sidecar);
   log_set_version (version);
   log_write (LOG_INFO, "sdc", "version %" PRIu64 " is in effect", version);
@@ -92,14 +93,23 @@
   (void)context;
 }
 
+/* Tells the other nodes how this one sees the platform: it hears of changes
+   when both watches do.  */
 static void
 on_health (void *context, enum wch_health health)
 {
-  (void)context;
+  struct sdc *sidecar = context;
+  enum wch_health config = wch_health (sidecar->config_watch);
+  enum wch_health nodes = wch_health (sidecar->node_watch);
+
   if (health == WCH_CURRENT)
     log_write (LOG_INFO, "sdc", "the store answers");
   else
     log_write (LOG_WARNING, "sdc", "the store does not answer");
+  if (config == WCH_BLIND || nodes == WCH_BLIND)
+    syn_set_sight (sidecar->sync, REL_BLIND);
+  else if (config == WCH_CURRENT && nodes == WCH_CURRENT)
+    syn_set_sight (sidecar->sync, REL_CURRENT);
 }
 
 const struct wch_handlers sdc_config_handlers
@@ -109,12 +119,25 @@
 static void
 take_own_record (struct sdc *sidecar, const struct mbr_member *record)
 {
-  if (record->incarnation >= sidecar->record.incarnation)
+  /* A time of day that was set back must not make this process seem older
+     than the one before it.  */
+  if (record->incarnation > sidecar->record.incarnation
+      || (record->incarnation == sidecar->record.incarnation
+          && record->sequence > sidecar->record.sequence))
     sidecar->record.incarnation = record->incarnation + 1;
   if (reg_adopt (&sidecar->registration, record, sidecar->settings.upstream,
                  evl_now (sidecar->loop)))
     {
-      log_write (LOG_INFO, "sdc", "the upstream %s was known to the store",
+      log_write (LOG_INFO, "sdc", "the upstream %s was known before",
+                 record->upstream);
+      sdc_registration_changed (sidecar);
+    }
+  else if (record->upstream_leaving
+           && reg_leave (&sidecar->registration, record->upstream,
+                         record->upstream_born, evl_now (sidecar->loop))
+                  == REG_CHANGED)
+    {
+      log_write (LOG_INFO, "sdc", "the upstream %s has left before",
                  record->upstream);
       sdc_registration_changed (sidecar);
     }
@@ -133,23 +156,48 @@
   sidecar->listed[node] = true;
 }
 
-static void
+/* Adds or replaces a record.  Returns whether it was news.  */
+static bool
 merge_node (struct sdc *sidecar, const struct mbr_member *record)
 {
+  enum dir_change change;
   dir_handle known = dir_find (sidecar->directory, record->name);
   const struct mbr_member *before = dir_get (sidecar->directory, known);
   bool moved = before != NULL && !net_equal (before->address, record->address);
+  bool restarted
+      = before != NULL && before->incarnation != record->incarnation;
   dir_handle node;
 
-  if (dir_merge (sidecar->directory, record, &node) == DIR_FULL)
+  change = dir_merge (sidecar->directory, record, &node);
+  if (change == DIR_FULL)
     {
       log_write (LOG_ERROR, "sdc", "the directory has no room for %s",
                  record->name);
-      return;
+      return false;
     }
-  if (moved || before == NULL)
-    hub_forget (sidecar->hub, node);
   mark_listed (sidecar, node);
+  if (change != DIR_NEW && change != DIR_CHANGED)
+    return false;
+  if (moved || change == DIR_NEW)
+    {
+      hub_forget (sidecar->hub, node);
+      syn_forget (sidecar->sync, node);
+    }
+  else if (restarted)
+    hub_retry (sidecar->hub, node);
+  syn_refresh (sidecar->sync);
+  return true;
+}
+
+bool
+sdc_take_member (struct sdc *sidecar, const struct mbr_member *record)
+{
+  if (strcmp (record->name, sidecar->record.name) != 0)
+    return merge_node (sidecar, record);
+  if (record->incarnation != sidecar->record.incarnation
+      || record->sequence > sidecar->record.sequence)
+    take_own_record (sidecar, record);
+  return false;
 }
 
 static void
@@ -167,7 +215,8 @@
     }
   if (strcmp (record.name, sidecar->record.name) != 0)
     {
-      merge_node (sidecar, &record);
+      if (merge_node (sidecar, &record))
+        syn_publish (sidecar->sync, &record);
       return;
     }
   pub_learn (sidecar->publisher, object, &record);
@@ -183,6 +232,8 @@
              dir_get (sidecar->directory, node)->name);
   dir_remove (sidecar->directory, node);
   hub_forget (sidecar->hub, node);
+  syn_forget (sidecar->sync, node);
+  syn_refresh (sidecar->sync);
 }
 
 static void
@@ -213,6 +264,8 @@
       remove_node (sidecar, i);
   sidecar->nodes_known = true;
   pub_set (sidecar->publisher, &sidecar->record);
+  if (!sidecar->joined)
+    sdc_nodes_listed (sidecar);
 }
 
 const struct wch_handlers sdc_node_handlers
@@ -243,5 +296,6 @@
   dir_merge (sidecar->directory, &sidecar->record, &sidecar->self);
   if (sidecar->nodes_known)
     pub_set (sidecar->publisher, &sidecar->record);
+  syn_publish (sidecar->sync, &sidecar->record);
   gat_refresh (sidecar->gate);
 }
--- /dev/null
+++ b/src/syn/syn.c
@@ -0,0 +1,532 @@
+/* Roles, subscriptions and records of nodes.  */
+
+#include "syn/syn.h"
+
+#include "base/log.h"
+#include "base/mem.h"
+#include "syn/syn_internal.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Records in one frame.  */
+#define MEMBERS_PER_FRAME 128
+
+/* A node takes or gives up the watch of the platform when its role has stayed
+   the same for this long: records of nodes that start together come one by
+   one.  */
+#define ROLE_PAUSE (60 * CLK_MILLISECOND)
+
+/* A newer version that another node holds is asked for when no parent has
+   pushed it for this long.  */
+#define PUSH_PATIENCE (150 * CLK_MILLISECOND)
+
+static void refresh (void *context);
+static void fetch_heard (void *context);
+static void apply_watch (void *context);
+
+struct syn *
+syn_create (struct evl *loop, struct hub *hub, const struct dir *directory,
+            dir_handle self, const struct syn_hooks *hooks)
+{
+  struct syn *sync = mem_alloc (1, sizeof *sync);
+
+  sync->loop = loop;
+  sync->hub = hub;
+  sync->directory = directory;
+  sync->self = self;
+  sync->hooks = *hooks;
+  for (size_t i = 0; i < REL_PARENTS; i++)
+    sync->parents[i] = DIR_NONE;
+  evl_task_init (&sync->refresh, loop, refresh, sync);
+  evl_timer_init (&sync->settle, loop, apply_watch, sync);
+  evl_timer_init (&sync->heard, loop, fetch_heard, sync);
+  sync->heard_peer = DIR_NONE;
+  return sync;
+}
+
+void
+syn_destroy (struct syn *sync)
+{
+  if (sync == NULL)
+    return;
+  while (sync->subscribers != NULL)
+    {
+      struct syn_subscriber *subscriber = sync->subscribers;
+
+      sync->subscribers = subscriber->next;
+      free (subscriber);
+    }
+  evl_task_stop (&sync->refresh);
+  evl_timer_stop (&sync->settle);
+  evl_timer_stop (&sync->heard);
+  snp_release (sync->snapshot);
+  free (sync->previous.text);
+  buf_close (&sync->delta);
+  buf_close (&sync->whole);
+  free (sync->sights);
+  free (sync);
+}
+
+static enum rel_sight *
+sight_of (struct syn *sync, dir_handle peer)
+{
+  dir_handle count = peer + 1;
+
+  if (peer >= sync->sight_count)
+    {
+      sync->sights = mem_resize (sync->sights, count, sizeof *sync->sights);
+      for (dir_handle i = sync->sight_count; i < count; i++)
+        sync->sights[i] = REL_UNKNOWN;
+      sync->sight_count = count;
+    }
+  return &sync->sights[peer];
+}
+
+/* Fills in what the plan depends on.  Returns the number of nodes; *SELF is
+   the index of this one.  */
+static size_t
+collect (struct syn *sync, struct rel_node *nodes, dir_handle *handles,
+         size_t *self)
+{
+  size_t count = 0;
+
+  for (dir_handle i = 0; i < dir_end (sync->directory); i++)
+    {
+      const struct mbr_member *member = dir_get (sync->directory, i);
+
+      if (member == NULL)
+        continue;
+      if (i == sync->self)
+        *self = count;
+      handles[count] = i;
+      nodes[count++] = (struct rel_node){
+        .data_centre = member->data_centre,
+        .hash = rel_hash (member->name),
+        .distance = member->platform_distance,
+        .alive = member->state == MBR_ALIVE
+                 && hub_health (sync->hub, i) == HUB_HEALTHY,
+        .sight = i == sync->self ? sync->sight : *sight_of (sync, i),
+      };
+    }
+  return count;
+}
+
+static void
+send_subscribe (struct syn *sync, dir_handle parent, bool end)
+{
+  Mesh__Subscribe message = MESH__SUBSCRIBE__INIT;
+  Mesh__Frame frame = MESH__FRAME__INIT;
+  struct snp_stamp held = syn_held (sync);
+  Mesh__Stamp stamp = MESH__STAMP__INIT;
+  Mesh__Member member;
+  uint64_t link;
+
+  stamp.version = held.version;
+  stamp.hash = held.hash;
+  mbr_member_to_wire (dir_get (sync->directory, sync->self), &member);
+  message.held = &stamp;
+  message.member = &member;
+  message.end = end;
+  frame.body_case = MESH__FRAME__BODY_SUBSCRIBE;
+  frame.subscribe = &message;
+  hub_send (sync->hub, parent, &frame, 0, &link);
+}
+
+static bool
+is_parent (const struct syn *sync, dir_handle peer)
+{
+  for (size_t i = 0; i < REL_PARENTS; i++)
+    if (sync->parents[i] == peer)
+      return true;
+  return false;
+}
+
+/* Ends subscriptions that are not in PARENTS and starts the new ones.  */
+static void
+set_parents (struct syn *sync, const dir_handle *parents)
+{
+  dir_handle old[REL_PARENTS];
+
+  memcpy (old, sync->parents, sizeof old);
+  memcpy (sync->parents, parents, sizeof sync->parents);
+  for (size_t i = 0; i < REL_PARENTS; i++)
+    if (old[i] != DIR_NONE && !is_parent (sync, old[i]))
+      {
+        hub_watch (sync->hub, old[i], false);
+        send_subscribe (sync, old[i], true);
+      }
+  for (size_t i = 0; i < REL_PARENTS; i++)
+    {
+      bool known = false;
+
+      for (size_t j = 0; j < REL_PARENTS; j++)
+        known = known || old[j] == parents[i];
+      if (known || parents[i] == DIR_NONE)
+        continue;
+      hub_watch (sync->hub, parents[i], true);
+      if (hub_is_connected (sync->hub, parents[i]))
+        send_subscribe (sync, parents[i], false);
+    }
+}
+
+static void
+apply_watch (void *context)
+{
+  struct syn *sync = context;
+
+  sync->hooks.watch (sync->hooks.context, sync->watches);
+}
+
+/* Works out this node's roles again.  */
+static void
+refresh (void *context)
+{
+  struct syn *sync = context;
+  size_t limit = dir_count (sync->directory);
+  struct rel_node *nodes = mem_alloc (limit, sizeof *nodes);
+  dir_handle *handles = mem_alloc (limit, sizeof *handles);
+  dir_handle parents[REL_PARENTS];
+  size_t self = 0;
+  size_t count = collect (sync, nodes, handles, &self);
+  struct rel_plan plan = rel_decide (nodes, count, self);
+
+  for (size_t i = 0; i < REL_PARENTS; i++)
+    parents[i]
+        = plan.parents[i] == REL_NONE ? DIR_NONE : handles[plan.parents[i]];
+  set_parents (sync, parents);
+  if (plan.watches != sync->watches)
+    {
+      sync->watches = plan.watches;
+      evl_timer_set (&sync->settle, evl_now (sync->loop) + ROLE_PAUSE);
+    }
+  free (handles);
+  free (nodes);
+}
+
+void
+syn_refresh (struct syn *sync)
+{
+  if (sync->started)
+    evl_task_add (&sync->refresh);
+}
+
+void
+syn_start (struct syn *sync)
+{
+  sync->started = true;
+  syn_refresh (sync);
+}
+
+enum rel_sight
+syn_sight (const struct syn *sync)
+{
+  return sync->sight;
+}
+
+/* Tells the subscribers how this node sees the platform.  */
+static void
+send_sight (struct syn *sync)
+{
+  Mesh__Pong pong = MESH__PONG__INIT;
+  Mesh__Frame frame = MESH__FRAME__INIT;
+
+  pong.sight = sync->sight;
+  pong.config_version = syn_held (sync).version;
+  frame.body_case = MESH__FRAME__BODY_PONG;
+  frame.pong = &pong;
+  for (struct syn_subscriber *subscriber = sync->subscribers;
+       subscriber != NULL; subscriber = subscriber->next)
+    hub_reply (sync->hub, subscriber->origin, &frame);
+}
+
+void
+syn_set_sight (struct syn *sync, enum rel_sight sight)
+{
+  if (sync->sight == sight)
+    return;
+  sync->sight = sight;
+  send_sight (sync);
+  syn_refresh (sync);
+}
+
+void
+syn_set_snapshot (struct syn *sync, struct snp_snapshot *snapshot)
+{
+  syn_replace_snapshot (sync, snapshot);
+  for (struct syn_subscriber *subscriber = sync->subscribers;
+       subscriber != NULL; subscriber = subscriber->next)
+    syn_push (sync, subscriber);
+}
+
+/* Sends records to ORIGIN, or to the parent PEER when ORIGIN is null.  */
+static void
+send_members (struct syn *sync, struct hub_origin *origin, dir_handle peer,
+              Mesh__Member **members, size_t count, uint32_t acknowledge)
+{
+  Mesh__Members message = MESH__MEMBERS__INIT;
+  Mesh__Frame frame = MESH__FRAME__INIT;
+  uint64_t link;
+
+  message.members = members;
+  message.n_members = count;
+  message.acknowledge = acknowledge;
+  frame.body_case = MESH__FRAME__BODY_MEMBERS;
+  frame.members = &message;
+  if (origin != NULL)
+    hub_reply (sync->hub, origin, &frame);
+  else
+    hub_send (sync->hub, peer, &frame, 0, &link);
+}
+
+/* Passes a record on to parents and subscribers, except to where it came
+   from.  */
+static void
+spread (struct syn *sync, const struct mbr_member *member,
+        const struct hub_origin *from, dir_handle from_peer,
+        uint32_t acknowledge)
+{
+  Mesh__Member message;
+  Mesh__Member *pointer = &message;
+
+  mbr_member_to_wire (member, &message);
+  for (struct syn_subscriber *subscriber = sync->subscribers;
+       subscriber != NULL; subscriber = subscriber->next)
+    if (subscriber->origin != from)
+      send_members (sync, subscriber->origin, DIR_NONE, &pointer, 1, 0);
+  for (size_t i = 0; i < REL_PARENTS; i++)
+    if (sync->parents[i] != DIR_NONE && sync->parents[i] != from_peer)
+      send_members (sync, NULL, sync->parents[i], &pointer, 1, acknowledge);
+}
+
+void
+syn_publish (struct syn *sync, const struct mbr_member *member)
+{
+  const struct mbr_member *self = dir_get (sync->directory, sync->self);
+  bool own = strcmp (member->name, self->name) == 0;
+
+  spread (sync, member, NULL, DIR_NONE, own ? (uint32_t)member->sequence : 0);
+}
+
+/* Sends all records to a new subscriber.  */
+static void
+send_directory (struct syn *sync, struct hub_origin *origin)
+{
+  Mesh__Member messages[MEMBERS_PER_FRAME];
+  Mesh__Member *pointers[MEMBERS_PER_FRAME];
+  size_t count = 0;
+
+  for (dir_handle i = 0; i < dir_end (sync->directory); i++)
+    {
+      const struct mbr_member *member = dir_get (sync->directory, i);
+
+      if (member == NULL)
+        continue;
+      mbr_member_to_wire (member, &messages[count]);
+      pointers[count] = &messages[count];
+      if (++count == MEMBERS_PER_FRAME)
+        {
+          send_members (sync, origin, DIR_NONE, pointers, count, 0);
+          count = 0;
+        }
+    }
+  if (count > 0)
+    send_members (sync, origin, DIR_NONE, pointers, count, 0);
+}
+
+static struct syn_subscriber **
+find_subscriber (struct syn *sync, const struct hub_origin *origin)
+{
+  struct syn_subscriber **place = &sync->subscribers;
+
+  while (*place != NULL && (*place)->origin != origin)
+    place = &(*place)->next;
+  return place;
+}
+
+void
+syn_origin_lost (struct syn *sync, const struct hub_origin *origin)
+{
+  struct syn_subscriber **place = find_subscriber (sync, origin);
+  struct syn_subscriber *subscriber = *place;
+
+  if (subscriber == NULL)
+    return;
+  *place = subscriber->next;
+  free (subscriber);
+}
+
+/* Takes a record that came from another node.  */
+static void
+take_member (struct syn *sync, const Mesh__Member *message,
+             const struct hub_origin *from, dir_handle from_peer)
+{
+  struct mbr_member member;
+
+  if (!mbr_member_from_wire (message, &member))
+    {
+      log_write (LOG_WARNING, "syn", "a record of a node was not valid");
+      return;
+    }
+  if (sync->hooks.member (sync->hooks.context, &member))
+    spread (sync, &member, from, from_peer, 0);
+}
+
+static void
+take_subscribe (struct syn *sync, struct hub_origin *origin,
+                const Mesh__Subscribe *message)
+{
+  struct syn_subscriber **place = find_subscriber (sync, origin);
+  struct syn_subscriber *subscriber = *place;
+
+  if (message->end)
+    {
+      syn_origin_lost (sync, origin);
+      return;
+    }
+  if (message->member != NULL)
+    take_member (sync, message->member, origin, DIR_NONE);
+  if (subscriber == NULL)
+    {
+      subscriber = mem_alloc (1, sizeof *subscriber);
+      subscriber->origin = origin;
+      *place = subscriber;
+    }
+  if (message->held != NULL)
+    subscriber->held
+        = (struct snp_stamp){ message->held->version, message->held->hash };
+  send_directory (sync, origin);
+  syn_push (sync, subscriber);
+}
+
+static void
+take_members (struct syn *sync, const Mesh__Members *message,
+              struct hub_origin *from, dir_handle from_peer)
+{
+  Mesh__MembersAck ack = MESH__MEMBERS_ACK__INIT;
+  Mesh__Frame frame = MESH__FRAME__INIT;
+
+  for (size_t i = 0; i < message->n_members; i++)
+    take_member (sync, message->members[i], from, from_peer);
+  if (message->acknowledge == 0 || from == NULL)
+    return;
+  ack.acknowledge = message->acknowledge;
+  frame.body_case = MESH__FRAME__BODY_MEMBERS_ACK;
+  frame.members_ack = &ack;
+  hub_reply (sync->hub, from, &frame);
+}
+
+static void
+answer_ping (struct syn *sync, struct hub_origin *origin,
+             const Mesh__Ping *ping)
+{
+  Mesh__Pong pong = MESH__PONG__INIT;
+  Mesh__Frame frame = MESH__FRAME__INIT;
+
+  pong.nonce = ping->nonce;
+  pong.sight = sync->sight;
+  pong.config_version = syn_held (sync).version;
+  frame.body_case = MESH__FRAME__BODY_PONG;
+  frame.pong = &pong;
+  hub_reply (sync->hub, origin, &frame);
+}
+
+bool
+syn_take_request (struct syn *sync, struct hub_origin *origin,
+                  const Mesh__Frame *frame)
+{
+  switch (frame->body_case)
+    {
+    case MESH__FRAME__BODY_PING:
+      answer_ping (sync, origin, frame->ping);
+      return true;
+    case MESH__FRAME__BODY_SUBSCRIBE:
+      take_subscribe (sync, origin, frame->subscribe);
+      return true;
+    case MESH__FRAME__BODY_MEMBERS:
+      take_members (sync, frame->members, origin, DIR_NONE);
+      return true;
+    case MESH__FRAME__BODY_FETCH_REQUEST:
+      syn_answer_fetch (sync, origin, frame->fetch_request);
+      return true;
+    default:
+      return false;
+    }
+}
+
+static void
+take_pong (struct syn *sync, dir_handle peer, const Mesh__Pong *pong)
+{
+  enum rel_sight sight
+      = pong->sight <= REL_BLIND ? (enum rel_sight)pong->sight : REL_UNKNOWN;
+
+  if (*sight_of (sync, peer) != sight)
+    {
+      *sight_of (sync, peer) = sight;
+      syn_refresh (sync);
+    }
+  syn_hear (sync, peer, pong->config_version);
+}
+
+bool
+syn_take_reply (struct syn *sync, dir_handle peer, const Mesh__Frame *frame)
+{
+  switch (frame->body_case)
+    {
+    case MESH__FRAME__BODY_PONG:
+      take_pong (sync, peer, frame->pong);
+      return true;
+    case MESH__FRAME__BODY_MEMBERS:
+      take_members (sync, frame->members, NULL, peer);
+      return true;
+    case MESH__FRAME__BODY_MEMBERS_ACK:
+      sync->hooks.confirmed (sync->hooks.context,
+                             frame->members_ack->acknowledge);
+      return true;
+    case MESH__FRAME__BODY_PUSH:
+      syn_take_version (sync, peer, frame->push);
+      return true;
+    case MESH__FRAME__BODY_FETCH_REPLY:
+      syn_take_version (sync, peer, frame->fetch_reply);
+      return true;
+    default:
+      return false;
+    }
+}
+
+void
+syn_connected (struct syn *sync, dir_handle peer)
+{
+  if (sync->started && is_parent (sync, peer))
+    send_subscribe (sync, peer, false);
+  syn_refresh (sync);
+}
+
+void
+syn_hear (struct syn *sync, dir_handle peer, uint64_t version)
+{
+  if (version <= syn_held (sync).version || peer == sync->self
+      || sync->heard_peer != DIR_NONE)
+    return;
+  sync->heard_peer = peer;
+  sync->heard_version = version;
+  evl_timer_set (&sync->heard, evl_now (sync->loop) + PUSH_PATIENCE);
+}
+
+static void
+fetch_heard (void *context)
+{
+  struct syn *sync = context;
+  dir_handle peer = sync->heard_peer;
+
+  sync->heard_peer = DIR_NONE;
+  if (sync->heard_version > syn_held (sync).version)
+    syn_fetch (sync, peer, false);
+}
+
+void
+syn_forget (struct syn *sync, dir_handle peer)
+{
+  *sight_of (sync, peer) = REL_UNKNOWN;
+}
--- /dev/null
+++ b/src/syn/syn.h
@@ -0,0 +1,88 @@
+/* Spreading of changes between nodes: configuration versions as deltas, and
+   records of nodes.  A node subscribes to its parents (rel.h), which push what
+   changes; whatever is newer is passed on to its own subscribers.
+
+   The text of a version is what the platform's store holds of it.  */
+
+#ifndef MULBERRYSHIFT_SYN_SYN_H
+#define MULBERRYSHIFT_SYN_SYN_H
+
+#include "dir/dir.h"
+#include "evl/evl.h"
+#include "hub/hub.h"
+#include "rel/rel.h"
+#include "snp/snp.h"
+
+#include <stdbool.h>
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  struct syn;
+
+  struct syn_hooks
+  {
+    void *context;
+    /* A newer version has come as text.  */
+    void (*version) (void *context, const char *text, size_t length);
+    /* The record of a node has come; true when it was newer than the known
+       one and is passed on.  */
+    bool (*member) (void *context, const struct mbr_member *member);
+    /* This node starts or stops to watch the platform.  */
+    void (*watch) (void *context, bool watches);
+    /* A parent holds the record that syn_publish sent.  */
+    void (*confirmed) (void *context, uint64_t sequence);
+  };
+
+  /* Creates the spreading; it does nothing before syn_start.  */
+  struct syn *syn_create (struct evl *loop, struct hub *hub,
+                          const struct dir *directory, dir_handle self,
+                          const struct syn_hooks *hooks);
+
+  /* Frees it.  Null is allowed.  */
+  void syn_destroy (struct syn *sync);
+
+  /* Takes roles from now on: the directory is known.  */
+  void syn_start (struct syn *sync);
+
+  /* Tells how this node sees the platform.  */
+  void syn_set_sight (struct syn *sync, enum rel_sight sight);
+
+  /* Uses SNAPSHOT as the held version and passes it on.  */
+  void syn_set_snapshot (struct syn *sync, struct snp_snapshot *snapshot);
+
+  /* Passes on a record that came from the platform or is this node's own.  */
+  void syn_publish (struct syn *sync, const struct mbr_member *member);
+
+  /* Removes a subscriber that is gone.  */
+  void syn_origin_lost (struct syn *sync, const struct hub_origin *origin);
+
+  /* PEER can be reached again on a new link.  */
+  void syn_connected (struct syn *sync, dir_handle peer);
+
+  /* The directory, or what is known of a peer's health, has changed.  */
+  void syn_refresh (struct syn *sync);
+
+  /* PEER holds VERSION; a newer one is asked for.  */
+  void syn_hear (struct syn *sync, dir_handle peer, uint64_t version);
+
+  /* The handle PEER is given to another node.  */
+  void syn_forget (struct syn *sync, dir_handle peer);
+
+  /* Takes a frame of a subscriber, or of a parent.  Returns false when the
+     frame is for somebody else.  */
+  bool syn_take_request (struct syn *sync, struct hub_origin *origin,
+                         const Mesh__Frame *frame);
+  bool syn_take_reply (struct syn *sync, dir_handle peer,
+                       const Mesh__Frame *frame);
+
+  /* Returns how this node sees the platform, for pongs.  */
+  enum rel_sight syn_sight (const struct syn *sync);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/syn/syn_internal.h
@@ -0,0 +1,73 @@
+/* State of the spreading.  Used inside this module.  */
+
+#ifndef MULBERRYSHIFT_SYN_SYN_INTERNAL_H
+#define MULBERRYSHIFT_SYN_SYN_INTERNAL_H
+
+#include "base/buf.h"
+#include "syn/syn.h"
+
+/* A node that hears from this one.  */
+struct syn_subscriber
+{
+  struct hub_origin *origin;
+  struct snp_stamp held; /* as far as this node knows */
+  struct syn_subscriber *next;
+};
+
+/* The last version before the held one, as the base of deltas.  */
+struct syn_previous
+{
+  struct snp_stamp stamp;
+  char *text;
+  size_t length;
+};
+
+struct syn
+{
+  struct evl *loop;
+  struct hub *hub;
+  const struct dir *directory;
+  dir_handle self;
+  struct syn_hooks hooks;
+  struct syn_subscriber *subscribers;
+  struct snp_snapshot *snapshot;
+  struct syn_previous previous;
+  struct buf delta; /* from the previous version to the held one; empty: not
+                       made yet */
+  struct buf whole; /* the held version, compressed; empty: not made yet */
+  enum rel_sight sight;
+  enum rel_sight *sights; /* of the nodes, by handle */
+  dir_handle sight_count;
+  dir_handle parents[REL_PARENTS];
+  bool watches;
+  bool started;
+  uint64_t heard_version;
+  dir_handle heard_peer;  /* that holds a newer version; DIR_NONE: none */
+  struct evl_timer heard; /* when it is asked for */
+  clk_time fetch_after;   /* no version is asked for again before */
+  struct evl_task refresh;
+  struct evl_timer settle; /* of a change of roles */
+};
+
+/* Sends the held version to a subscriber that does not have it.  */
+void syn_push (struct syn *sync, struct syn_subscriber *subscriber);
+
+/* Answers a request for the held version.  */
+void syn_answer_fetch (struct syn *sync, struct hub_origin *origin,
+                       const Mesh__FetchRequest *request);
+
+/* Takes a version that was pushed or asked for.  */
+void syn_take_version (struct syn *sync, dir_handle peer,
+                       const Mesh__FetchReply *reply);
+
+/* Asks PEER for the version that it holds.  */
+void syn_fetch (struct syn *sync, dir_handle peer, bool whole);
+
+/* Drops the compressed forms and keeps the held version as the previous
+   one.  */
+void syn_replace_snapshot (struct syn *sync, struct snp_snapshot *snapshot);
+
+/* Returns the stamp of the held version; version 0 when there is none.  */
+struct snp_stamp syn_held (const struct syn *sync);
+
+#endif
--- a/src/wch/wch.c
+++ b/src/wch/wch.c
@@ -155,7 +155,8 @@
       watch->after[0] = '\0';
       watch->listed = true;
       watch->handlers->listed (watch->context);
-      set_health (watch, WCH_CURRENT);
+      if (watch->started)
+        set_health (watch, WCH_CURRENT);
     }
   proceed (watch);
 }
