Place calls by cost; believe that a node is blind for a second only

Placement now weighs the expected end, the way, the load and failures (plc), sends the longest wait at which the choice still holds, and a busy gate answers at once with its load. A gate learns the time of each kind of call, and which kinds upstreams make; these go first (gat_kinds, que).

--- a/src/dir/dir.c
+++ b/src/dir/dir.c
@@ -6,6 +6,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* First allocation, in nodes.  */
 #define FIRST_CAPACITY 16
@@ -135,6 +136,23 @@
   return directory->count;
 }
 
+uint64_t
+dir_digest (const struct dir *directory)
+{
+  uint64_t digest = 0;
+
+  for (dir_handle i = 0; i < directory->end; i++)
+    {
+      const struct mbr_member *member = &directory->slots[i].member;
+
+      if (directory->slots[i].used)
+        digest ^= XXH3_64bits_withSeed (member->name, strlen (member->name),
+                                        member->incarnation * 31
+                                            + member->sequence);
+    }
+  return digest;
+}
+
 uint64_t
 dir_version (const struct dir *directory)
 {
--- a/src/dir/dir.h
+++ b/src/dir/dir.h
@@ -66,6 +66,9 @@
   /* Returns the number of nodes.  */
   size_t dir_count (const struct dir *directory);
 
+  /* Returns a digest that is equal for equal sets of records.  */
+  uint64_t dir_digest (const struct dir *directory);
+
   /* Returns a number that changes with every change of the directory.  */
   uint64_t dir_version (const struct dir *directory);
 
--- a/src/fwd/fwd.h
+++ b/src/fwd/fwd.h
@@ -52,6 +52,9 @@
   bool fwd_take_reply (struct fwd *forwarder, dir_handle peer,
                        Mesh__Frame *frame);
 
+  /* The handle PEER is given to another node.  */
+  void fwd_forget_peer (struct fwd *forwarder, dir_handle peer);
+
   /* No more answers come on LINK.  */
   void fwd_link_lost (struct fwd *forwarder, dir_handle peer, uint64_t link);
 
--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -8,19 +8,31 @@
 #include "out/out.h"
 #include "plc/plc.h"
 
-/* Nodes that a call has been sent to at most.  */
+/* Nodes that have refused a call at most.  */
 #define FWD_MAX_TRIED 16
 
+/* Kinds of calls of which a node remembers what a peer has told.  */
+#define FWD_MAX_KINDS 8
+
+/* What a peer has told of one kind of call.  */
+struct fwd_kind
+{
+  uint32_t route;   /* hash; 0: the place is free */
+  clk_time service; /* mean time in a slot, ns; 0: unknown */
+  clk_time wait;    /* expected wait, ns */
+  clk_time heard;
+};
+
 /* What answers have told of a peer's upstream.  */
 struct fwd_peer
 {
   uint32_t running;
-  uint32_t waiting;
   uint32_t slots;
-  clk_time service; /* ns */
+  clk_time slot; /* mean time of any call in a slot, ns; 0: unknown */
   double failed;
   uint32_t sent;  /* calls sent there since the last answer */
   clk_time heard; /* of the last answer; 0: none */
+  struct fwd_kind kinds[FWD_MAX_KINDS];
 };
 
 /* One request of a caller.  */
@@ -41,14 +53,14 @@
   struct evl_timer timer;
   dir_handle tried[FWD_MAX_TRIED];
   unsigned tried_count;
-  unsigned runs;            /* upstreams that were sent the call */
-  bool may_have_run;        /* one of them has not said that it did not */
-  uint32_t number;          /* of the try under way; 0: none */
-  dir_handle peer;          /* of the try under way */
-  uint64_t link;            /* of the try under way */
-  clk_time shortest_wait;   /* that a busy gate expected; 0: none said */
-  enum gat_refusal refusal; /* of the last try */
-  Mesh__Answer *answer;     /* its body is not complete; owned by FRAME */
+  unsigned runs;        /* upstreams that were sent the call */
+  bool may_have_run;    /* one of them has not said that it did not */
+  uint32_t number;      /* of the try under way; 0: none */
+  dir_handle peer;      /* of the try under way */
+  uint64_t link;        /* of the try under way */
+  uint32_t kind;        /* hash of the route */
+  unsigned bounces;     /* gates that were too busy */
+  Mesh__Answer *answer; /* its body is not complete; owned by FRAME */
   Mesh__Frame *frame;
 };
 
@@ -70,6 +82,25 @@
 /* Returns what is known of PEER.  */
 struct fwd_peer *fwd_peer (struct fwd *forwarder, dir_handle peer);
 
+/* Takes what PEER has told of its load, as calls of this kind meet it.  */
+void fwd_take_load (struct fwd *forwarder, dir_handle peer, uint32_t route,
+                    const Mesh__Load *load);
+
+/* Returns what is known of a peer's load; SLOTS is what its record says.  */
+struct plc_load fwd_peer_load (struct fwd *forwarder, dir_handle peer,
+                               uint32_t route, uint32_t slots);
+
+/* Sends the call again after a try that reached an upstream, if its kind, its
+   route and the budget allow it; else gives it up.  */
+void fwd_repeat (struct fwd_call *call);
+
+/* PEER's gate did not run the call.  */
+void fwd_take_refusal (struct fwd_call *call, dir_handle peer,
+                       enum gat_refusal refusal);
+
+/* Does not send the call to PEER again.  */
+void fwd_exclude (struct fwd_call *call, dir_handle peer);
+
 /* Sets the route and the service of a call.  Returns false when no route
    matches.  */
 bool fwd_find_route (struct fwd_call *call);
--- /dev/null
+++ b/src/fwd/fwd_peer.c
@@ -0,0 +1,91 @@
+/* What a node knows of its peers' upstreams.  */
+
+#include "base/mem.h"
+#include "fwd/fwd_internal.h"
+
+#include <string.h>
+
+struct fwd_peer *
+fwd_peer (struct fwd *forwarder, dir_handle peer)
+{
+  dir_handle count = peer + 1;
+
+  if (peer >= forwarder->peer_count)
+    {
+      forwarder->peers
+          = mem_resize (forwarder->peers, count, sizeof *forwarder->peers);
+      memset (forwarder->peers + forwarder->peer_count, 0,
+              (count - forwarder->peer_count) * sizeof *forwarder->peers);
+      forwarder->peer_count = count;
+    }
+  return &forwarder->peers[peer];
+}
+
+/* Returns the entry of a kind, which may replace the oldest one.  */
+static struct fwd_kind *
+find_kind (struct fwd_peer *peer, uint32_t route, bool add)
+{
+  struct fwd_kind *oldest = &peer->kinds[0];
+
+  for (size_t i = 0; i < FWD_MAX_KINDS; i++)
+    {
+      if (peer->kinds[i].route == route && peer->kinds[i].heard != 0)
+        return &peer->kinds[i];
+      if (peer->kinds[i].heard < oldest->heard)
+        oldest = &peer->kinds[i];
+    }
+  if (!add)
+    return NULL;
+  *oldest = (struct fwd_kind){ .route = route };
+  return oldest;
+}
+
+void
+fwd_take_load (struct fwd *forwarder, dir_handle peer, uint32_t route,
+               const Mesh__Load *load)
+{
+  struct fwd_peer *known = fwd_peer (forwarder, peer);
+  clk_time now = evl_now (forwarder->parts.loop);
+  struct fwd_kind *kind;
+
+  known->running = load->running;
+  known->slots = load->slots;
+  known->slot = (clk_time)load->slot_us * CLK_MICROSECOND;
+  known->failed = load->failed_permille / 1000.;
+  known->heard = now;
+  known->sent = 0;
+  kind = find_kind (known, route, true);
+  kind->service = (clk_time)load->service_us * CLK_MICROSECOND;
+  kind->wait = (clk_time)load->wait_us * CLK_MICROSECOND;
+  kind->heard = now;
+}
+
+struct plc_load
+fwd_peer_load (struct fwd *forwarder, dir_handle peer, uint32_t route,
+               uint32_t slots)
+{
+  struct fwd_peer *known = fwd_peer (forwarder, peer);
+  const struct fwd_kind *kind = find_kind (known, route, false);
+  struct plc_load load = { .slots = slots, .sent = known->sent };
+
+  if (known->heard == 0)
+    return load;
+  load.running = known->running;
+  load.slots = known->slots;
+  load.slot = known->slot;
+  load.failed = known->failed;
+  load.heard = known->heard;
+  if (kind != NULL)
+    {
+      load.service = kind->service;
+      load.wait = kind->wait;
+      load.heard = kind->heard;
+    }
+  return load;
+}
+
+void
+fwd_forget_peer (struct fwd *forwarder, dir_handle peer)
+{
+  memset (fwd_peer (forwarder, peer), 0, sizeof (struct fwd_peer));
+}
--- a/src/fwd/fwd_route.c
+++ b/src/fwd/fwd_route.c
@@ -4,6 +4,9 @@
 
 #include "rte/rte.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 /* Fractional part of the golden ratio.  Multiples of it fall evenly into the
    unit interval, so that every few requests are shared by weight.  */
 #define GOLDEN_STEP 0.61803398874989484820
@@ -48,5 +51,8 @@
   if (call->route->share_count > 0)
     service = choose_share (call->forwarder, call->route);
   call->service = call->snapshot->document->services[service].name;
+  call->kind = (uint32_t)XXH3_64bits_withSeed (
+      call->route->path, strlen (call->route->path),
+      XXH3_64bits (call->route->host, strlen (call->route->host)));
   return true;
 }
--- a/src/fwd/fwd_send.c
+++ b/src/fwd/fwd_send.c
@@ -92,6 +92,7 @@
   message.priority = call->route->priority;
   message.repeat = call->runs > 0;
   message.service = (char *)call->service;
+  message.route = call->kind;
   message.config_version = call->snapshot->stamp.version;
   message.body.data = request->body.data;
   message.body.len
--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -8,6 +8,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* How long the upstream keeps an idle connection as long as it has not said;
    most servers keep one for longer.  */
@@ -67,7 +68,7 @@
 static void
 plan_expiry (struct gat *gate)
 {
-  evl_timer_set (&gate->expiry, que_wake (&gate->queue, gate->service));
+  evl_timer_set (&gate->expiry, que_wake (&gate->queue));
 }
 
 void
@@ -105,8 +106,7 @@
   while (registration->state == REG_READY
          && gate->running < registration->upstream.slots)
     {
-      struct gat_call *call
-          = que_pop (&gate->queue, evl_now (gate->loop), gate->service);
+      struct gat_call *call = que_pop (&gate->queue, evl_now (gate->loop));
 
       if (call == NULL)
         break;
@@ -116,17 +116,55 @@
   plan_expiry (gate);
 }
 
-/* Returns the expected wait of a call that would be queued now, in ns.  */
-static clk_time
-expect_wait (const struct gat *gate, const struct que_item *item)
+struct gat_kind *
+gat_kind_of (const struct gat_call *call)
 {
+  struct gat *gate = call->gate;
+
+  return gat_find_kind (&gate->kinds, call->frame->call->route,
+                        evl_now (gate->loop));
+}
+
+clk_time
+gat_service_of (const struct gat_call *call)
+{
+  clk_time service = gat_kind_of (call)->service;
+
+  return service > 0 ? service : call->gate->slot;
+}
+
+/* A call that an upstream makes while it runs a request goes before all
+   others, and is never too late to be useful before its deadline.  */
+static struct que_item
+make_item (struct gat_call *call)
+{
+  bool nested = gat_is_nested (gat_kind_of (call));
+  struct que_item item = { .call = call,
+                           .priority = call->frame->call->priority + 1,
+                           .service = gat_service_of (call),
+                           .target = call->target,
+                           .deadline = call->deadline };
+
+  if (nested)
+    {
+      item.priority = 0;
+      item.target = call->deadline;
+    }
+  return item;
+}
+
+clk_time
+gat_expect_wait (const struct gat_call *call)
+{
+  struct gat *gate = call->gate;
   uint32_t slots = gate->registration->upstream.slots;
+  struct que_item item = make_item ((struct gat_call *)call);
   size_t ahead;
 
-  if (gate->running < slots)
+  if (gate->running < slots || slots == 0)
     return 0;
-  ahead = que_ahead (&gate->queue, item, evl_now (gate->loop), gate->service);
-  return gate->service * (clk_time)(ahead + 1) / slots;
+  ahead = que_ahead (&gate->queue, &item, evl_now (gate->loop));
+  return gate->slot * (clk_time)(ahead + 1) / slots;
 }
 
 static void
@@ -135,9 +173,7 @@
   struct gat *gate = context;
   struct gat_call *call;
 
-  while (
-      (call = que_expire (&gate->queue, evl_now (gate->loop), gate->service))
-      != NULL)
+  while ((call = que_expire (&gate->queue, evl_now (gate->loop))) != NULL)
     {
       call->state = GAT_RECEIVING;
       gat_refuse (call, GAT_TOO_LATE);
@@ -151,8 +187,7 @@
 {
   struct gat *gate = call->gate;
   const Mesh__Call *message = call->frame->call;
-  struct que_item item = { call, message->priority, call->arrival,
-                           call->target, call->deadline };
+  struct que_item item = make_item (call);
   enum gat_refusal refusal = check_upstream (gate, message);
   clk_time wait;
 
@@ -161,14 +196,14 @@
       gat_refuse (call, refusal);
       return;
     }
-  wait = expect_wait (gate, &item);
-  if (wait == 0)
+  wait = gat_expect_wait (call);
+  if (wait == 0 && gate->running < gate->registration->upstream.slots)
     {
       gat_run (call);
       return;
     }
   if (wait > message->max_wait_us * CLK_MICROSECOND
-      || call->arrival + wait + gate->service > call->deadline
+      || call->arrival + wait + item.service > call->deadline
       || !que_push (&gate->queue, &item))
     {
       gat_refuse (call, GAT_BUSY);
@@ -191,6 +226,20 @@
   return call;
 }
 
+/* Counts which service makes calls of this kind.  */
+static void
+count_caller (const struct gat_call *call)
+{
+  const Mesh__Call *message = call->frame->call;
+  const char *caller
+      = frm_find_header (message->headers, message->n_headers,
+                         call->gate->platform->headers[PTF_CALLER_SERVICE]);
+
+  if (caller != NULL)
+    gat_count_caller (gat_kind_of (call),
+                      XXH3_64bits (caller, strlen (caller)));
+}
+
 static void
 start_call (struct gat *gate, struct hub_origin *origin, Mesh__Frame *frame)
 {
@@ -220,6 +269,7 @@
     call->next->place = &call->next;
   gate->calls = call;
   gate->call_count++;
+  count_caller (call);
   evl_timer_init (&call->timer, gate->loop, NULL, call);
   if (!message->more)
     admit (call);
@@ -315,7 +365,8 @@
   if (strcmp (gate->upstream, registration->upstream.name) != 0)
     {
       gat_close_idle (gate);
-      gate->service = 0;
+      gate->slot = 0;
+      memset (&gate->kinds, 0, sizeof gate->kinds);
       gate->failed = 0;
       gate->keep_time = DEFAULT_KEEP_TIME;
       memcpy (gate->upstream, registration->upstream.name,
@@ -335,8 +386,9 @@
 }
 
 void
-gat_load (const struct gat *gate, Mesh__Load *load)
+gat_load (const struct gat_call *call, Mesh__Load *load)
 {
+  const struct gat *gate = call->gate;
   const struct reg *registration = gate->registration;
 
   mesh__load__init (load);
@@ -344,7 +396,9 @@
   load->waiting = (uint32_t)gate->queue.count;
   if (registration->state == REG_READY && !gate->stopping)
     load->slots = registration->upstream.slots;
-  load->service_us = (uint32_t)(gate->service / CLK_MICROSECOND);
+  load->slot_us = (uint32_t)(gate->slot / CLK_MICROSECOND);
+  load->service_us = (uint32_t)(gat_service_of (call) / CLK_MICROSECOND);
+  load->wait_us = (uint32_t)(gat_expect_wait (call) / CLK_MICROSECOND);
   load->failed_permille = (uint32_t)(gate->failed * 1000);
 }
 
--- a/src/gat/gat.h
+++ b/src/gat/gat.h
@@ -70,9 +70,6 @@
   /* Refuses new calls from now on; waiting and running ones go on.  */
   void gat_stop (struct gat *gate);
 
-  /* Fills in the load, for answers and pongs.  */
-  void gat_load (const struct gat *gate, Mesh__Load *load);
-
   /* Returns the calls that wait or run.  */
   size_t gat_in_progress (const struct gat *gate);
 
--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -5,6 +5,7 @@
 
 #include "cnx/cnx.h"
 #include "gat/gat.h"
+#include "gat/gat_kinds.h"
 #include "out/out.h"
 #include "que/que.h"
 
@@ -54,8 +55,9 @@
   struct que queue;
   struct evl_timer expiry; /* of waiting calls */
   uint32_t running;
-  clk_time service; /* mean time of a call in a slot, ns; 0: unknown */
-  double failed;    /* recent share of calls that the upstream failed */
+  clk_time slot; /* mean time of any call in a slot, ns; 0: unknown */
+  struct gat_kinds kinds;
+  double failed; /* recent share of calls that the upstream failed */
   struct gat_idle idle[GAT_MAX_IDLE];
   size_t idle_count;
   clk_time keep_time; /* for which the upstream keeps idle connections */
@@ -63,6 +65,18 @@
   bool stopping;
 };
 
+/* Returns what is known of the call's kind.  */
+struct gat_kind *gat_kind_of (const struct gat_call *call);
+
+/* Returns the time that the call is expected to take in a slot, ns.  */
+clk_time gat_service_of (const struct gat_call *call);
+
+/* Returns the expected wait of a call like this one that comes now, ns.  */
+clk_time gat_expect_wait (const struct gat_call *call);
+
+/* Fills in the load as a call of this kind meets it.  */
+void gat_load (const struct gat_call *call, Mesh__Load *load);
+
 /* Answers that the call was not run and frees it.  */
 void gat_refuse (struct gat_call *call, enum gat_refusal refusal);
 
--- a/src/gat/gat_run.c
+++ b/src/gat/gat_run.c
@@ -12,7 +12,7 @@
 
 /* Weight of the newest call in the mean time in a slot, and in the share of
    failures.  */
-#define SERVICE_WEIGHT 8
+#define SLOT_WEIGHT 32
 #define FAILED_WEIGHT 16.
 
 /* Largest response accepted, in bytes.  */
@@ -64,7 +64,7 @@
   Mesh__Load load;
   Mesh__Frame frame = MESH__FRAME__INIT;
 
-  gat_load (gate, &load);
+  gat_load (call, &load);
   answer->id = call->frame->call->id;
   answer->load = &load;
   answer->config_version = gate->hooks.config_version (gate->hooks.context);
@@ -153,10 +153,11 @@
   gate->failed += ((failed ? 1. : 0.) - gate->failed) / FAILED_WEIGHT;
   if (failed)
     return;
-  if (gate->service == 0)
-    gate->service = elapsed;
+  if (gate->slot == 0)
+    gate->slot = elapsed;
   else
-    gate->service += (elapsed - gate->service) / SERVICE_WEIGHT;
+    gate->slot += (elapsed - gate->slot) / SLOT_WEIGHT;
+  gat_learn_service (gat_kind_of (call), elapsed);
 }
 
 /* Reads the upstream's idle time from "timeout=N".  */
--- a/src/plc/plc.c
+++ b/src/plc/plc.c
@@ -2,117 +2,132 @@
 
 #include "plc/plc.h"
 
-/* An answer is expected to be on time when this many mean times in a slot and
-   this many expected waits fit into what is left.  */
-#define SERVICE_MARGIN 1.5
-#define WAIT_MARGIN 1.5
+/* Crossing data centres or regions costs this part of the target latency.  */
+static const double crossing_cost[PLC_LOCALITIES] = { 0., 0.2, 0.65 };
+
+/* An answer expected after this part of the target latency is in danger of
+   being late; the time beyond it costs this many times more.  */
+#define SAFE_PART 0.6
+#define LATE_COST 3.
+
+/* A full server costs this part of its time in a slot more than an empty one,
+   since servers slow down when they are nearly full.  */
+#define LOAD_COST 0.3
+
+/* A server that fails every call costs this many times its time: the call has
+   to be sent again, and may be lost.  */
+#define FAILED_COST 6.
+
+/* What was heard of a wait counts half after this time.  */
+#define WAIT_HALF_LIFE (300 * CLK_MILLISECOND)
+
+/* Costs that differ by less than this part of the time in a slot are equal;
+   the random choice among such servers keeps nodes from all choosing the same
+   one.  */
+#define JITTER 0.15
+
+/* A gate may be wrong by this much before a call is sent elsewhere.  */
+#define WAIT_TOLERANCE (2 * CLK_MILLISECOND)
+
+/* Time in a slot assumed where nothing is known, as part of the target.  */
+#define ASSUMED_SERVICE 0.3
 
 clk_time
-plc_expect_wait (const struct plc_candidate *candidate)
+plc_expect_wait (const struct plc_load *load, clk_time now)
 {
-  uint32_t ahead;
+  clk_time wait = load->wait;
+  uint32_t free
+      = load->slots > load->running ? load->slots - load->running : 0;
 
-  if (candidate->slots == 0)
+  if (load->slots == 0)
     return CLK_NEVER / 4;
-  if (candidate->in_system < candidate->slots)
-    return 0;
-  ahead = candidate->in_system - candidate->slots + 1;
-  return candidate->service * (clk_time)ahead / candidate->slots;
+  for (clk_time age = now - load->heard; age >= WAIT_HALF_LIFE && wait > 0;
+       age -= WAIT_HALF_LIFE)
+    wait /= 2;
+  if (load->sent >= free)
+    wait += load->slot * (clk_time)(load->sent - free) / load->slots;
+  return wait;
 }
 
-/* Returns the expected time to the answer.  A server that fails calls costs
-   the time of trying again.  */
 static clk_time
-expect_end (const struct plc_candidate *candidate)
+service_of (const struct plc_load *load, const struct plc_call *call)
 {
-  clk_time end = candidate->round_trip + plc_expect_wait (candidate)
-                 + candidate->service;
-
-  return end + (clk_time)((double)end * candidate->failed * 4);
+  if (load->service > 0)
+    return load->service;
+  if (load->slot > 0)
+    return load->slot;
+  return (clk_time)(ASSUMED_SERVICE * (double)call->target);
 }
 
-static bool
-can_be_on_time (const struct plc_candidate *candidate, clk_time target_left)
+/* Returns the expected time until the answer.  */
+static clk_time
+expect_end (const struct plc_candidate *candidate, const struct plc_call *call,
+            clk_time now)
 {
-  double needed = (double)candidate->round_trip
-                  + WAIT_MARGIN * (double)plc_expect_wait (candidate)
-                  + SERVICE_MARGIN * (double)candidate->service;
-
-  return candidate->failed < 0.25 && needed <= (double)target_left;
+  return candidate->round_trip + plc_expect_wait (&candidate->load, now)
+         + service_of (&candidate->load, call);
 }
 
-/* What a search accepts.  */
-struct query
+static double
+cost_of (const struct plc_candidate *candidate, const struct plc_call *call,
+         clk_time now, struct rnd *random)
 {
-  int locality; /* PLC_LOCALITIES: any, and late answers too */
-  clk_time left;
-};
+  const struct plc_load *load = &candidate->load;
+  double service = (double)service_of (load, call);
+  double busy = (double)(load->running + load->sent) / load->slots;
+  double cost = (double)expect_end (candidate, call, now);
+  double late = cost - SAFE_PART * (double)call->target;
+
+  if (late > 0)
+    cost += LATE_COST * late;
+  cost *= 1 + FAILED_COST * load->failed;
+  cost += service * LOAD_COST * (busy < 1 ? busy : 1);
+  cost += service * JITTER * rnd_unit (random);
+  return cost + crossing_cost[candidate->locality] * (double)call->target;
+}
 
 static bool
-is_eligible (const struct plc_candidate *candidate, const struct query *query)
+is_eligible (const struct plc_candidate *candidate,
+             const struct plc_call *call, clk_time now)
 {
-  if (!candidate->usable || candidate->slots == 0)
-    return false;
-  if (query->locality != PLC_LOCALITIES)
-    return candidate->locality == query->locality
-           && can_be_on_time (candidate, query->left);
-  return candidate->round_trip + plc_expect_wait (candidate)
-             + candidate->service
-         <= query->left;
+  return candidate->usable && candidate->load.slots > 0
+         && expect_end (candidate, call, now) <= call->deadline_left;
 }
 
-/* Returns the eligible candidate that ends first.  Equal ones are chosen at
-   random, so that nodes do not all choose the same.  */
-static size_t
-find_first (const struct plc_candidate *candidates, size_t count,
-            const struct query *query, struct rnd *random)
+struct plc_choice
+plc_choose (const struct plc_candidate *candidates, size_t count,
+            const struct plc_call *call, clk_time now, struct rnd *random)
 {
-  size_t best = PLC_NONE;
-  uint32_t equal = 1;
+  struct plc_choice choice = { PLC_NONE, 0 };
+  double best = 0;
+  double second = -1;
+  clk_time latest;
 
   for (size_t i = 0; i < count; i++)
     {
-      clk_time end;
+      double cost;
 
-      if (!is_eligible (&candidates[i], query))
+      if (!is_eligible (&candidates[i], call, now))
         continue;
-      end = expect_end (&candidates[i]);
-      if (best == PLC_NONE || end < expect_end (&candidates[best]))
+      cost = cost_of (&candidates[i], call, now, random);
+      if (choice.index == PLC_NONE || cost < best)
         {
-          best = i;
-          equal = 1;
+          second = choice.index == PLC_NONE ? -1 : best;
+          best = cost;
+          choice.index = i;
         }
-      else if (end == expect_end (&candidates[best])
-               && rnd_below (random, ++equal) == 0)
-        best = i;
-    }
-  return best;
-}
-
-/* Returns the wait after which the call would be expected to miss LEFT.  */
-static clk_time
-wait_within (const struct plc_candidate *candidate, clk_time left)
-{
-  clk_time wait = left - candidate->round_trip - candidate->service;
-
-  return wait > 0 ? wait : 0;
-}
-
-struct plc_choice
-plc_choose (const struct plc_candidate *candidates, size_t count,
-            clk_time target_left, clk_time deadline_left, struct rnd *random)
-{
-  struct plc_choice choice = { PLC_NONE, 0 };
-  struct query query = { 0, target_left };
-
-  while (choice.index == PLC_NONE && query.locality <= PLC_LOCALITIES)
-    {
-      query.left
-          = query.locality == PLC_LOCALITIES ? deadline_left : target_left;
-      choice.index = find_first (candidates, count, &query, random);
-      query.locality++;
+      else if (second < 0 || cost < second)
+        second = cost;
     }
-  if (choice.index != PLC_NONE)
-    choice.max_wait = wait_within (&candidates[choice.index], query.left);
+  if (choice.index == PLC_NONE)
+    return choice;
+  latest = call->deadline_left - candidates[choice.index].round_trip
+           - service_of (&candidates[choice.index].load, call);
+  choice.max_wait = latest;
+  if (!call->insists && second >= 0)
+    choice.max_wait = plc_expect_wait (&candidates[choice.index].load, now)
+                      + (clk_time)(second - best) + WAIT_TOLERANCE;
+  if (choice.max_wait > latest)
+    choice.max_wait = latest;
   return choice;
 }
--- a/src/plc/plc.h
+++ b/src/plc/plc.h
@@ -1,12 +1,14 @@
-/* Placement: which node's upstream runs a call.  Pure.
+/* Placement: which node's upstream runs a call, and how long it may wait
+   there.  Pure.
 
    Load that it answers: traffic that differs between data centres, servers of
-   different speed, and bursts beyond what the near servers can take.  A near
-   server is preferred as long as it can answer in time, since every byte that
-   crosses a data centre or a region is paid for and the link between regions
-   is narrow; a far one is used as soon as the near ones would be late.  When
-   no server can be in time, the one that ends first is used, and when none can
-   end before the deadline the call is refused.  */
+   different speed and health, and bursts beyond what the near servers can
+   take. The cost of a server is the time until its answer is expected, plus a
+   part of the call's target latency when the way to it crosses data centres or
+   regions: such bytes are paid for and the link between regions is narrow.
+   What is known of a server is as old as its last answer; a call therefore
+   carries the longest wait at which its server is still the best choice, and a
+   gate where it would wait longer says so at once.  */
 
 #ifndef MULBERRYSHIFT_PLC_PLC_H
 #define MULBERRYSHIFT_PLC_PLC_H
@@ -34,32 +36,49 @@
     PLC_LOCALITIES
   };
 
-  /* A node whose upstream may run the call, as far as is known here.  */
+  /* What a node knows of another node's upstream.  Times are in ns.  */
+  struct plc_load
+  {
+    uint32_t running;
+    uint32_t slots;
+    clk_time slot;    /* mean time of any call in a slot; 0: unknown */
+    clk_time service; /* mean time of a call of this kind; 0: unknown */
+    clk_time wait;    /* expected wait of a call of this kind */
+    clk_time heard;   /* when this was told; 0: never */
+    uint32_t sent;    /* calls sent there since */
+    double failed;    /* recent share of calls that the upstream failed */
+  };
+
+  /* A node whose upstream may run the call.  */
   struct plc_candidate
   {
-    uint8_t locality;    /* enum plc_locality */
-    bool usable;         /* not tried before, and thought to be alive */
-    uint32_t slots;      /* of its upstream */
-    uint32_t in_system;  /* calls that run or wait there */
-    clk_time service;    /* mean time of a call in a slot, ns */
-    clk_time round_trip; /* ns */
-    double failed;       /* recent share of calls that the upstream failed */
+    struct plc_load load;
+    uint8_t locality; /* enum plc_locality */
+    bool usable;      /* thought to be alive, and has not refused the call */
+    clk_time round_trip;
+  };
+
+  /* The call to be placed.  */
+  struct plc_call
+  {
+    clk_time target;        /* full target latency of its route */
+    clk_time deadline_left; /* in which an answer is worth anything */
+    bool insists;           /* take the best server, whatever the wait there */
   };
 
   struct plc_choice
   {
     size_t index;      /* of the candidate, or PLC_NONE */
-    clk_time max_wait; /* longest wait that is acceptable there, ns */
+    clk_time max_wait; /* longest wait that is acceptable there */
   };
 
-  /* Chooses among COUNT candidates.  TARGET_LEFT is the time in which an
-     answer is on time, DEADLINE_LEFT that in which it is worth anything.  */
+  /* Chooses among COUNT candidates.  */
   struct plc_choice plc_choose (const struct plc_candidate *candidates,
-                                size_t count, clk_time target_left,
-                                clk_time deadline_left, struct rnd *random);
+                                size_t count, const struct plc_call *call,
+                                clk_time now, struct rnd *random);
 
-  /* Returns the expected wait for a slot, in ns.  */
-  clk_time plc_expect_wait (const struct plc_candidate *candidate);
+  /* Returns the expected wait for a slot.  */
+  clk_time plc_expect_wait (const struct plc_load *load, clk_time now);
 
 #ifdef __cplusplus
 }
--- a/src/que/que.c
+++ b/src/que/que.c
@@ -5,18 +5,18 @@
 #include <string.h>
 
 static bool
-can_be_on_time (const struct que_item *item, clk_time now, clk_time service)
+can_be_on_time (const struct que_item *item, clk_time now)
 {
-  return now + service <= item->target;
+  return now + item->service <= item->target;
 }
 
 /* Returns whether LEFT runs before RIGHT.  */
 static bool
 is_before (const struct que_item *left, const struct que_item *right,
-           clk_time now, clk_time service)
+           clk_time now)
 {
-  bool left_on_time = can_be_on_time (left, now, service);
-  bool right_on_time = can_be_on_time (right, now, service);
+  bool left_on_time = can_be_on_time (left, now);
+  bool right_on_time = can_be_on_time (right, now);
 
   if (left_on_time != right_on_time)
     return left_on_time;
@@ -48,23 +48,23 @@
 }
 
 void *
-que_pop (struct que *queue, clk_time now, clk_time service)
+que_pop (struct que *queue, clk_time now)
 {
   size_t best = 0;
 
   if (queue->count == 0)
     return NULL;
   for (size_t i = 1; i < queue->count; i++)
-    if (is_before (&queue->items[i], &queue->items[best], now, service))
+    if (is_before (&queue->items[i], &queue->items[best], now))
       best = i;
   return take (queue, best);
 }
 
 void *
-que_expire (struct que *queue, clk_time now, clk_time service)
+que_expire (struct que *queue, clk_time now)
 {
   for (size_t i = 0; i < queue->count; i++)
-    if (now + service > queue->items[i].deadline)
+    if (now + queue->items[i].service > queue->items[i].deadline)
       return take (queue, i);
   return NULL;
 }
@@ -82,24 +82,23 @@
 }
 
 size_t
-que_ahead (const struct que *queue, const struct que_item *item, clk_time now,
-           clk_time service)
+que_ahead (const struct que *queue, const struct que_item *item, clk_time now)
 {
   size_t ahead = 0;
 
   for (size_t i = 0; i < queue->count; i++)
-    if (!is_before (item, &queue->items[i], now, service))
+    if (!is_before (item, &queue->items[i], now))
       ahead++;
   return ahead;
 }
 
 clk_time
-que_wake (const struct que *queue, clk_time service)
+que_wake (const struct que *queue)
 {
   clk_time wake = CLK_NEVER;
 
   for (size_t i = 0; i < queue->count; i++)
-    if (queue->items[i].deadline - service < wake)
-      wake = queue->items[i].deadline - service;
+    if (queue->items[i].deadline - queue->items[i].service < wake)
+      wake = queue->items[i].deadline - queue->items[i].service;
   return wake;
 }
--- a/src/que/que.h
+++ b/src/que/que.h
@@ -30,7 +30,7 @@
   {
     void *call;
     uint32_t priority; /* 0 is the highest */
-    clk_time arrival;
+    clk_time service;  /* expected time in a slot, ns */
     clk_time target;   /* an answer by then is on time */
     clk_time deadline; /* an answer after that is worth nothing */
   };
@@ -45,24 +45,23 @@
   /* Adds a call.  Returns false when the queue is full.  */
   bool que_push (struct que *queue, const struct que_item *item);
 
-  /* Removes and returns the next call to run, null when none waits.  SERVICE
-     is the expected time of a call in a slot, in ns.  */
-  void *que_pop (struct que *queue, clk_time now, clk_time service);
+  /* Removes and returns the next call to run, null when none waits.  */
+  void *que_pop (struct que *queue, clk_time now);
 
   /* Removes and returns a call that cannot end by its deadline any more, null
      when there is none.  */
-  void *que_expire (struct que *queue, clk_time now, clk_time service);
+  void *que_expire (struct que *queue, clk_time now);
 
   /* Removes a call.  Returns false when it does not wait.  */
   bool que_remove (struct que *queue, const void *call);
 
   /* Returns how many waiting calls would run before ITEM.  */
   size_t que_ahead (const struct que *queue, const struct que_item *item,
-                    clk_time now, clk_time service);
+                    clk_time now);
 
   /* Returns when que_expire will next find a call, CLK_NEVER when none
      waits.  */
-  clk_time que_wake (const struct que *queue, clk_time service);
+  clk_time que_wake (const struct que *queue);
 
 #ifdef __cplusplus
 }
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -182,6 +182,7 @@
     {
       hub_forget (sidecar->hub, node);
       syn_forget (sidecar->sync, node);
+      fwd_forget_peer (sidecar->forwarder, node);
     }
   else if (restarted)
     hub_retry (sidecar->hub, node);
--- a/src/syn/syn.c
+++ b/src/syn/syn.c
@@ -18,12 +18,17 @@
    one.  */
 #define ROLE_PAUSE (60 * CLK_MILLISECOND)
 
+/* A node that was blind is taken to see the platform again after this time,
+   unless it repeats that it does not: only subscribers hear from it.  */
+#define BLIND_AGE CLK_SECOND
+
 /* A newer version that another node holds is asked for when no parent has
    pushed it for this long.  */
 #define PUSH_PATIENCE (150 * CLK_MILLISECOND)
 
 static void refresh (void *context);
 static void fetch_heard (void *context);
+static void on_expiry (void *context);
 static void apply_watch (void *context);
 
 struct syn *
@@ -42,6 +47,7 @@
   evl_task_init (&sync->refresh, loop, refresh, sync);
   evl_timer_init (&sync->settle, loop, apply_watch, sync);
   evl_timer_init (&sync->heard, loop, fetch_heard, sync);
+  evl_timer_init (&sync->expiry, loop, on_expiry, sync);
   sync->heard_peer = DIR_NONE;
   return sync;
 }
@@ -61,6 +67,7 @@
   evl_task_stop (&sync->refresh);
   evl_timer_stop (&sync->settle);
   evl_timer_stop (&sync->heard);
+  evl_timer_stop (&sync->expiry);
   snp_release (sync->snapshot);
   free (sync->previous.text);
   buf_close (&sync->delta);
@@ -69,7 +76,13 @@
   free (sync);
 }
 
-static enum rel_sight *
+static void
+on_expiry (void *context)
+{
+  syn_refresh (context);
+}
+
+static struct syn_sight *
 sight_of (struct syn *sync, dir_handle peer)
 {
   dir_handle count = peer + 1;
@@ -78,12 +91,31 @@
     {
       sync->sights = mem_resize (sync->sights, count, sizeof *sync->sights);
       for (dir_handle i = sync->sight_count; i < count; i++)
-        sync->sights[i] = REL_UNKNOWN;
+        sync->sights[i] = (struct syn_sight){ .sight = REL_UNKNOWN };
       sync->sight_count = count;
     }
   return &sync->sights[peer];
 }
 
+/* Returns how PEER sees the platform as far as that is known, and plans the
+   next look when that is about to be out of date.  */
+static enum rel_sight
+current_sight (struct syn *sync, dir_handle peer)
+{
+  const struct syn_sight *entry = sight_of (sync, peer);
+  clk_time end = entry->heard + BLIND_AGE;
+
+  if (peer == sync->self)
+    return sync->sight;
+  if (entry->sight != REL_BLIND)
+    return entry->sight;
+  if (evl_now (sync->loop) >= end)
+    return REL_UNKNOWN;
+  if (end < sync->expiry.deadline)
+    evl_timer_set (&sync->expiry, end);
+  return REL_BLIND;
+}
+
 /* Fills in what the plan depends on.  Returns the number of nodes; *SELF is
    the index of this one.  */
 static size_t
@@ -107,7 +139,7 @@
         .distance = member->platform_distance,
         .alive = member->state == MBR_ALIVE
                  && hub_health (sync->hub, i) == HUB_HEALTHY,
-        .sight = i == sync->self ? sync->sight : *sight_of (sync, i),
+        .sight = current_sight (sync, i),
       };
     }
   return count;
@@ -129,6 +161,7 @@
   message.held = &stamp;
   message.member = &member;
   message.end = end;
+  message.directory = dir_digest (sync->directory);
   frame.body_case = MESH__FRAME__BODY_SUBSCRIBE;
   frame.subscribe = &message;
   hub_send (sync->hub, parent, &frame, 0, &link);
@@ -396,7 +429,8 @@
   if (message->held != NULL)
     subscriber->held
         = (struct snp_stamp){ message->held->version, message->held->hash };
-  send_directory (sync, origin);
+  if (message->directory != dir_digest (sync->directory))
+    send_directory (sync, origin);
   syn_push (sync, subscriber);
 }
 
@@ -460,12 +494,12 @@
 {
   enum rel_sight sight
       = pong->sight <= REL_BLIND ? (enum rel_sight)pong->sight : REL_UNKNOWN;
+  bool changed;
 
-  if (*sight_of (sync, peer) != sight)
-    {
-      *sight_of (sync, peer) = sight;
-      syn_refresh (sync);
-    }
+  changed = current_sight (sync, peer) != sight;
+  *sight_of (sync, peer) = (struct syn_sight){ sight, evl_now (sync->loop) };
+  if (changed)
+    syn_refresh (sync);
   syn_hear (sync, peer, pong->config_version);
 }
 
@@ -528,5 +562,5 @@
 void
 syn_forget (struct syn *sync, dir_handle peer)
 {
-  *sight_of (sync, peer) = REL_UNKNOWN;
+  *sight_of (sync, peer) = (struct syn_sight){ .sight = REL_UNKNOWN };
 }
--- a/src/syn/syn_internal.h
+++ b/src/syn/syn_internal.h
@@ -14,6 +14,13 @@
   struct syn_subscriber *next;
 };
 
+/* How a node said that it sees the platform, and when.  */
+struct syn_sight
+{
+  enum rel_sight sight;
+  clk_time heard;
+};
+
 /* The last version before the held one, as the base of deltas.  */
 struct syn_previous
 {
@@ -36,7 +43,7 @@
                        made yet */
   struct buf whole; /* the held version, compressed; empty: not made yet */
   enum rel_sight sight;
-  enum rel_sight *sights; /* of the nodes, by handle */
+  struct syn_sight *sights; /* of the nodes, by handle */
   dir_handle sight_count;
   dir_handle parents[REL_PARENTS];
   bool watches;
@@ -47,6 +54,7 @@
   clk_time fetch_after;   /* no version is asked for again before */
   struct evl_task refresh;
   struct evl_timer settle; /* of a change of roles */
+  struct evl_timer expiry; /* of what was heard of other nodes' sights */
 };
 
 /* Sends the held version to a subscriber that does not have it.  */
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -1879,7 +1879,7 @@
   NULL,
   NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__call__field_descriptors[22] = {
+static const ProtobufCFieldDescriptor mesh__call__field_descriptors[23] = {
   {
       "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
       0, /* quantifier_offset */
@@ -2020,6 +2020,12 @@
       offsetof (Mesh__Call, max_wait_us), NULL, NULL, 0, /* flags */
       0, NULL, NULL /* reserved1,reserved2, etc */
   },
+  {
+      "route", 23, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
+      0,                                           /* quantifier_offset */
+      offsetof (Mesh__Call, route), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__call__field_indices_by_name[] = {
   10, /* field[10] = body */
@@ -2039,6 +2045,7 @@
   4,  /* field[4] = remaining_us */
   19, /* field[19] = repeat */
   6,  /* field[6] = retries_left */
+  22, /* field[22] = route */
   13, /* field[13] = service */
   2,  /* field[2] = target */
   18, /* field[18] = target_us */
@@ -2046,7 +2053,7 @@
   20, /* field[20] = upstream */
 };
 static const ProtobufCIntRange mesh__call__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 22 } };
+    = { { 1, 0 }, { 0, 23 } };
 const ProtobufCMessageDescriptor mesh__call__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Call",
@@ -2054,7 +2061,7 @@
   "Mesh__Call",
   "mesh",
   sizeof (Mesh__Call),
-  22,
+  23,
   mesh__call__field_descriptors,
   mesh__call__field_indices_by_name,
   1,
@@ -2064,7 +2071,7 @@
   NULL,
   NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__load__field_descriptors[5] = {
+static const ProtobufCFieldDescriptor mesh__load__field_descriptors[7] = {
   {
       "running", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
       0,                                             /* quantifier_offset */
@@ -2084,27 +2091,41 @@
       0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-      "service_us", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      "slot_us", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0,                                             /* quantifier_offset */
+      offsetof (Mesh__Load, slot_us), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
+  },
+  {
+      "service_us", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
       0,                                                /* quantifier_offset */
       offsetof (Mesh__Load, service_us), NULL, NULL, 0, /* flags */
       0, NULL, NULL /* reserved1,reserved2, etc */
   },
   {
-      "failed_permille", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      "wait_us", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+      0,                                             /* quantifier_offset */
+      offsetof (Mesh__Load, wait_us), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
+  },
+  {
+      "failed_permille", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
       0, /* quantifier_offset */
       offsetof (Mesh__Load, failed_permille), NULL, NULL, 0, /* flags */
       0, NULL, NULL /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__load__field_indices_by_name[] = {
-  4, /* field[4] = failed_permille */
+  6, /* field[6] = failed_permille */
   0, /* field[0] = running */
-  3, /* field[3] = service_us */
+  4, /* field[4] = service_us */
+  3, /* field[3] = slot_us */
   2, /* field[2] = slots */
+  5, /* field[5] = wait_us */
   1, /* field[1] = waiting */
 };
 static const ProtobufCIntRange mesh__load__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 5 } };
+    = { { 1, 0 }, { 0, 7 } };
 const ProtobufCMessageDescriptor mesh__load__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Load",
@@ -2112,7 +2133,7 @@
   "Mesh__Load",
   "mesh",
   sizeof (Mesh__Load),
-  5,
+  7,
   mesh__load__field_descriptors,
   mesh__load__field_indices_by_name,
   1,
@@ -2618,7 +2639,7 @@
   NULL,
   NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__subscribe__field_descriptors[3] = {
+static const ProtobufCFieldDescriptor mesh__subscribe__field_descriptors[4] = {
   {
       "held", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
       0, /* quantifier_offset */
@@ -2639,14 +2660,21 @@
       offsetof (Mesh__Subscribe, end), NULL, NULL, 0, /* flags */
       0, NULL, NULL /* reserved1,reserved2, etc */
   },
+  {
+      "directory", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+      0, /* quantifier_offset */
+      offsetof (Mesh__Subscribe, directory), NULL, NULL, 0, /* flags */
+      0, NULL, NULL /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__subscribe__field_indices_by_name[] = {
+  3, /* field[3] = directory */
   2, /* field[2] = end */
   0, /* field[0] = held */
   1, /* field[1] = member */
 };
 static const ProtobufCIntRange mesh__subscribe__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 3 } };
+    = { { 1, 0 }, { 0, 4 } };
 const ProtobufCMessageDescriptor mesh__subscribe__descriptor = {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Subscribe",
@@ -2654,7 +2682,7 @@
   "Mesh__Subscribe",
   "mesh",
   sizeof (Mesh__Subscribe),
-  3,
+  4,
   mesh__subscribe__field_descriptors,
   mesh__subscribe__field_indices_by_name,
   1,
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -351,6 +351,10 @@
    * longest expected wait that the sender accepts
    */
   uint32_t max_wait_us;
+  /*
+   * hash of the route, the kind of call
+   */
+  uint32_t route;
 };
 #define MESH__CALL__INIT                                                      \
   {                                                                           \
@@ -359,7 +363,7 @@
         0, NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string,                 \
         (char *)protobuf_c_empty_string, { 0, NULL }, 0, 0,                   \
         (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0, 0,                 \
-        (char *)protobuf_c_empty_string, 0                                    \
+        (char *)protobuf_c_empty_string, 0, 0                                 \
   }
 
 /*
@@ -375,9 +379,17 @@
    */
   uint32_t slots;
   /*
-   * mean time of a call in a slot
+   * mean time of any call in a slot
+   */
+  uint32_t slot_us;
+  /*
+   * mean time of a call of this kind in a slot
    */
   uint32_t service_us;
+  /*
+   * expected wait of a call of this kind
+   */
+  uint32_t wait_us;
   /*
    * recent calls that the upstream failed
    */
@@ -386,7 +398,7 @@
 #define MESH__LOAD__INIT                                                      \
   {                                                                           \
     PROTOBUF_C_MESSAGE_INIT (&mesh__load__descriptor)                         \
-    , 0, 0, 0, 0, 0                                                           \
+    , 0, 0, 0, 0, 0, 0, 0                                                     \
   }
 
 struct Mesh__BodyPart
@@ -577,11 +589,15 @@
    * no more, please
    */
   protobuf_c_boolean end;
+  /*
+   * digest of the records that the subscriber has
+   */
+  uint64_t directory;
 };
 #define MESH__SUBSCRIBE__INIT                                                 \
   {                                                                           \
     PROTOBUF_C_MESSAGE_INIT (&mesh__subscribe__descriptor)                    \
-    , NULL, NULL, 0                                                           \
+    , NULL, NULL, 0, 0                                                        \
   }
 
 /*
