--- a/src/htp/htp_reader.c
+++ b/src/htp/htp_reader.c
@@ -3,6 +3,7 @@
 #include "base/mem.h"
 #include "htp/htp.h"
 
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -57,11 +58,40 @@
   buf_append (&message->text, "", 1);
 }
 
+/* Drops blanks at the end of the last value: they are not part of it.  */
+static void
+trim_value (struct htp_message *message)
+{
+  size_t start;
+
+  if (message->header_count == 0)
+    return;
+  start = message->headers[message->header_count - 1].value;
+  while (message->text.length > start
+         && (message->text.data[message->text.length - 1] == ' '
+             || message->text.data[message->text.length - 1] == '\t'))
+    message->text.length--;
+}
+
+/* Returns whether a name has only the characters of a token (RFC 9110,
+   section 5.6.2); the parser lets blanks pass.  */
+static bool
+is_token (const char *name)
+{
+  static const char others[] = "!#$%&'*+-.^_`|~";
+
+  for (const char *at = name; *at != '\0'; at++)
+    if (!isalnum ((unsigned char)*at) && strchr (others, *at) == NULL)
+      return false;
+  return name[0] != '\0';
+}
+
 static int
 add_header (struct htp_reader *reader)
 {
   struct htp_message *message = &reader->message;
 
+  trim_value (message);
   if (message->header_count == HTP_MAX_HEADERS)
     return fail (reader, HTP_HEADER_TOO_LARGE);
   if (message->header_count == message->header_capacity)
@@ -126,7 +156,14 @@
   struct htp_reader *reader = parser->data;
   struct htp_message *message = &reader->message;
 
+  trim_value (message);
   end_string (message);
+  for (unsigned i = 0; i < message->header_count; i++)
+    if (!is_token (htp_name (message, i)))
+      {
+        fail (reader, HTP_INVALID);
+        return -1;
+      }
   reader->headers_done = true;
   message->method = (unsigned char)parser->method;
   message->status = (unsigned short)parser->status_code;
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -61,6 +61,8 @@
   clk_time stop_at;      /* latest end of a shutdown; 0: none is under way */
   clk_time leave_at;     /* when callers have heard of the shutdown */
   clk_time close_at;     /* when no request is taken any more */
+  bool ended;            /* the shutdown has come to its end */
+  bool runs_alone;       /* the loop is the sidecar's: its end stops it */
   int64_t settings_time; /* of the settings file, ns since the epoch */
 };
 
@@ -102,7 +104,4 @@
 /* Answers heartbeats whose content is safe, or whose time is over.  */
 void sdc_check_acks (struct sdc *sidecar);
 
-/* Returns whether the sidecar takes new work.  */
-bool sdc_is_ready (const struct sdc *sidecar);
-
 #endif
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -2,6 +2,7 @@
 
 #include "base/err.h"
 #include "base/log.h"
+#include "base/mem.h"
 #include "sdc/sdc_internal.h"
 
 #include <malloc.h>
@@ -131,9 +132,7 @@
 static uint64_t
 version_hook (void *context)
 {
-  struct sdc *sidecar = context;
-
-  return sidecar->snapshot != NULL ? sidecar->snapshot->stamp.version : 0;
+  return sdc_version (context);
 }
 
 static void
@@ -215,9 +214,11 @@
   return true;
 }
 
-static void
-stop_parts (struct sdc *sidecar)
+void
+sdc_destroy (struct sdc *sidecar)
 {
+  if (sidecar == NULL)
+    return;
   sto_cancel (sidecar->config_call);
   wch_destroy (sidecar->config_watch);
   wch_destroy (sidecar->node_watch);
@@ -238,21 +239,16 @@
       sidecar->acks = ack->next;
       free (ack);
     }
+  evl_timer_stop (&sidecar->tick);
   snp_release (sidecar->snapshot);
   free (sidecar->listed);
   dir_destroy (sidecar->directory);
-  /* Connections that were closed are freed by the loop's tasks.  */
-  evl_run_once (sidecar->loop, evl_now (sidecar->loop));
-  evl_timer_stop (&sidecar->tick);
-  evl_destroy (sidecar->loop);
+  free (sidecar);
 }
 
-/* Starts a shutdown: no new work, and the end when requests in progress have
-   finished.  */
-static void
-on_terminate (void *context)
+void
+sdc_terminate (struct sdc *sidecar)
 {
-  struct sdc *sidecar = context;
   clk_time now = evl_now (sidecar->loop);
 
   if (sidecar->stop_at != 0)
@@ -273,12 +269,18 @@
     pub_withdraw (sidecar->publisher);
 }
 
+static void
+on_terminate (void *context)
+{
+  sdc_terminate (context);
+}
+
 static int64_t
 read_settings_time (const char *file)
 {
   struct stat status;
 
-  if (stat (file, &status) != 0)
+  if (file == NULL || stat (file, &status) != 0)
     return 0;
   return status.st_mtim.tv_sec * 1000000000 + status.st_mtim.tv_nsec;
 }
@@ -330,7 +332,11 @@
     fwd_abandon (sidecar->forwarder);
   if (now >= sidecar->stop_at
       || (now >= sidecar->leave_at && is_idle (sidecar)))
-    evl_stop (sidecar->loop);
+    {
+      sidecar->ended = true;
+      if (sidecar->runs_alone)
+        evl_stop (sidecar->loop);
+    }
 }
 
 static void
@@ -363,34 +369,80 @@
   evl_timer_set (&sidecar->tick, now + TICK);
 }
 
+struct sdc *
+sdc_create (struct evl *loop, const struct cfg_sidecar *settings,
+            const char *file, const struct ptf_platform *platform)
+{
+  struct sdc *sidecar = mem_alloc (1, sizeof *sidecar);
+
+  sidecar->settings = *settings;
+  sidecar->file = file;
+  sidecar->platform = platform;
+  sidecar->loop = loop;
+  sidecar->directory = dir_create ();
+  sidecar->settings_time = read_settings_time (file);
+  evl_timer_init (&sidecar->tick, loop, on_tick, sidecar);
+  fill_record (sidecar);
+  if (!start_parts (sidecar))
+    {
+      sdc_destroy (sidecar);
+      return NULL;
+    }
+  evl_timer_set (&sidecar->tick, evl_now (loop) + TICK);
+  return sidecar;
+}
+
+bool
+sdc_has_ended (const struct sdc *sidecar)
+{
+  return sidecar->ended;
+}
+
+uint64_t
+sdc_version (const struct sdc *sidecar)
+{
+  return sidecar->snapshot != NULL ? sidecar->snapshot->stamp.version : 0;
+}
+
+size_t
+sdc_node_count (const struct sdc *sidecar)
+{
+  return dir_count (sidecar->directory);
+}
+
+static void
+run_loop (struct sdc *sidecar)
+{
+  struct evl *loop = sidecar->loop;
+
+  sidecar->runs_alone = true;
+  evl_on_signal (loop, SIGTERM, on_terminate, sidecar);
+  evl_on_signal (loop, SIGINT, on_terminate, sidecar);
+  evl_on_signal (loop, SIGHUP, reload, sidecar);
+  log_write (LOG_INFO, "sdc", "started");
+  evl_run (loop);
+}
+
 int
 sdc_run (const struct cfg_sidecar *settings, const char *file,
          const struct ptf_platform *platform)
 {
-  struct sdc sidecar
-      = { .settings = *settings, .file = file, .platform = platform };
+  struct evl *loop = evl_create ();
+  struct sdc *sidecar;
   bool started;
 
   mallopt (M_ARENA_MAX, MAX_ARENAS);
   signal (SIGPIPE, SIG_IGN);
-  sidecar.loop = evl_create ();
-  sidecar.directory = dir_create ();
-  sidecar.settings_time = read_settings_time (file);
-  evl_timer_init (&sidecar.tick, sidecar.loop, on_tick, &sidecar);
-  fill_record (&sidecar);
-  started = start_parts (&sidecar);
+  sidecar = sdc_create (loop, settings, file, platform);
+  started = sidecar != NULL;
   if (started)
-    {
-      evl_on_signal (sidecar.loop, SIGTERM, on_terminate, &sidecar);
-      evl_on_signal (sidecar.loop, SIGINT, on_terminate, &sidecar);
-      evl_on_signal (sidecar.loop, SIGHUP, reload, &sidecar);
-      evl_timer_set (&sidecar.tick, evl_now (sidecar.loop) + TICK);
-      log_write (LOG_INFO, "sdc", "started");
-      evl_run (sidecar.loop);
-    }
+    run_loop (sidecar);
   else
     log_write (LOG_ERROR, "sdc", "cannot start: %s", err_last ());
-  stop_parts (&sidecar);
+  sdc_destroy (sidecar);
+  /* Connections that were closed are freed by the loop's tasks.  */
+  evl_run_once (loop, evl_now (loop));
+  evl_destroy (loop);
   log_write (LOG_INFO, "sdc", "stopped");
   return started ? 0 : 1;
 }
--- a/src/srv/srv.h
+++ b/src/srv/srv.h
@@ -91,6 +91,12 @@
   /* Returns the number of connections.  */
   size_t srv_connections (const struct srv *server);
 
+  /* Returns the address of the caller.  */
+  struct net_address srv_peer (const struct srv_connection *connection);
+
+  /* Returns the socket, for callers that write bytes of their own.  */
+  int srv_descriptor (const struct srv_connection *connection);
+
   /* Keeps a pointer of the handler with the request under way.  */
   void srv_set_data (struct srv_connection *connection, void *data);
   void *srv_data (const struct srv_connection *connection);
--- /dev/null
+++ b/standins/lib/sst.c
@@ -0,0 +1,642 @@
+/* Stand-in of the platform's store.  */
+
+#include "sst.h"
+
+#include "base/mem.h"
+#include "pfm_names.h"
+#include "srv/srv.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_OBJECTS 4096
+#define MAX_EVENTS 1024
+#define MAX_FAULTS 64
+#define NAME_SIZE 128
+#define LATE_WRITE CLK_SECOND
+
+/* One object; a removed one keeps its place as an event.  */
+struct object
+{
+  char kind[NAME_SIZE];
+  char name[NAME_SIZE];
+  uint64_t revision;
+  uint64_t created;
+  json_t *spec;
+};
+
+/* One change.  */
+struct change
+{
+  char kind[NAME_SIZE];
+  uint64_t revision;
+  json_t *event;
+};
+
+struct fault
+{
+  uint32_t ip; /* 0: all callers */
+  enum sst_fault fault;
+};
+
+/* A call that waits: for a change, for its delay, or to be done late.  */
+struct waiting
+{
+  struct sst *store;
+  struct srv_connection *connection; /* null: the caller is gone */
+  struct htp_message message;
+  bool is_watch;
+  bool is_late; /* a write whose answer was lost */
+  char kind[NAME_SIZE];
+  uint64_t revision;
+  struct evl_timer timer;
+  struct waiting *next;
+};
+
+struct sst
+{
+  struct evl *loop;
+  struct srv *server;
+  uint64_t revision;
+  uint64_t oldest; /* changes after this revision are in the history */
+  struct object objects[MAX_OBJECTS];
+  size_t object_count;
+  struct change changes[MAX_EVENTS];
+  size_t change_count;
+  struct fault faults[MAX_FAULTS];
+  size_t fault_count;
+  clk_time delay;
+  struct waiting *waiting;
+  uint64_t calls;
+};
+
+static void perform (struct sst *store, struct srv_connection *connection,
+                     struct htp_message *message);
+
+static json_t *
+object_json (const struct object *object)
+{
+  return json_pack ("{s:{s:s, s:I, s:I, s:[], s:b}, s:O, s:n}", PFM_METADATA,
+                    PFM_NAME, object->name, PFM_REVISION,
+                    (json_int_t)object->revision, "CreatedRev",
+                    (json_int_t)object->created, "Finalizers", PFM_DELETING, 0,
+                    PFM_SPEC, object->spec, PFM_STATUS);
+}
+
+static struct object *
+find_object (const struct sst *store, const char *kind, const char *name)
+{
+  for (size_t i = 0; i < store->object_count; i++)
+    if (strcmp (store->objects[i].kind, kind) == 0
+        && strcmp (store->objects[i].name, name) == 0)
+      return (struct object *)&store->objects[i];
+  return NULL;
+}
+
+static void
+answer (struct srv_connection *connection, unsigned status, json_t *body)
+{
+  char *text = body != NULL ? json_dumps (body, JSON_COMPACT) : NULL;
+  struct buf *output;
+
+  if (connection != NULL)
+    {
+      output = srv_answer (connection, status);
+      htp_put_header (output, "Content-Type", "application/json");
+      srv_finish (connection, text, text != NULL ? strlen (text) : 0);
+    }
+  json_decref (body);
+  free (text);
+}
+
+static void
+free_waiting (struct waiting *entry)
+{
+  struct waiting **place = &entry->store->waiting;
+
+  while (*place != entry)
+    place = &(*place)->next;
+  *place = entry->next;
+  evl_timer_stop (&entry->timer);
+  htp_message_close (&entry->message);
+  free (entry);
+}
+
+/* Answers a watch with the changes after its revision.  Returns false when
+   there are none yet.  */
+static bool
+answer_watch (struct sst *store, struct srv_connection *connection,
+              const char *kind, uint64_t revision, bool even_empty)
+{
+  json_t *events = json_array ();
+
+  for (size_t i = 0; i < store->change_count; i++)
+    if (store->changes[i].revision > revision
+        && strcmp (store->changes[i].kind, kind) == 0)
+      json_array_append (events, store->changes[i].event);
+  if (json_array_size (events) == 0 && !even_empty)
+    {
+      json_decref (events);
+      return false;
+    }
+  answer (connection, 200,
+          json_pack ("{s:o, s:I}", PFM_EVENTS, events, PFM_AS_OF,
+                     (json_int_t)store->revision));
+  return true;
+}
+
+static void
+wake_watches (struct sst *store, const char *kind)
+{
+  struct waiting *next;
+
+  for (struct waiting *entry = store->waiting; entry != NULL; entry = next)
+    {
+      next = entry->next;
+      if (entry->is_watch && entry->connection != NULL
+          && strcmp (entry->kind, kind) == 0
+          && answer_watch (store, entry->connection, kind, entry->revision,
+                           false))
+        free_waiting (entry);
+    }
+}
+
+static void
+add_change (struct sst *store, const struct object *object, bool deleted)
+{
+  struct change *change;
+
+  if (store->change_count == MAX_EVENTS)
+    {
+      json_decref (store->changes[0].event);
+      store->oldest = store->changes[0].revision;
+      memmove (store->changes, store->changes + 1,
+               (MAX_EVENTS - 1) * sizeof *store->changes);
+      store->change_count--;
+    }
+  change = &store->changes[store->change_count++];
+  memcpy (change->kind, object->kind, sizeof change->kind);
+  change->revision = store->revision;
+  change->event = json_pack ("{s:o, s:b}", PFM_OBJECT, object_json (object),
+                             PFM_DELETED, deleted ? 1 : 0);
+}
+
+static struct object *
+put_object (struct sst *store, const char *kind, const char *name,
+            json_t *spec)
+{
+  struct object *object = find_object (store, kind, name);
+
+  if (object != NULL && json_equal (object->spec, spec))
+    {
+      json_decref (spec);
+      return object;
+    }
+  store->revision++;
+  if (object == NULL)
+    {
+      if (store->object_count == MAX_OBJECTS)
+        abort ();
+      object = &store->objects[store->object_count++];
+      memset (object, 0, sizeof *object);
+      snprintf (object->kind, sizeof object->kind, "%s", kind);
+      snprintf (object->name, sizeof object->name, "%s", name);
+      object->created = store->revision;
+    }
+  json_decref (object->spec);
+  object->spec = spec;
+  object->revision = store->revision;
+  add_change (store, object, false);
+  wake_watches (store, kind);
+  return object;
+}
+
+static void
+remove_object (struct sst *store, struct object *object)
+{
+  struct object copy = *object;
+
+  store->revision++;
+  add_change (store, object, true);
+  store->object_count--;
+  memmove (object, object + 1,
+           (size_t)(store->objects + store->object_count - object)
+               * sizeof *object);
+  wake_watches (store, copy.kind);
+  json_decref (copy.spec);
+}
+
+/* Copies the value of a query parameter.  Returns false when there is none. */
+static bool
+read_query (const char *target, const char *name, char *value, size_t size)
+{
+  const char *at = strchr (target, '?');
+  size_t length = strlen (name);
+
+  while (at != NULL)
+    {
+      at++;
+      if (strncmp (at, name, length) == 0 && at[length] == '=')
+        {
+          snprintf (value, size, "%.*s", (int)strcspn (at + length + 1, "&"),
+                    at + length + 1);
+          return true;
+        }
+      at = strchr (at, '&');
+    }
+  return false;
+}
+
+static uint64_t
+read_number (const char *target, const char *name)
+{
+  char text[32];
+
+  return read_query (target, name, text, sizeof text)
+             ? strtoull (text, NULL, 10)
+             : 0;
+}
+
+static void
+list (struct sst *store, struct srv_connection *connection, const char *kind,
+      const char *target)
+{
+  json_t *items = json_array ();
+  char after[NAME_SIZE] = "";
+
+  read_query (target, PFM_AFTER, after, sizeof after);
+  for (size_t i = 0; i < store->object_count; i++)
+    if (strcmp (store->objects[i].kind, kind) == 0
+        && strcmp (store->objects[i].name, after) > 0)
+      json_array_append_new (items, object_json (&store->objects[i]));
+  answer (connection, 200,
+          json_pack ("{s:o, s:b, s:I}", PFM_ITEMS, items, PFM_MORE, 0,
+                     PFM_AS_OF, (json_int_t)store->revision));
+}
+
+/* The longest wait of a watch, the delay of a call, or the time of a late
+   write is over.  */
+static void
+on_timer (void *context)
+{
+  struct waiting *entry = context;
+  struct sst *store = entry->store;
+  struct srv_connection *connection = entry->connection;
+  struct htp_message message = entry->message;
+  bool is_watch = entry->is_watch;
+  uint64_t revision = entry->revision;
+  char kind[NAME_SIZE];
+
+  memcpy (kind, entry->kind, sizeof kind);
+  entry->message = (struct htp_message){ 0 };
+  free_waiting (entry);
+  if (is_watch)
+    answer_watch (store, connection, kind, revision, true);
+  else
+    perform (store, connection, &message);
+  htp_message_close (&message);
+}
+
+static struct waiting *
+add_waiting (struct sst *store, struct srv_connection *connection,
+             clk_time deadline)
+{
+  struct waiting *entry = mem_alloc (1, sizeof *entry);
+
+  entry->store = store;
+  entry->connection = connection;
+  entry->next = store->waiting;
+  store->waiting = entry;
+  evl_timer_init (&entry->timer, store->loop, on_timer, entry);
+  evl_timer_set (&entry->timer, deadline);
+  return entry;
+}
+
+static void
+watch (struct sst *store, struct srv_connection *connection, const char *kind,
+       const char *target)
+{
+  uint64_t revision = read_number (target, PFM_WATCH);
+  struct waiting *entry;
+
+  if (revision < store->oldest)
+    answer (connection, 410, NULL);
+  else if (!answer_watch (store, connection, kind, revision, false))
+    {
+      entry = add_waiting (store, connection,
+                           evl_now (store->loop)
+                               + (clk_time)read_number (target, PFM_WAIT_MS)
+                                     * CLK_MILLISECOND);
+      entry->is_watch = true;
+      entry->revision = revision;
+      snprintf (entry->kind, sizeof entry->kind, "%s", kind);
+    }
+}
+
+/* Answers a write whose condition does not hold.  Returns whether it did.  */
+static bool
+refuse_condition (struct srv_connection *connection,
+                  const struct object *object, uint64_t revision)
+{
+  if (revision == 0 || object->revision == revision)
+    return false;
+  answer (connection, 409, object_json (object));
+  return true;
+}
+
+static void
+write_object (struct sst *store, struct srv_connection *connection,
+              const char *kind, const char *name,
+              const struct htp_message *message)
+{
+  json_t *root
+      = json_loadb (buf_text (&message->body), message->body.length, 0, NULL);
+  const json_t *metadata = json_object_get (root, PFM_METADATA);
+  uint64_t revision = (uint64_t)json_integer_value (
+      json_object_get (metadata, PFM_REVISION));
+  json_t *spec = json_object_get (root, PFM_SPEC);
+  bool create = message->method == HTTP_POST;
+  struct object *object;
+
+  if (create)
+    name = json_string_value (json_object_get (metadata, PFM_NAME));
+  object = name != NULL ? find_object (store, kind, name) : NULL;
+  if (name == NULL || spec == NULL)
+    answer (connection, 400, NULL);
+  else if (create && object != NULL)
+    answer (connection, 409, object_json (object));
+  else if (!create && object == NULL)
+    answer (connection, 404, NULL);
+  else if (create || !refuse_condition (connection, object, revision))
+    answer (connection, 200,
+            object_json (put_object (store, kind, name, json_incref (spec))));
+  json_decref (root);
+}
+
+static void
+remove_call (struct sst *store, struct srv_connection *connection,
+             struct object *object, const char *target)
+{
+  if (object == NULL)
+    answer (connection, 404, NULL);
+  else if (!refuse_condition (connection, object,
+                              read_number (target, PFM_REVISION)))
+    {
+      remove_object (store, object);
+      answer (connection, 200, json_object ());
+    }
+}
+
+/* Does what a call asks for; CONNECTION is null when its answer is lost.  */
+static void
+perform (struct sst *store, struct srv_connection *connection,
+         struct htp_message *message)
+{
+  const char *target = htp_target (message);
+  size_t prefix = strlen (PFM_OBJECTS_PATH);
+  char path[NAME_SIZE];
+  char *name;
+
+  if (strncmp (target, PFM_OBJECTS_PATH, prefix) != 0)
+    {
+      answer (connection, 404, NULL);
+      return;
+    }
+  snprintf (path, sizeof path, "%.*s", (int)strcspn (target + prefix, "?"),
+            target + prefix);
+  name = strchr (path, '/');
+  if (name != NULL)
+    *name++ = '\0';
+  if (message->method == HTTP_POST || message->method == HTTP_PUT)
+    write_object (store, connection, path, name, message);
+  else if (message->method == HTTP_DELETE && name != NULL)
+    remove_call (store, connection, find_object (store, path, name), target);
+  else if (name != NULL)
+    {
+      struct object *object = find_object (store, path, name);
+
+      answer (connection, object != NULL ? 200 : 404,
+              object != NULL ? object_json (object) : NULL);
+    }
+  else if (strstr (target, PFM_WATCH "=") != NULL)
+    watch (store, connection, path, target);
+  else
+    list (store, connection, path, target);
+}
+
+static enum sst_fault
+fault_of (const struct sst *store, uint32_t ip)
+{
+  for (size_t i = 0; i < store->fault_count; i++)
+    if (store->faults[i].ip == 0 || store->faults[i].ip == ip)
+      return store->faults[i].fault;
+  return SST_SOUND;
+}
+
+/* Does a write of which the caller hears nothing.  */
+static void
+lose (struct sst *store, struct srv_connection *connection,
+      struct htp_message *message, bool late)
+{
+  struct waiting *entry;
+
+  srv_abort (connection);
+  if (!late)
+    {
+      perform (store, NULL, message);
+      return;
+    }
+  entry = add_waiting (store, NULL, evl_now (store->loop) + LATE_WRITE);
+  entry->is_late = true;
+  entry->message = *message;
+  *message = (struct htp_message){ 0 };
+}
+
+static void
+on_request (void *context, struct srv_connection *connection,
+            struct htp_message *message)
+{
+  struct sst *store = context;
+  bool is_read = message->method == HTTP_GET;
+  struct waiting *entry;
+
+  store->calls++;
+  switch (fault_of (store, srv_peer (connection).ip))
+    {
+    case SST_SILENT:
+      return;
+    case SST_BUSY:
+      answer (connection, 503, NULL);
+      return;
+    case SST_RESET:
+      srv_abort (connection);
+      return;
+    case SST_LOSE:
+    case SST_LOSE_LATE:
+      if (is_read)
+        break;
+      lose (store, connection, message,
+            fault_of (store, srv_peer (connection).ip) == SST_LOSE_LATE);
+      return;
+    default:
+      break;
+    }
+  if (store->delay == 0)
+    {
+      perform (store, connection, message);
+      return;
+    }
+  entry
+      = add_waiting (store, connection, evl_now (store->loop) + store->delay);
+  entry->message = *message;
+  *message = (struct htp_message){ 0 };
+}
+
+static void
+on_gone (void *context, struct srv_connection *connection)
+{
+  struct sst *store = context;
+
+  for (struct waiting *entry = store->waiting; entry != NULL;
+       entry = entry->next)
+    if (entry->connection == connection)
+      {
+        free_waiting (entry);
+        return;
+      }
+}
+
+static const struct srv_handlers handlers = { on_request, on_gone };
+
+struct sst *
+sst_create (struct evl *loop, struct net_address address)
+{
+  static const struct srv_limits limits = {
+    { 16384, 2u * 1024u * 1024u }, 60 * CLK_SECOND, 600 * CLK_SECOND, 0
+  };
+  struct sst *store = mem_alloc (1, sizeof *store);
+
+  store->loop = loop;
+  store->revision = 100;
+  if (srv_create (loop, address, &handlers, store, &limits, &store->server)
+      == SRV_OK)
+    return store;
+  free (store);
+  return NULL;
+}
+
+void
+sst_destroy (struct sst *store)
+{
+  if (store == NULL)
+    return;
+  while (store->waiting != NULL)
+    free_waiting (store->waiting);
+  srv_destroy (store->server);
+  for (size_t i = 0; i < store->object_count; i++)
+    json_decref (store->objects[i].spec);
+  for (size_t i = 0; i < store->change_count; i++)
+    json_decref (store->changes[i].event);
+  free (store);
+}
+
+/* Cuts the calls that wait for callers with this fault.  */
+static void
+cut_waiting (struct sst *store, enum sst_fault fault, uint32_t ip)
+{
+  struct waiting *next;
+
+  for (struct waiting *entry = store->waiting; entry != NULL; entry = next)
+    {
+      struct srv_connection *connection = entry->connection;
+
+      next = entry->next;
+      if (connection == NULL || (ip != 0 && srv_peer (connection).ip != ip))
+        continue;
+      if (fault == SST_SILENT)
+        entry->connection = NULL;
+      else if (fault == SST_BUSY || fault == SST_RESET)
+        {
+          free_waiting (entry);
+          srv_abort (connection);
+        }
+    }
+}
+
+void
+sst_set_fault (struct sst *store, enum sst_fault fault, uint32_t ip)
+{
+  if (store->fault_count == MAX_FAULTS)
+    abort ();
+  store->faults[store->fault_count++] = (struct fault){ ip, fault };
+  cut_waiting (store, fault, ip);
+}
+
+void
+sst_heal (struct sst *store)
+{
+  store->fault_count = 0;
+  store->delay = 0;
+}
+
+void
+sst_set_delay (struct sst *store, clk_time delay)
+{
+  store->delay = delay;
+}
+
+void
+sst_compact (struct sst *store)
+{
+  struct waiting *next;
+
+  for (size_t i = 0; i < store->change_count; i++)
+    json_decref (store->changes[i].event);
+  store->change_count = 0;
+  store->revision++;
+  store->oldest = store->revision;
+  for (struct waiting *entry = store->waiting; entry != NULL; entry = next)
+    {
+      struct srv_connection *connection = entry->connection;
+
+      next = entry->next;
+      if (!entry->is_watch)
+        continue;
+      free_waiting (entry);
+      if (connection != NULL)
+        srv_abort (connection);
+    }
+}
+
+void
+sst_put (struct sst *store, const char *kind, const char *name, json_t *spec)
+{
+  put_object (store, kind, name, spec);
+}
+
+const json_t *
+sst_get (const struct sst *store, const char *kind, const char *name)
+{
+  const struct object *object = find_object (store, kind, name);
+
+  return object != NULL ? object->spec : NULL;
+}
+
+size_t
+sst_count (const struct sst *store, const char *kind)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < store->object_count; i++)
+    if (strcmp (store->objects[i].kind, kind) == 0)
+      count++;
+  return count;
+}
+
+uint64_t
+sst_call_count (const struct sst *store)
+{
+  return store->calls;
+}
--- /dev/null
+++ b/standins/lib/sst.h
@@ -0,0 +1,73 @@
+/* Stand-in of the users' platform: its store of objects, with watches, and the
+   faults that it may have.  The names of its wire come from
+   platform/pfm_names.h.  */
+
+#ifndef MULBERRYSHIFT_STANDINS_SST_H
+#define MULBERRYSHIFT_STANDINS_SST_H
+
+#include "base/net.h"
+#include "evl/evl.h"
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  struct sst;
+
+  /* What the store does with calls.  */
+  enum sst_fault
+  {
+    SST_SOUND,
+    SST_SILENT,   /* reads calls and answers none */
+    SST_BUSY,     /* refuses calls; nothing is done */
+    SST_RESET,    /* resets connections */
+    SST_LOSE,     /* does writes and loses their answers */
+    SST_LOSE_LATE /* loses answers and does the writes a second later */
+  };
+
+  /* Opens a store without objects at ADDRESS.  Returns null with err_set when
+     the address cannot be used.  */
+  struct sst *sst_create (struct evl *loop, struct net_address address);
+
+  /* Closes the store.  Null is allowed.  */
+  void sst_destroy (struct sst *store);
+
+  /* Sets the fault for callers with this IP address, or for all when IP is
+     0.  */
+  void sst_set_fault (struct sst *store, enum sst_fault fault, uint32_t ip);
+
+  /* Ends all faults.  */
+  void sst_heal (struct sst *store);
+
+  /* Answers every call this much later, in ns.  */
+  void sst_set_delay (struct sst *store, clk_time delay);
+
+  /* Drops the history, as after HistoryS: watches are cut and answered with
+     410 afterwards.  */
+  void sst_compact (struct sst *store);
+
+  /* Writes an object as the operator does, at once and whatever the fault;
+     takes over SPEC.  */
+  void sst_put (struct sst *store, const char *kind, const char *name,
+                json_t *spec);
+
+  /* Returns the content of an object, null when there is none.  */
+  const json_t *sst_get (const struct sst *store, const char *kind,
+                         const char *name);
+
+  /* Returns the number of objects of a kind.  */
+  size_t sst_count (const struct sst *store, const char *kind);
+
+  /* Returns the calls received so far.  */
+  uint64_t sst_call_count (const struct sst *store);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/standins/lib/sup.c
@@ -0,0 +1,379 @@
+/* Stand-in of an upstream.  */
+
+#include "sup.h"
+
+#include "base/mem.h"
+#include "cnx/cnx.h"
+#include "pfm_names.h"
+#include "srv/srv.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <xxhash.h>
+
+#define NAME_SIZE 64
+#define MAX_RUNS 65536
+
+/* A request that takes a slot.  */
+struct run
+{
+  struct sup *upstream;
+  struct srv_connection *connection;
+  char id[NAME_SIZE];
+  struct evl_timer timer;
+  struct run *next;
+};
+
+struct sup
+{
+  struct evl *loop;
+  struct sup_settings settings;
+  char name[NAME_SIZE];
+  char service[NAME_SIZE];
+  char data_centre[NAME_SIZE];
+  struct srv *server;
+  enum sup_fault fault;
+  struct run *runs;
+  uint32_t running;
+  uint64_t done[MAX_RUNS]; /* hashes of the ids of what ran */
+  size_t done_count;
+  uint64_t repeats;
+  uint64_t arrivals;
+  clk_time last_arrival;
+  uint64_t born; /* ms since the epoch */
+  uint64_t sequence;
+  bool draining;
+  bool acknowledged;
+  struct cnx *heartbeat;
+  struct evl_timer timer; /* of the next heartbeat */
+};
+
+static uint64_t
+hash_id (const char *id)
+{
+  return XXH3_64bits (id, strlen (id));
+}
+
+unsigned
+sup_runs_of (const struct sup *upstream, const char *id)
+{
+  uint64_t hash = hash_id (id);
+  unsigned count = 0;
+
+  for (size_t i = 0; i < upstream->done_count; i++)
+    if (upstream->done[i] == hash)
+      count++;
+  return count;
+}
+
+static void
+note_run (struct sup *upstream, const char *id)
+{
+  if (sup_runs_of (upstream, id) > 0)
+    upstream->repeats++;
+  if (upstream->done_count < MAX_RUNS)
+    upstream->done[upstream->done_count++] = hash_id (id);
+}
+
+static void
+free_run (struct run *run)
+{
+  struct run **place = &run->upstream->runs;
+
+  while (*place != run)
+    place = &(*place)->next;
+  *place = run->next;
+  run->upstream->running--;
+  evl_timer_stop (&run->timer);
+  free (run);
+}
+
+/* Writes bytes that the server would not.  */
+static void
+send_raw (struct srv_connection *connection, const char *text)
+{
+  send (srv_descriptor (connection), text, strlen (text), MSG_NOSIGNAL);
+}
+
+static struct buf *
+start_answer (struct srv_connection *connection, unsigned status,
+              const char *id, bool is_signed)
+{
+  struct buf *output = srv_answer (connection, status);
+
+  if (id[0] != '\0')
+    htp_put_header (output, PFM_REQUEST_ID, id);
+  if (is_signed)
+    htp_put_header (output, PFM_SIGNATURE, "standin");
+  htp_put_header (output, "Keep-Alive", "timeout=10");
+  return output;
+}
+
+static void
+answer (struct sup *upstream, struct srv_connection *connection,
+        const char *id)
+{
+  switch (upstream->fault)
+    {
+    case SUP_TRUNCATE:
+      send_raw (connection, "HTTP/1.1 200 OK\r\n" PFM_REQUEST_ID ": ");
+      send_raw (connection, id);
+      send_raw (connection, "\r\n" PFM_SIGNATURE ": standin\r\n"
+                            "Content-Length: 100\r\n\r\nshort");
+      srv_abort (connection);
+      return;
+    case SUP_GARBAGE:
+      send_raw (connection, "\x01\x02 this is no response\r\n\r\n");
+      srv_abort (connection);
+      return;
+    case SUP_LOSE:
+      srv_abort (connection);
+      return;
+    default:
+      break;
+    }
+  start_answer (connection, upstream->fault == SUP_FAIL ? 500 : 200, id,
+                upstream->fault != SUP_UNSIGNED);
+  srv_finish (connection, id, strlen (id));
+}
+
+static void
+on_done (void *context)
+{
+  struct run *run = context;
+  struct sup *upstream = run->upstream;
+  struct srv_connection *connection = run->connection;
+  char id[NAME_SIZE];
+
+  memcpy (id, run->id, sizeof id);
+  free_run (run);
+  answer (upstream, connection, id);
+}
+
+static void
+refuse (struct srv_connection *connection, unsigned status, const char *id)
+{
+  struct buf *output = start_answer (connection, status, id, false);
+
+  htp_put_header (output, PFM_NOT_EXECUTED, "1");
+  srv_finish (connection, NULL, 0);
+}
+
+static void
+on_request (void *context, struct srv_connection *connection,
+            struct htp_message *message)
+{
+  struct sup *upstream = context;
+  const char *id = htp_find (message, PFM_REQUEST_ID);
+  const char *target = htp_find (message, PFM_TARGET_INSTANCE);
+  struct run *run;
+
+  upstream->arrivals++;
+  upstream->last_arrival = evl_now (upstream->loop);
+  if (id == NULL)
+    refuse (connection, 400, "");
+  else if (target != NULL && strcmp (target, upstream->name) != 0)
+    refuse (connection, 421, id);
+  else if (upstream->fault == SUP_SHED
+           || upstream->running >= upstream->settings.slots)
+    refuse (connection, 503, id);
+  else
+    {
+      if (upstream->fault == SUP_EXTRA)
+        send_raw (connection, "HTTP/1.1 200 OK\r\n" PFM_SIGNATURE
+                              ": other\r\nContent-Length: 5\r\n\r\nextra");
+      note_run (upstream, id);
+      run = mem_alloc (1, sizeof *run);
+      run->upstream = upstream;
+      run->connection = connection;
+      snprintf (run->id, sizeof run->id, "%s", id);
+      run->next = upstream->runs;
+      upstream->runs = run;
+      upstream->running++;
+      evl_timer_init (&run->timer, upstream->loop, on_done, run);
+      evl_timer_set (&run->timer,
+                     evl_now (upstream->loop) + upstream->settings.work);
+    }
+}
+
+static void
+on_gone (void *context, struct srv_connection *connection)
+{
+  struct sup *upstream = context;
+
+  for (struct run *run = upstream->runs; run != NULL; run = run->next)
+    if (run->connection == connection)
+      {
+        free_run (run);
+        return;
+      }
+}
+
+static const struct srv_handlers handlers = { on_request, on_gone };
+
+static bool
+on_acknowledged (void *context, struct cnx *connection,
+                 struct htp_message *message)
+{
+  struct sup *upstream = context;
+
+  if (message->status / 100 == 2 && cnx_data (connection) != NULL)
+    upstream->acknowledged = true;
+  if (!cnx_is_kept (connection))
+    {
+      cnx_close (connection);
+      upstream->heartbeat = NULL;
+    }
+  return true;
+}
+
+static void
+on_lost (void *context, struct cnx *connection, enum cnx_failure failure)
+{
+  struct sup *upstream = context;
+
+  (void)failure;
+  cnx_close (connection);
+  upstream->heartbeat = NULL;
+}
+
+static const struct cnx_handlers heartbeat_handlers
+    = { on_acknowledged, on_lost };
+
+static void
+put_heartbeat (const struct sup *upstream, struct buf *output)
+{
+  char address[NET_TEXT_SIZE];
+  struct buf body = { 0 };
+
+  net_format (upstream->settings.address, address);
+  buf_printf (&body,
+              "{\"" PFM_ADDRESS "\":\"%s\",\"" PFM_BORN "\":%" PRIu64
+              ",\"" PFM_INFO "\":{\"" PFM_SERVICE "\":\"%s\",\"" PFM_ZONE
+              "\":\"%s\",\"" PFM_VERSION "\":\"v1\",\"" PFM_SLOTS
+              "\":%u},\"" PFM_STATUS "\":{\"" PFM_STATE "\":\"%s\",\"" PFM_SEQ
+              "\":%" PRIu64 ",\"" PFM_COLD_LEFT_S "\":0}}",
+              address, upstream->born, upstream->service,
+              upstream->data_centre, upstream->settings.slots,
+              upstream->draining ? PFM_STATE_DRAINING : PFM_STATE_READY,
+              upstream->sequence);
+  htp_put_header (output, "Content-Type", "application/json");
+  htp_put_body (output, body.data, body.length);
+  buf_close (&body);
+}
+
+static void
+send_heartbeat (void *context)
+{
+  static const struct htp_limits limits = { 4096, 4096 };
+  struct sup *upstream = context;
+  char target[2 * NAME_SIZE];
+  struct buf *output;
+
+  evl_timer_set (&upstream->timer,
+                 evl_now (upstream->loop) + upstream->settings.heartbeat);
+  if (upstream->heartbeat == NULL)
+    upstream->heartbeat = cnx_open (upstream->loop, upstream->settings.control,
+                                    &heartbeat_handlers, upstream, &limits);
+  if (!cnx_is_idle (upstream->heartbeat))
+    return;
+  upstream->sequence++;
+  cnx_set_data (upstream->heartbeat, upstream->draining ? upstream : NULL);
+  snprintf (target, sizeof target, PFM_HEARTBEAT_PATH "%s", upstream->name);
+  output = cnx_request (upstream->heartbeat);
+  htp_put_request (output, "POST", target);
+  htp_put_header (output, "Host", "control");
+  put_heartbeat (upstream, output);
+  cnx_send (upstream->heartbeat, false);
+}
+
+struct sup *
+sup_create (struct evl *loop, const struct sup_settings *settings)
+{
+  static const struct srv_limits limits = {
+    { 16384, 64u * 1024u * 1024u }, 60 * CLK_SECOND, 10 * CLK_SECOND, 0
+  };
+  struct sup *upstream = mem_alloc (1, sizeof *upstream);
+
+  upstream->loop = loop;
+  upstream->settings = *settings;
+  upstream->born = clk_wall_ms ();
+  snprintf (upstream->name, NAME_SIZE, "%s", settings->name);
+  snprintf (upstream->service, NAME_SIZE, "%s", settings->service);
+  snprintf (upstream->data_centre, NAME_SIZE, "%s", settings->data_centre);
+  evl_timer_init (&upstream->timer, loop, send_heartbeat, upstream);
+  if (srv_create (loop, settings->address, &handlers, upstream, &limits,
+                  &upstream->server)
+      != SRV_OK)
+    {
+      free (upstream);
+      return NULL;
+    }
+  send_heartbeat (upstream);
+  return upstream;
+}
+
+void
+sup_destroy (struct sup *upstream)
+{
+  if (upstream == NULL)
+    return;
+  while (upstream->runs != NULL)
+    free_run (upstream->runs);
+  evl_timer_stop (&upstream->timer);
+  cnx_close (upstream->heartbeat);
+  srv_destroy (upstream->server);
+  free (upstream);
+}
+
+void
+sup_set_fault (struct sup *upstream, enum sup_fault fault)
+{
+  upstream->fault = fault;
+}
+
+void
+sup_set_work (struct sup *upstream, clk_time work)
+{
+  upstream->settings.work = work;
+}
+
+void
+sup_drain (struct sup *upstream)
+{
+  upstream->draining = true;
+  send_heartbeat (upstream);
+}
+
+bool
+sup_is_acknowledged (const struct sup *upstream)
+{
+  return upstream->acknowledged;
+}
+
+uint64_t
+sup_run_count (const struct sup *upstream)
+{
+  return upstream->done_count;
+}
+
+uint64_t
+sup_arrival_count (const struct sup *upstream)
+{
+  return upstream->arrivals;
+}
+
+uint64_t
+sup_repeat_count (const struct sup *upstream)
+{
+  return upstream->repeats;
+}
+
+clk_time
+sup_last_arrival (const struct sup *upstream)
+{
+  return upstream->last_arrival;
+}
--- /dev/null
+++ b/standins/lib/sup.h
@@ -0,0 +1,82 @@
+/* Stand-in of an upstream on the users' platform: runs requests in slots,
+   sends heartbeats, and has the faults that servers may have.  */
+
+#ifndef MULBERRYSHIFT_STANDINS_SUP_H
+#define MULBERRYSHIFT_STANDINS_SUP_H
+
+#include "base/net.h"
+#include "evl/evl.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  struct sup;
+
+  struct sup_settings
+  {
+    struct net_address address;
+    struct net_address control; /* of its sidecar */
+    const char *name;
+    const char *service;
+    const char *data_centre;
+    uint32_t slots;
+    clk_time work;      /* time of a request, ns */
+    clk_time heartbeat; /* interval, ns */
+  };
+
+  /* How an upstream misbehaves.  */
+  enum sup_fault
+  {
+    SUP_SOUND,
+    SUP_EXTRA,    /* sends a response without an id before each */
+    SUP_TRUNCATE, /* breaks off responses */
+    SUP_GARBAGE,  /* sends bytes that are no response */
+    SUP_UNSIGNED, /* leaves out its signature */
+    SUP_LOSE,     /* runs requests and resets their connections */
+    SUP_SHED,     /* refuses requests as not run */
+    SUP_FAIL      /* answers 500 */
+  };
+
+  /* Opens the upstream and starts its heartbeats.  Returns null with err_set
+     when the address cannot be used.  */
+  struct sup *sup_create (struct evl *loop,
+                          const struct sup_settings *settings);
+
+  /* Ends the upstream at once, as a crash does.  Null is allowed.  */
+  void sup_destroy (struct sup *upstream);
+
+  /* Sets the fault of the requests that follow.  */
+  void sup_set_fault (struct sup *upstream, enum sup_fault fault);
+
+  /* Sets the time of the requests that follow, in ns.  */
+  void sup_set_work (struct sup *upstream, clk_time work);
+
+  /* Says in heartbeats that the upstream leaves.  */
+  void sup_drain (struct sup *upstream);
+
+  /* Returns whether the departure was acknowledged.  */
+  bool sup_is_acknowledged (const struct sup *upstream);
+
+  /* Returns the requests that ran, and those that reached the upstream.  */
+  uint64_t sup_run_count (const struct sup *upstream);
+  uint64_t sup_arrival_count (const struct sup *upstream);
+
+  /* Returns the requests that ran more than once.  */
+  uint64_t sup_repeat_count (const struct sup *upstream);
+
+  /* Returns how often the request with this id ran.  */
+  unsigned sup_runs_of (const struct sup *upstream, const char *id);
+
+  /* Returns when a request last arrived, 0 when none did.  */
+  clk_time sup_last_arrival (const struct sup *upstream);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/tests/dir_test.cc
@@ -0,0 +1,154 @@
+/* Directory of nodes.  */
+
+#include "base/err.h"
+#include "dir/dir.h"
+
+#include <cstdio>
+#include <gtest/gtest.h>
+#include <string>
+
+static struct mbr_member
+make_member (const char *name, uint64_t incarnation, uint64_t sequence)
+{
+  struct mbr_member member = {};
+
+  snprintf (member.name, sizeof member.name, "%s", name);
+  snprintf (member.data_centre, sizeof member.data_centre, "a");
+  snprintf (member.region, sizeof member.region, "r");
+  member.address = { 0x0a000001, 8300 };
+  member.incarnation = incarnation;
+  member.sequence = sequence;
+  return member;
+}
+
+class Directory : public testing::Test
+{
+protected:
+  void
+  TearDown () override
+  {
+    dir_destroy (directory);
+  }
+  enum dir_change
+  merge (const char *name, uint64_t incarnation, uint64_t sequence,
+         bool leaving = false)
+  {
+    struct mbr_member member = make_member (name, incarnation, sequence);
+
+    member.upstream_leaving = leaving;
+    return dir_merge (directory, &member, &handle);
+  }
+  struct dir *directory = dir_create ();
+  dir_handle handle = DIR_NONE;
+};
+
+/* Guards against an older record, which comes by another way, replacing a
+   newer one.  */
+TEST_F (Directory, TheNewerRecordWins)
+{
+  EXPECT_EQ (merge ("n", 5, 2, true), DIR_NEW);
+  EXPECT_EQ (merge ("n", 5, 1), DIR_OLDER);
+  EXPECT_EQ (merge ("n", 4, 9), DIR_OLDER);
+  EXPECT_TRUE (dir_get (directory, handle)->upstream_leaving);
+  EXPECT_EQ (merge ("n", 5, 2, true), DIR_SAME);
+  EXPECT_EQ (merge ("n", 6, 1), DIR_CHANGED);
+  EXPECT_FALSE (dir_get (directory, handle)->upstream_leaving);
+}
+
+/* Guards against handles that move, or that name two nodes.  */
+TEST_F (Directory, HandlesStayAndAreUsedAgain)
+{
+  dir_handle first;
+  dir_handle second;
+
+  merge ("a", 1, 1);
+  first = handle;
+  merge ("b", 1, 1);
+  second = handle;
+  EXPECT_NE (first, second);
+  merge ("a", 1, 2);
+  EXPECT_EQ (handle, first);
+  dir_remove (directory, first);
+  EXPECT_EQ (dir_get (directory, first), nullptr);
+  EXPECT_EQ (dir_find (directory, "a"), DIR_NONE);
+  merge ("c", 1, 1);
+  EXPECT_EQ (handle, first);
+  EXPECT_EQ (dir_count (directory), 2u);
+}
+
+/* Guards against a directory that grows without bound.  */
+TEST_F (Directory, IsBounded)
+{
+  for (int i = 0; i < DIR_MAX_NODES; i++)
+    ASSERT_EQ (merge (("n" + std::to_string (i)).c_str (), 1, 1), DIR_NEW);
+  EXPECT_EQ (merge ("more", 1, 1), DIR_FULL);
+}
+
+/* Guards against directories that differ and seem equal, and against equal
+   ones that seem to differ because records came in another order.  */
+TEST_F (Directory, DigestTellsDifferences)
+{
+  struct dir *other = dir_create ();
+  struct mbr_member a = make_member ("a", 1, 1);
+  struct mbr_member b = make_member ("b", 1, 1);
+
+  merge ("a", 1, 1);
+  merge ("b", 1, 1);
+  dir_merge (other, &b, &handle);
+  EXPECT_NE (dir_digest (directory), dir_digest (other));
+  dir_merge (other, &a, &handle);
+  EXPECT_EQ (dir_digest (directory), dir_digest (other));
+  b.sequence = 2;
+  dir_merge (other, &b, &handle);
+  EXPECT_NE (dir_digest (directory), dir_digest (other));
+  dir_destroy (other);
+}
+
+/* Guards against records that change on their way through the store.  */
+TEST_F (Directory, RecordsSurviveTheStore)
+{
+  struct mbr_member member = make_member ("n", 5, 2);
+  struct mbr_member copy;
+  json_t *content;
+
+  member.slots = 6;
+  member.upstream_born = 1234567890123;
+  member.upstream_leaving = true;
+  member.platform_distance = 21;
+  snprintf (member.service, sizeof member.service, "stock");
+  snprintf (member.upstream, sizeof member.upstream, "i-1");
+  content = dir_to_json (&member);
+  EXPECT_TRUE (dir_from_json (content, &copy));
+  EXPECT_TRUE (mbr_member_equal (&member, &copy));
+  json_decref (content);
+}
+
+/* Guards against records of another writer: missing fields, other types, names
+   that are too long.  */
+TEST_F (Directory, RefusesRecordsThatAreNotValid)
+{
+  static const char *const fields[]
+      = { "node",          "data_centre",      "region",
+          "address",       "service",          "upstream",
+          "incarnation",   "sequence",         "slots",
+          "upstream_born", "upstream_leaving", "platform_distance_ms" };
+  struct mbr_member member = make_member ("n", 5, 2);
+  struct mbr_member copy;
+
+  for (const char *field : fields)
+    {
+      json_t *content = dir_to_json (&member);
+
+      json_object_set_new (content, field, json_array ());
+      EXPECT_FALSE (dir_from_json (content, &copy)) << field;
+      json_object_del (content, field);
+      EXPECT_FALSE (dir_from_json (content, &copy)) << field;
+      json_decref (content);
+    }
+  json_t *content = dir_to_json (&member);
+  json_object_set_new (content, "node",
+                       json_string (std::string (64, 'x').c_str ()));
+  EXPECT_FALSE (dir_from_json (content, &copy));
+  json_decref (content);
+  EXPECT_FALSE (dir_from_json (nullptr, &copy));
+}
--- /dev/null
+++ b/tests/htp_test.cc
@@ -0,0 +1,197 @@
+/* HTTP messages: assembly from pieces, framing, limits.  */
+
+#include "htp/htp.h"
+
+#include <cstring>
+#include <gtest/gtest.h>
+#include <string>
+
+class Messages : public testing::Test
+{
+protected:
+  void
+  open (enum htp_kind kind, size_t header = 4096, size_t body = 4096)
+  {
+    struct htp_limits limits = { header, body };
+
+    htp_reader_close (&reader);
+    htp_reader_init (&reader, kind, &limits);
+  }
+  /* Reads TEXT in pieces of SIZE bytes; what follows the first message goes
+     to REST.  */
+  enum htp_status
+  read (const std::string &text, size_t size = 100000)
+  {
+    enum htp_status status = HTP_MORE;
+    size_t at = 0;
+
+    while (at < text.size () && status == HTP_MORE)
+      {
+        size_t used;
+
+        status = htp_read (&reader, text.data () + at,
+                           std::min (size, text.size () - at), &used);
+        at += used;
+      }
+    rest = text.substr (at);
+    return status;
+  }
+  std::string
+  body () const
+  {
+    return std::string (buf_text (&reader.message.body),
+                        reader.message.body.length);
+  }
+  void
+  TearDown () override
+  {
+    htp_reader_close (&reader);
+  }
+  struct htp_reader reader = {};
+  std::string rest;
+};
+
+static const char post[] = "POST /a/b?c=1 HTTP/1.1\r\nHost: x\r\nEmpty:\r\n"
+                           "X-Id:  7 \r\nContent-Length: 3\r\n\r\nabc";
+
+/* Guards against messages that depend on how their bytes are cut.  */
+TEST_F (Messages, PiecesOfAnySizeGiveTheSame)
+{
+  for (size_t size = 1; size < sizeof post; size++)
+    {
+      open (HTP_REQUEST);
+      ASSERT_EQ (read (std::string (post) + "GET /", size), HTP_MESSAGE);
+      EXPECT_STREQ (htp_method (&reader.message), "POST");
+      EXPECT_STREQ (htp_target (&reader.message), "/a/b?c=1");
+      EXPECT_STREQ (htp_find (&reader.message, "host"), "x");
+      EXPECT_STREQ (htp_find (&reader.message, "Empty"), "");
+      EXPECT_STREQ (htp_find (&reader.message, "x-id"), "7");
+      EXPECT_EQ (htp_find (&reader.message, "y"), nullptr);
+      EXPECT_EQ (body (), "abc");
+      EXPECT_EQ (rest, "GET /");
+      EXPECT_TRUE (reader.message.keep_alive);
+    }
+}
+
+/* Guards against chunks that are passed on as part of the body, and trailers
+   that are taken for header fields.  */
+TEST_F (Messages, JoinsChunks)
+{
+  open (HTP_REQUEST);
+  EXPECT_EQ (read ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "2\r\nab\r\n1\r\nc\r\n0\r\nX-Late: 1\r\n\r\n",
+                   3),
+             HTP_MESSAGE);
+  EXPECT_EQ (body (), "abc");
+  EXPECT_EQ (htp_find (&reader.message, "X-Late"), nullptr);
+}
+
+/* Guards against a request that is smuggled inside another one: the end of a
+   message must not be in doubt.  */
+TEST_F (Messages, RefusesDoubtfulFraming)
+{
+  static const char *const texts[]
+      = { "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+          "chunked\r\n\r\n0\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc",
+          "POST / HTTP/1.1\r\nTransfer-Encoding: chunked, x\r\n\r\n0\r\n\r\n",
+          "GET / HTTP/1.1\r\nHost : x\r\n\r\n",
+          "GET /a b HTTP/1.1\r\n\r\n",
+          "\x01\x02\x03\r\n\r\n" };
+
+  for (const char *text : texts)
+    {
+      open (HTP_REQUEST);
+      EXPECT_EQ (read (text), HTP_INVALID) << text;
+    }
+}
+
+/* Guards against memory taken for what a limit forbids.  */
+TEST_F (Messages, KeepsTheLimits)
+{
+  open (HTP_REQUEST, 100, 10);
+  EXPECT_EQ (read ("GET / HTTP/1.1\r\nA: " + std::string (200, 'x')),
+             HTP_HEADER_TOO_LARGE);
+  open (HTP_REQUEST, 100, 10);
+  EXPECT_EQ (read ("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n"),
+             HTP_BODY_TOO_LARGE);
+  EXPECT_EQ (reader.message.body.length, 0u);
+  open (HTP_REQUEST, 100, 10);
+  EXPECT_EQ (read ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "b\r\n01234567890\r\n"),
+             HTP_BODY_TOO_LARGE);
+  open (HTP_REQUEST, 100000, 10);
+  std::string many = "GET / HTTP/1.1\r\n";
+  for (int i = 0; i <= HTP_MAX_HEADERS; i++)
+    many += "A: 1\r\n";
+  EXPECT_EQ (read (many + "\r\n"), HTP_HEADER_TOO_LARGE);
+}
+
+/* Guards against an answer without a length that looks complete although its
+   connection was cut, and one that never ends.  */
+TEST_F (Messages, AResponseMayEndWithItsConnection)
+{
+  open (HTP_RESPONSE);
+  EXPECT_EQ (read ("HTTP/1.1 200 OK\r\n\r\nabc"), HTP_MORE);
+  EXPECT_TRUE (reader.message.ends_at_close);
+  EXPECT_EQ (htp_end (&reader), HTP_MESSAGE);
+  EXPECT_EQ (body (), "abc");
+  EXPECT_FALSE (reader.message.keep_alive);
+  open (HTP_RESPONSE);
+  EXPECT_EQ (read ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"),
+             HTP_MORE);
+  EXPECT_EQ (htp_end (&reader), HTP_INVALID);
+  open (HTP_RESPONSE);
+  EXPECT_EQ (read ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "3\r\nabc\r\n"),
+             HTP_MORE);
+  EXPECT_EQ (htp_end (&reader), HTP_INVALID);
+  open (HTP_RESPONSE);
+  EXPECT_EQ (htp_end (&reader), HTP_MORE);
+}
+
+/* Guards against a wait for a body that does not come.  */
+TEST_F (Messages, SomeResponsesHaveNoBody)
+{
+  open (HTP_RESPONSE);
+  EXPECT_EQ (read ("HTTP/1.1 204 No Content\r\n\r\n"), HTP_MESSAGE);
+  open (HTP_RESPONSE);
+  EXPECT_EQ (read ("HTTP/1.1 304 Not Modified\r\n\r\n"), HTP_MESSAGE);
+  open (HTP_RESPONSE);
+  reader.without_body = true;
+  EXPECT_EQ (read ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"),
+             HTP_MESSAGE);
+}
+
+/* Guards against an interim response that is taken for the final one.  */
+TEST_F (Messages, SkipsInterimResponses)
+{
+  open (HTP_RESPONSE);
+  EXPECT_EQ (read ("HTTP/1.1 100 Continue\r\nA: 1\r\n\r\n"
+                   "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"),
+             HTP_MESSAGE);
+  EXPECT_EQ (reader.message.status, 200);
+  EXPECT_EQ (reader.message.header_count, 1u);
+}
+
+/* Guards against header fields of one connection that reach the next.  */
+TEST_F (Messages, KnowsFieldsOfOneConnection)
+{
+  EXPECT_TRUE (htp_is_hop_by_hop ("connection"));
+  EXPECT_TRUE (htp_is_hop_by_hop ("Keep-Alive"));
+  EXPECT_TRUE (htp_is_hop_by_hop ("CONTENT-LENGTH"));
+  EXPECT_FALSE (htp_is_hop_by_hop ("Host"));
+}
+
+/* Guards against values that end a header early.  */
+TEST_F (Messages, WritesNoInjectedFields)
+{
+  struct buf output = {};
+
+  EXPECT_TRUE (htp_put_header (&output, "A", "1"));
+  EXPECT_FALSE (htp_put_header (&output, "B", "1\r\nC: 2"));
+  EXPECT_FALSE (htp_put_header (&output, "D\r\n", "1"));
+  EXPECT_STREQ (buf_text (&output), "A: 1\r\n");
+  buf_close (&output);
+}
--- /dev/null
+++ b/tests/plc_test.cc
@@ -0,0 +1,243 @@
+/* Placement: single decisions, and replays of the loads that it answers
+   against the version before it.  */
+
+#include "plc/plc.h"
+#include "support/load_sim.h"
+#include "support/support.h"
+
+#include <cstdio>
+#include <gtest/gtest.h>
+
+static const clk_time ms = CLK_MILLISECOND;
+
+static struct plc_candidate
+make_candidate (uint8_t locality, uint32_t running, clk_time wait = 0)
+{
+  struct plc_candidate candidate = {};
+
+  candidate.load = { running, 6, 60 * ms, 60 * ms, wait, CLK_SECOND, 0, 0. };
+  candidate.locality = locality;
+  candidate.usable = true;
+  candidate.round_trip = locality == PLC_OTHER_REGION ? 16 * ms : ms;
+  return candidate;
+}
+
+class Placement : public testing::Test
+{
+protected:
+  struct plc_choice
+  choose (clk_time target = 250 * ms, clk_time left = 600 * ms,
+          bool insists = false)
+  {
+    struct plc_call call = { target, left, insists };
+
+    return plc_choose (candidates.data (), candidates.size (), &call,
+                       CLK_SECOND, &random);
+  }
+  void
+  SetUp () override
+  {
+    rnd_init (&random, 5);
+  }
+  std::vector<struct plc_candidate> candidates;
+  struct rnd random;
+};
+
+/* Guards against bytes on paid links without need.  */
+TEST_F (Placement, PrefersTheNearServerWithRoom)
+{
+  candidates = { make_candidate (PLC_OTHER_REGION, 0),
+                 make_candidate (PLC_SAME_REGION, 0),
+                 make_candidate (PLC_SAME_DATA_CENTRE, 5) };
+  for (int i = 0; i < 50; i++)
+    EXPECT_EQ (choose ().index, 2u);
+}
+
+/* Guards against calls that are late at a near server while a far one has
+   room.  */
+TEST_F (Placement, CrossesRatherThanBeingLate)
+{
+  candidates = { make_candidate (PLC_OTHER_REGION, 0),
+                 make_candidate (PLC_SAME_DATA_CENTRE, 6, 400 * ms) };
+  for (int i = 0; i < 50; i++)
+    EXPECT_EQ (choose ().index, 0u);
+}
+
+/* Guards against a call that waits at its gate although another server of the
+   data centre is idle: the gate sends it on after little more than the
+   difference.  */
+TEST_F (Placement, WaitsNoLongerThanTheNextServerTakes)
+{
+  candidates = { make_candidate (PLC_SAME_DATA_CENTRE, 0),
+                 make_candidate (PLC_SAME_DATA_CENTRE, 3) };
+  for (int i = 0; i < 50; i++)
+    EXPECT_LT (choose ().max_wait, 40 * ms);
+}
+
+/* Guards against a call that travels from gate to gate until its time is
+   over.  */
+TEST_F (Placement, InsistsInTheEnd)
+{
+  candidates = { make_candidate (PLC_SAME_DATA_CENTRE, 6, 100 * ms),
+                 make_candidate (PLC_SAME_DATA_CENTRE, 6, 110 * ms) };
+  EXPECT_GT (choose (250 * ms, 600 * ms, true).max_wait, 500 * ms);
+}
+
+/* Guards against calls that are sent although nobody can answer them in
+   time.  */
+TEST_F (Placement, RefusesWhatCannotBeServed)
+{
+  candidates = { make_candidate (PLC_SAME_DATA_CENTRE, 6, 800 * ms),
+                 make_candidate (PLC_OTHER_REGION, 6, 700 * ms) };
+  EXPECT_EQ (choose ().index, PLC_NONE);
+  candidates[0].load.slots = 0;
+  candidates[1].usable = false;
+  EXPECT_EQ (choose (CLK_SECOND, 5 * CLK_SECOND).index, PLC_NONE);
+}
+
+/* Guards against calls to a server that fails them while others do not, and
+   against nobody being chosen when all fail alike.  */
+TEST_F (Placement, AvoidsFailingServers)
+{
+  candidates = { make_candidate (PLC_SAME_DATA_CENTRE, 0),
+                 make_candidate (PLC_SAME_REGION, 3) };
+  candidates[0].load.failed = 0.5;
+  EXPECT_EQ (choose ().index, 1u);
+  candidates[1].load.failed = 0.5;
+  EXPECT_EQ (choose ().index, 0u);
+}
+
+/* Guards against news that are believed for too long: an old wait counts less
+   and less.  */
+TEST_F (Placement, OldWaitsFade)
+{
+  struct plc_load load = { 6, 6, 60 * ms, 60 * ms, 400 * ms, 0, 0, 0. };
+
+  EXPECT_EQ (plc_expect_wait (&load, 0), 400 * ms);
+  EXPECT_LT (plc_expect_wait (&load, 2 * CLK_SECOND), 10 * ms);
+}
+
+/* The version before: the nearest servers that are expected to be in time,
+   where a call may wait until its target is missed.  */
+static struct plc_choice
+choose_by_tier (const struct plc_candidate *candidates, size_t count,
+                const struct plc_call *call, clk_time now, struct rnd *random)
+{
+  struct plc_choice choice = { PLC_NONE, 0 };
+
+  for (int tier = 0; tier <= PLC_LOCALITIES; tier++)
+    {
+      bool any = tier == PLC_LOCALITIES;
+      double best = 0;
+
+      for (size_t i = 0; i < count; i++)
+        {
+          const struct plc_candidate *candidate = &candidates[i];
+          clk_time wait = plc_expect_wait (&candidate->load, now);
+          double end = (double)(candidate->round_trip + wait)
+                       + 1.5 * (double)candidate->load.service;
+          clk_time limit = any ? call->deadline_left : call->target;
+
+          if ((!any && candidate->locality != tier) || end > (double)limit)
+            continue;
+          end += rnd_unit (random);
+          if (choice.index == PLC_NONE || end < best)
+            {
+              best = end;
+              choice.index = i;
+              choice.max_wait
+                  = limit - candidate->round_trip - candidate->load.service;
+            }
+        }
+      if (choice.index != PLC_NONE)
+        return choice;
+    }
+  return choice;
+}
+
+/* Plays LOAD with both versions and prints what came out.  */
+static void
+compare (const char *name, const struct sim_load &load,
+         struct sim_result *before, struct sim_result *after)
+{
+  *before = sim_play (load, choose_by_tier);
+  *after = sim_play (load, plc_choose);
+  for (const struct sim_result *result : { before, after })
+    printf ("%s, %s: on time %.4f, late %.4f, not served %.4f, crossed %.3f "
+            "data centres and %.3f regions a call, bounced %.3f\n",
+            name, result == before ? "before" : "after", sim_on_time (*result),
+            (double)result->late / result->asked,
+            (double)result->refused / result->asked,
+            (double)result->crossed_centre / result->asked,
+            (double)result->crossed_region / result->asked,
+            (double)result->bounced / result->asked);
+}
+
+/* Five servers a data centre at 70 % of their room, of unequal speed.  */
+static struct sim_load
+many_servers ()
+{
+  return { { { 700, 84, 0.4, 300, 800, 2 } },
+           {},
+           { 0.6, 1.0, 1.4 },
+           4,
+           5,
+           15,
+           6,
+           20,
+           11 };
+}
+
+/* Guards against idle servers beside a queue, at the load of
+   garmi-mesh-grown's calm day.  */
+TEST (PlacementReplay, ManyServersOfUnequalSpeed)
+{
+  struct sim_result before;
+  struct sim_result after;
+
+  compare ("many servers", many_servers (), &before, &after);
+  EXPECT_GT (sim_on_time (after), sim_on_time (before));
+  EXPECT_GT (sim_on_time (after), 0.985) << test_seed_note (11);
+}
+
+/* Guards against a burst at which calls queue up at the near servers: 1.7
+   times the load for three seconds, in one data centre of four only.  */
+TEST (PlacementReplay, BurstInOneDataCentre)
+{
+  struct sim_load load = { { { 144, 60, 0.3, 250, 600, 2 } },
+                           { { 4, 7, 1.7, -1, 1, 0 } },
+                           { 0.6, 1.0, 1.4 },
+                           4,
+                           1,
+                           4,
+                           6,
+                           12,
+                           12 };
+  struct sim_result before;
+  struct sim_result after;
+
+  compare ("burst", load, &before, &after);
+  EXPECT_GT (sim_on_time (after), sim_on_time (before));
+  EXPECT_GT (sim_on_time (after), 0.97) << test_seed_note (12);
+}
+
+/* Guards against a server that turns five times slower and keeps its share of
+   the calls.  */
+TEST (PlacementReplay, SlowServer)
+{
+  struct sim_load load = { { { 144, 60, 0.3, 250, 600, 2 } },
+                           { { 4, 10.5, 1, 1, 5, -1 } },
+                           { 0.6, 1.0, 1.4 },
+                           4,
+                           1,
+                           4,
+                           6,
+                           14,
+                           13 };
+  struct sim_result before;
+  struct sim_result after;
+
+  compare ("slow server", load, &before, &after);
+  EXPECT_GT (sim_on_time (after), sim_on_time (before));
+  EXPECT_GT (sim_on_time (after), 0.95) << test_seed_note (13);
+}
--- /dev/null
+++ b/tests/reg_test.cc
@@ -0,0 +1,141 @@
+/* Registration of the upstream beside a node.  */
+
+#include "reg/reg.h"
+
+#include <cstdio>
+#include <cstring>
+#include <gtest/gtest.h>
+
+static struct ptf_announcement
+announce (const char *name, uint64_t sequence, uint64_t born, bool leaving)
+{
+  struct ptf_announcement result = {};
+
+  snprintf (result.name, sizeof result.name, "%s", name);
+  snprintf (result.service, sizeof result.service, "stock");
+  result.slots = 6;
+  result.sequence = sequence;
+  result.born = born;
+  result.leaving = leaving;
+  return result;
+}
+
+class Registration : public testing::Test
+{
+protected:
+  enum reg_verdict
+  take (const char *name, uint64_t sequence, uint64_t born = 1000,
+        bool leaving = false)
+  {
+    struct ptf_announcement announcement
+        = announce (name, sequence, born, leaving);
+
+    return reg_announce (&registration, &announcement, now += CLK_SECOND);
+  }
+  struct reg registration = {};
+  clk_time now = 0;
+};
+
+/* Guards against an upstream that is never used, and against news for each
+   heartbeat.  */
+TEST_F (Registration, FirstAnnouncementIsNews)
+{
+  EXPECT_EQ (take ("i-1", 1), REG_CHANGED);
+  EXPECT_EQ (registration.state, REG_READY);
+  EXPECT_EQ (take ("i-1", 2), REG_RENEWED);
+}
+
+/* Guards against a late heartbeat that brings back an upstream that has said
+   that it leaves.  */
+TEST_F (Registration, LeavingIsFinalForAStart)
+{
+  take ("i-1", 1);
+  EXPECT_EQ (take ("i-1", 3, 1000, true), REG_CHANGED);
+  EXPECT_EQ (registration.state, REG_LEAVING);
+  EXPECT_EQ (take ("i-1", 2), REG_LATE);
+  EXPECT_EQ (take ("i-1", 4), REG_LATE);
+  EXPECT_EQ (registration.state, REG_LEAVING);
+}
+
+/* Guards against a late heartbeat after an upstream has left for good.  */
+TEST_F (Registration, FarewellIsFinalForAStart)
+{
+  take ("i-1", 1);
+  EXPECT_EQ (reg_leave (&registration, "i-1", 1000, now), REG_CHANGED);
+  EXPECT_EQ (take ("i-1", 9), REG_LATE);
+  EXPECT_EQ (registration.state, REG_LEAVING);
+}
+
+/* Guards against an upstream that starts again under its name and is ignored:
+   its sequence begins anew, its start is later.  */
+TEST_F (Registration, ANewStartReplacesAnOldOne)
+{
+  take ("i-1", 40);
+  reg_leave (&registration, "i-1", 1000, now);
+  EXPECT_EQ (take ("i-1", 1, 2000), REG_CHANGED);
+  EXPECT_EQ (registration.state, REG_READY);
+}
+
+/* Guards against a heartbeat that a partition held back until a new upstream
+   had registered.  */
+TEST_F (Registration, AnOlderStartIsLate)
+{
+  take ("i-2", 1, 2000);
+  EXPECT_EQ (take ("i-1", 90, 1000), REG_LATE);
+  EXPECT_STREQ (registration.upstream.name, "i-2");
+  EXPECT_EQ (reg_leave (&registration, "i-1", 1000, now), REG_LATE);
+  EXPECT_EQ (registration.state, REG_READY);
+}
+
+/* Guards against an upstream that stays silent for good after its connection
+   was refused once.  */
+TEST_F (Registration, AHeartbeatEndsSilence)
+{
+  take ("i-1", 1);
+  EXPECT_TRUE (reg_set_silent (&registration));
+  EXPECT_FALSE (reg_set_silent (&registration));
+  EXPECT_EQ (take ("i-1", 2), REG_CHANGED);
+  EXPECT_EQ (registration.state, REG_READY);
+}
+
+/* Guards against a restarted node that forgets that its upstream is leaving:
+   the acknowledgement of the process before it binds.  */
+TEST_F (Registration, AdoptsADeparture)
+{
+  struct mbr_member record = {};
+  struct net_address address = { 1, 2 };
+
+  snprintf (record.upstream, sizeof record.upstream, "i-1");
+  snprintf (record.service, sizeof record.service, "stock");
+  record.slots = 6;
+  record.upstream_born = 1000;
+  record.upstream_leaving = true;
+  EXPECT_TRUE (reg_adopt (&registration, &record, address, now));
+  EXPECT_EQ (take ("i-1", 7), REG_LATE);
+  EXPECT_EQ (registration.state, REG_LEAVING);
+}
+
+/* Guards against a record that overrides what the upstream itself said.  */
+TEST_F (Registration, AdoptsNothingOverAnAnnouncement)
+{
+  struct mbr_member record = {};
+  struct net_address address = { 1, 2 };
+
+  snprintf (record.upstream, sizeof record.upstream, "i-0");
+  take ("i-1", 1);
+  EXPECT_FALSE (reg_adopt (&registration, &record, address, now));
+  EXPECT_STREQ (registration.upstream.name, "i-1");
+}
+
+/* Guards against a record that is written although nothing changed.  */
+TEST_F (Registration, FillsTheRecordOnce)
+{
+  struct mbr_member record = {};
+
+  EXPECT_FALSE (reg_fill_record (&registration, &record));
+  take ("i-1", 1);
+  EXPECT_TRUE (reg_fill_record (&registration, &record));
+  EXPECT_FALSE (reg_fill_record (&registration, &record));
+  EXPECT_STREQ (record.upstream, "i-1");
+  EXPECT_FALSE (record.upstream_leaving);
+}
--- /dev/null
+++ b/tests/rel_test.cc
@@ -0,0 +1,170 @@
+/* Roles of nodes in the spreading of changes.  */
+
+#include "rel/rel.h"
+#include "support/support.h"
+
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+/* A mesh of nodes: FAR data centres are 20 ms from the platform.  */
+class Mesh
+{
+public:
+  Mesh (size_t near, size_t far, size_t size)
+  {
+    for (size_t centre = 0; centre < near + far; centre++)
+      centres.push_back ("dc-" + std::to_string (centre));
+    for (size_t centre = 0; centre < near + far; centre++)
+      for (size_t i = 0; i < size; i++)
+        {
+          std::string name
+              = "n-" + std::to_string (centre) + "-" + std::to_string (i);
+
+          nodes.push_back ({ centres[centre].c_str (),
+                             rel_hash (name.c_str ()),
+                             centre < near ? 5u : 21u, true, REL_UNKNOWN });
+        }
+  }
+  struct rel_plan
+  plan (size_t self) const
+  {
+    return rel_decide (nodes.data (), nodes.size (), self);
+  }
+  std::vector<size_t>
+  watchers () const
+  {
+    std::vector<size_t> result;
+
+    for (size_t i = 0; i < nodes.size (); i++)
+      if (nodes[i].alive && plan (i).watches)
+        result.push_back (i);
+    return result;
+  }
+  /* Returns whether every living node hears from a node that sees the
+     platform, over any number of parents.  */
+  bool
+  all_hear () const
+  {
+    std::vector<bool> hears (nodes.size ());
+    bool changed = true;
+
+    for (size_t i : watchers ())
+      hears[i] = nodes[i].sight != REL_BLIND;
+    while (changed)
+      {
+        changed = false;
+        for (size_t i = 0; i < nodes.size (); i++)
+          for (size_t parent : plan (i).parents)
+            if (nodes[i].alive && !hears[i] && parent != REL_NONE
+                && hears[parent])
+              hears[i] = changed = true;
+      }
+    for (size_t i = 0; i < nodes.size (); i++)
+      if (nodes[i].alive && !hears[i])
+        return false;
+    return true;
+  }
+  std::vector<std::string> centres;
+  std::vector<struct rel_node> nodes;
+};
+
+/* Guards against calls to the platform that grow with the mesh, and against
+   watchers behind the paid link.  */
+TEST (Relays, TwoNearNodesOfDifferentDataCentresWatch)
+{
+  for (size_t size : { 1u, 4u, 16u, 150u })
+    {
+      Mesh mesh (2, 3, size);
+      std::vector<size_t> watchers = mesh.watchers ();
+
+      ASSERT_EQ (watchers.size (), REL_WATCHERS) << size;
+      EXPECT_LT (watchers[0], size);
+      EXPECT_GE (watchers[1], size);
+      EXPECT_LT (watchers[1], 2 * size);
+    }
+}
+
+/* Guards against nodes that no change reaches.  */
+TEST (Relays, EveryNodeHears)
+{
+  for (size_t size : { 1u, 4u, 15u })
+    EXPECT_TRUE (Mesh (2, 2, size).all_hear ()) << size;
+}
+
+/* Guards against changes that cross the paid link once for each node: only
+   relays have parents in another data centre.  */
+TEST (Relays, OnlyRelaysHearFromOtherDataCentres)
+{
+  Mesh mesh (2, 2, 8);
+
+  for (size_t i = 0; i < mesh.nodes.size (); i++)
+    for (size_t parent : mesh.plan (i).parents)
+      {
+        if (parent == REL_NONE || mesh.plan (i).relays)
+          continue;
+        EXPECT_STREQ (mesh.nodes[parent].data_centre,
+                      mesh.nodes[i].data_centre);
+      }
+}
+
+/* Guards against a gap when watchers die: the next relays watch.  */
+TEST (Relays, TheNextOnesTakeOver)
+{
+  Mesh mesh (2, 2, 4);
+
+  for (int round = 0; round < 10; round++)
+    {
+      std::vector<size_t> watchers = mesh.watchers ();
+
+      ASSERT_EQ (watchers.size (), REL_WATCHERS) << round;
+      EXPECT_TRUE (mesh.all_hear ()) << round;
+      mesh.nodes[watchers[0]].alive = false;
+    }
+}
+
+/* Guards against a mesh that hears nothing because the platform turns its
+   watchers away and serves others.  */
+TEST (Relays, BlindWatchersAreReplaced)
+{
+  Mesh mesh (2, 2, 4);
+
+  for (int round = 0; round < REL_MAX_BLIND; round++)
+    {
+      std::vector<size_t> watchers = mesh.watchers ();
+      size_t seeing = 0;
+
+      for (size_t i : watchers)
+        if (mesh.nodes[i].sight != REL_BLIND)
+          seeing++;
+      EXPECT_GE (seeing, 1u) << round;
+      EXPECT_TRUE (mesh.all_hear ()) << round;
+      for (size_t i : watchers)
+        if (mesh.nodes[i].sight != REL_BLIND)
+          {
+            mesh.nodes[i].sight = REL_BLIND;
+            break;
+          }
+    }
+}
+
+/* Guards against calls of every relay to a platform that is down for all.  */
+TEST (Relays, FewTryAPlatformThatIsDown)
+{
+  Mesh mesh (2, 2, 15);
+
+  for (struct rel_node &node : mesh.nodes)
+    node.sight = REL_BLIND;
+  EXPECT_LE (mesh.watchers ().size (), (size_t)REL_MAX_BLIND);
+  EXPECT_GE (mesh.watchers ().size (), (size_t)REL_WATCHERS);
+}
+
+/* Guards against a node that is alone and takes no role.  */
+TEST (Relays, ANodeAloneWatches)
+{
+  Mesh mesh (1, 0, 1);
+  struct rel_plan plan = mesh.plan (0);
+
+  EXPECT_TRUE (plan.watches);
+  EXPECT_EQ (plan.parents[0], REL_NONE);
+}
--- /dev/null
+++ b/tests/sdc_test.cc
@@ -0,0 +1,458 @@
+/* Sidecars, upstreams and the platform's store together, under the faults that
+   the platform may have.  Each test names the failure that it guards against;
+   several were found on the users' bench.  */
+
+#include "pfm_names.h"
+#include "support/sidecar_mesh.h"
+
+#include <cstring>
+#include <unistd.h>
+
+class Sidecars : public SidecarMesh
+{
+protected:
+  /* Two data centres of two regions with both services in each.  */
+  void
+  start_mesh (bool first_start = true)
+  {
+    add_vm ("orders", "a", "near", first_start);
+    add_vm ("stock", "a", "near", first_start);
+    add_vm ("orders", "b", "far", first_start);
+    add_vm ("stock", "b", "far", first_start);
+    put_config (1);
+    ASSERT_TRUE (converges (1));
+    ASSERT_TRUE (run_until ([&] {
+      return status_of (0, "/orders/") == 200
+             && status_of (3, "/stock/") == 200
+             && status_of (0, "/stock/") == 200
+             && status_of (3, "/orders/") == 200;
+    }));
+  }
+};
+
+/* Guards against a path that is not served from end to end.  */
+TEST_F (Sidecars, ServeFromEndToEnd)
+{
+  start_mesh ();
+  Peer peer = call (0, "/stock/item?x=1", "abc");
+
+  ASSERT_TRUE (receives (peer, "\r\n\r\nabc"));
+  EXPECT_EQ (status_in (peer), 200);
+  EXPECT_NE (peer.received.find (PFM_SIGNATURE ": standin"),
+             std::string::npos);
+  EXPECT_NE (peer.received.find (PFM_REQUEST_ID ": abc"), std::string::npos);
+  EXPECT_EQ (status_of (0, "/nowhere/"), 404);
+  EXPECT_EQ (status_of (0, "/stock"), 404);
+}
+
+/* Guards against a node that says 404 or seems ready before it knows any
+   configuration.  */
+TEST_F (Sidecars, AreNotReadyWithoutAConfiguration)
+{
+  add_vm ("orders");
+  run_for (200);
+  EXPECT_EQ (status_of (0, "/orders/"), 503);
+  EXPECT_EQ (ready_status (0), 503);
+  put_config (1);
+  ASSERT_TRUE (converges (1));
+  EXPECT_EQ (ready_status (0), 200);
+}
+
+/* Guards against calls to the store that grow with the number of nodes: after
+   the start only the watchers call.  */
+TEST_F (Sidecars, CallTheStoreRarely)
+{
+  uint64_t before;
+
+  start_mesh ();
+  run_for (300);
+  before = sst_call_count (store);
+  put_config (2);
+  ASSERT_TRUE (converges (2, 1000));
+  EXPECT_LE (sst_call_count (store) - before, 6u);
+}
+
+/* Guards against a version that some node misses in a quick series.  */
+TEST_F (Sidecars, FollowAStormOfVersions)
+{
+  start_mesh ();
+  for (uint64_t version = 2; version < 30; version++)
+    {
+      put_config (version, { "/more-" + std::to_string (version) + "/" });
+      run_for (15);
+    }
+  EXPECT_TRUE (converges (29, 1500));
+  EXPECT_EQ (status_of (3, "/more-29/"), 200);
+  EXPECT_EQ (status_of (3, "/more-28/"), 404);
+}
+
+/* Guards against relays that go on taking others for blind after an outage of
+   the store, and then hear from each other only (CONFIG, garmi-mesh
+   trouble-3).  */
+TEST_F (Sidecars, HearOfVersionsAfterAnOutage)
+{
+  for (const char *centre : { "a", "b", "c", "d" })
+    for (int i = 0; i < 2; i++)
+      add_vm ("orders", centre, centre[0] < 'c' ? "near" : "far", true);
+  put_config (1);
+  ASSERT_TRUE (converges (1));
+  sst_set_fault (store, SST_RESET, 0);
+  run_for (4000);
+  sst_heal (store);
+  run_for (2500);
+  put_config (2);
+  EXPECT_TRUE (converges (2, 2000));
+}
+
+/* Guards against nodes that miss versions because the store turns them away
+   and serves others: a peer passes the version on.  */
+TEST_F (Sidecars, HearOfVersionsThoughTheStoreRefusesThem)
+{
+  uint64_t version = 1;
+
+  start_mesh ();
+  for (enum sst_fault fault : { SST_BUSY, SST_RESET, SST_SILENT })
+    for (size_t vm = 0; vm < 4; vm++)
+      {
+        version++;
+        sst_set_fault (store, fault, vms[vm].ip);
+        run_for (100);
+        put_config (version);
+        EXPECT_TRUE (converges (version, 7000)) << fault << " at " << vm;
+        sst_heal (store);
+        run_for (200);
+      }
+}
+
+/* Guards against a node that starts while the store is away and finds nobody:
+   the others come back to it.  */
+TEST_F (Sidecars, JoinWithoutTheStore)
+{
+  start_mesh ();
+  EXPECT_EQ (status_of (0, "/stock/"), 200);
+  EXPECT_EQ (status_of (2, "/orders/"), 200);
+  sst_set_fault (store, SST_RESET, 0);
+  kill_sidecar (1);
+  run_for (300);
+  start_sidecar (1);
+  EXPECT_TRUE (run_until ([&] { return ready_status (1) == 200; }, 4000));
+  EXPECT_EQ (status_of (1, "/orders/"), 200);
+}
+
+/* Guards against a mesh that does not serve after all its processes were
+   killed at once.  */
+TEST_F (Sidecars, RecoverWhenAllAreKilled)
+{
+  start_mesh ();
+  put_config (2);
+  for (size_t vm = 0; vm < 4; vm++)
+    kill_sidecar (vm);
+  run_for (200);
+  for (size_t vm = 0; vm < 4; vm++)
+    start_sidecar (vm);
+  EXPECT_TRUE (converges (2, 3000));
+  EXPECT_TRUE (run_until ([&] { return status_of (0, "/stock/") == 200; }));
+}
+
+/* Guards against an answer of another request, when an upstream sends a
+   response that nobody asked for (MIXED, sifon-aqsu-mesh trouble-3, seed
+   734182369058).  */
+TEST_F (Sidecars, DropResponsesOfOtherRequests)
+{
+  start_mesh ();
+  sup_set_fault (vms[1].upstream, SUP_EXTRA);
+  sup_set_fault (vms[3].upstream, SUP_EXTRA);
+  for (int i = 0; i < 10; i++)
+    {
+      std::string id = next_id ();
+      Peer peer = call (0, "/stock/", id);
+
+      ASSERT_TRUE (receives (peer, "\r\n\r\n"));
+      ASSERT_EQ (status_in (peer), 200);
+      EXPECT_TRUE (receives (peer, "\r\n\r\n" + id));
+      EXPECT_EQ (peer.received.find ("extra"), std::string::npos);
+    }
+}
+
+/* Guards against answers that look complete although their upstream broke them
+   off, sent no response, or did not sign it.  */
+TEST_F (Sidecars, PassOnNoSpoiledAnswers)
+{
+  start_mesh ();
+  for (enum sup_fault fault : { SUP_TRUNCATE, SUP_GARBAGE, SUP_UNSIGNED })
+    {
+      sup_set_fault (vms[1].upstream, fault);
+      sup_set_fault (vms[3].upstream, fault);
+      EXPECT_EQ (status_of (0, "/stock/"), 502) << fault;
+    }
+}
+
+/* Guards against an order that runs twice, or that is reported as not run
+   although it may have run.  */
+TEST_F (Sidecars, RunAnOrderOnce)
+{
+  start_mesh ();
+  for (enum sup_fault fault : { SUP_LOSE, SUP_TRUNCATE, SUP_GARBAGE })
+    {
+      std::string id = next_id ();
+
+      sup_set_fault (vms[0].upstream, fault);
+      sup_set_fault (vms[2].upstream, fault);
+      EXPECT_EQ (status_of (0, "/once/", id, 1000, "POST"), 502) << fault;
+      EXPECT_EQ (sup_runs_of (vms[0].upstream, id.c_str ())
+                     + sup_runs_of (vms[2].upstream, id.c_str ()),
+                 1u);
+    }
+}
+
+/* Guards against a safe request that fails although another upstream could
+   answer it.  */
+TEST_F (Sidecars, RepeatASafeRequest)
+{
+  start_mesh ();
+  sup_set_fault (vms[1].upstream, SUP_LOSE);
+  EXPECT_EQ (status_of (0, "/stock/"), 200);
+  sup_set_fault (vms[1].upstream, SUP_SHED);
+  EXPECT_EQ (status_of (0, "/stock/"), 200);
+}
+
+/* Guards against an order that is refused although another upstream can take
+   it, when the first one did not run it.  */
+TEST_F (Sidecars, SendAnOrderOnThatWasNotRun)
+{
+  start_mesh ();
+  sup_set_fault (vms[0].upstream, SUP_SHED);
+  EXPECT_EQ (status_of (0, "/once/", "", 1000, "POST"), 200);
+}
+
+/* Guards against requests to an upstream after the acknowledgement that it
+   leaves, also when its node starts again and late heartbeats arrive.  */
+TEST_F (Sidecars, SendNothingToALeavingUpstream)
+{
+  uint64_t arrivals;
+
+  start_mesh ();
+  sup_drain (vms[1].upstream);
+  ASSERT_TRUE (
+      run_until ([&] { return sup_is_acknowledged (vms[1].upstream); }));
+  arrivals = sup_arrival_count (vms[1].upstream);
+  for (int i = 0; i < 20; i++)
+    EXPECT_EQ (status_of (i % 4, "/stock/"), 200);
+  kill_sidecar (1);
+  start_sidecar (1);
+  ASSERT_TRUE (converges (1));
+  for (int i = 0; i < 20; i++)
+    EXPECT_EQ (status_of (i % 4, "/stock/"), 200);
+  EXPECT_EQ (sup_arrival_count (vms[1].upstream), arrivals);
+}
+
+/* Guards against an acknowledgement that only the acknowledging process
+   remembers: without the store another node must hold it.  */
+TEST_F (Sidecars, AcknowledgeDeparturesWithoutTheStore)
+{
+  uint64_t arrivals;
+
+  start_mesh ();
+  sst_set_fault (store, SST_RESET, 0);
+  sup_drain (vms[1].upstream);
+  ASSERT_TRUE (
+      run_until ([&] { return sup_is_acknowledged (vms[1].upstream); }, 2500));
+  arrivals = sup_arrival_count (vms[1].upstream);
+  kill_sidecar (1);
+  start_sidecar (1);
+  run_for (1500);
+  for (int i = 0; i < 20; i++)
+    status_of (i % 4, "/stock/");
+  EXPECT_EQ (sup_arrival_count (vms[1].upstream), arrivals);
+}
+
+/* Guards against a departure that a late write takes back: the store does a
+   write whose answer was lost a second later.  */
+TEST_F (Sidecars, KeepADepartureWhenWritesComeLate)
+{
+  start_mesh ();
+  sst_set_fault (store, SST_LOSE_LATE, vms[1].ip);
+  kill_upstream (1);
+  start_upstream (1);
+  run_for (500);
+  sst_heal (store);
+  sup_drain (vms[1].upstream);
+  ASSERT_TRUE (
+      run_until ([&] { return sup_is_acknowledged (vms[1].upstream); }, 3000));
+  run_for (2500);
+  const json_t *record = sst_get (store, "mesh-nodes", "vm-1");
+  EXPECT_TRUE (json_is_true (json_object_get (record, "upstream_leaving")));
+}
+
+/* Guards against requests for an upstream that has been replaced at its
+   address by one of another service (ROUTE).  */
+TEST_F (Sidecars, NoticeThatAnAddressChangesItsService)
+{
+  start_mesh ();
+  kill_upstream (1);
+  vms[1].service = "orders";
+  start_upstream (1);
+  run_for (300);
+  for (int i = 0; i < 20; i++)
+    EXPECT_EQ (status_of (i % 4, "/stock/"), 200);
+  EXPECT_TRUE (run_until ([&] {
+    status_of (1, "/orders/");
+    return sup_run_count (vms[1].upstream) > 0;
+  }));
+  EXPECT_EQ (sup_arrival_count (vms[1].upstream),
+             sup_run_count (vms[1].upstream));
+}
+
+/* Guards against work at an upstream for a caller that has left (GONE).  */
+TEST_F (Sidecars, CancelWhenACallerLeaves)
+{
+  start_mesh ();
+  sup_set_work (vms[1].upstream, 800 * CLK_MILLISECOND);
+  sup_set_work (vms[3].upstream, 800 * CLK_MILLISECOND);
+  std::string id = next_id ();
+  Peer peer = call (0, "/stock/", id);
+
+  ASSERT_TRUE (run_until ([&] {
+    return sup_runs_of (vms[1].upstream, id.c_str ())
+               + sup_runs_of (vms[3].upstream, id.c_str ())
+           == 1;
+  }));
+  peer.close ();
+  run_for (100);
+  sup_set_work (vms[1].upstream, CLK_MILLISECOND);
+  sup_set_work (vms[3].upstream, CLK_MILLISECOND);
+  for (uint32_t i = 0; i < 2 * slots; i++)
+    EXPECT_EQ (status_of (0, "/stock/"), 200);
+}
+
+/* Guards against a request that is held past its route's time.  */
+TEST_F (Sidecars, AnswerWhenTheTimeIsOver)
+{
+  clk_time start;
+
+  start_mesh ();
+  sup_set_work (vms[1].upstream, 5 * CLK_SECOND);
+  sup_set_work (vms[3].upstream, 5 * CLK_SECOND);
+  start = clk_now ();
+  EXPECT_EQ (status_of (0, "/stock/", "", 3000), 504);
+  EXPECT_LT (clk_now () - start, 1300 * CLK_MILLISECOND);
+  start = clk_now ();
+  EXPECT_EQ (status_of (0, "/stock/", "", 300), 504);
+  EXPECT_LT (clk_now () - start, 600 * CLK_MILLISECOND);
+}
+
+/* Guards against a shutdown that takes requests until its last moment and cuts
+   them off, or that does not end (LOST, sifon-aqsu-mesh trouble-3).  */
+TEST_F (Sidecars, EndAShutdownWithAnswers)
+{
+  std::vector<Peer> peers;
+  clk_time next = 0;
+
+  grace = 4 * CLK_SECOND;
+  start_mesh ();
+  sdc_terminate (vms[1].sidecar);
+  EXPECT_EQ (ready_status (1), 503);
+  EXPECT_TRUE (run_until (
+      [&] {
+        if (clk_now () > next && peers.size () < 1000)
+          {
+            int probe = net_connect (address_of (1, calls_port),
+                                     clk_now () + 50 * CLK_MILLISECOND);
+            if (probe >= 0)
+              {
+                ::close (probe);
+                peers.push_back (call (1, "/orders/"));
+              }
+            next = clk_now () + 10 * CLK_MILLISECOND;
+          }
+        return sdc_has_ended (vms[1].sidecar);
+      },
+      4000));
+  EXPECT_GT (peers.size (), 50u);
+  run_for (200);
+  kill_sidecar (1);
+  for (Peer &peer : peers)
+    {
+      peer.receive ();
+      EXPECT_EQ (status_in (peer), 200);
+    }
+}
+
+/* Guards against calls in progress that are lost when a peer begins to shut
+   down: its record changes, its links stay (LOST, sifon-aqsu-mesh trouble-3,
+   seed 931471530242).  */
+TEST_F (Sidecars, KeepCallsInProgressWhenAPeerShutsDown)
+{
+  start_mesh ();
+  sup_set_work (vms[0].upstream, 300 * CLK_MILLISECOND);
+  sup_set_work (vms[2].upstream, 300 * CLK_MILLISECOND);
+  Peer first = call (1, "/once/", "", 1000, "POST");
+  Peer second = call (3, "/once/", "", 1000, "POST");
+
+  run_for (50);
+  sdc_terminate (vms[0].sidecar);
+  sdc_terminate (vms[2].sidecar);
+  EXPECT_TRUE (receives (first, "\r\n\r\n"));
+  EXPECT_TRUE (receives (second, "\r\n\r\n"));
+  EXPECT_EQ (status_in (first), 200);
+  EXPECT_EQ (status_in (second), 200);
+}
+
+/* Guards against heartbeats of another writer that change what a node
+   believes.  */
+TEST_F (Sidecars, RefuseForgedHeartbeats)
+{
+  static const char *const bodies[] = {
+    "",
+    "{",
+    "[]",
+    "{\"" PFM_ADDRESS "\":5}",
+    "{\"" PFM_ADDRESS "\":\"127.0.1.2:1\",\"" PFM_INFO "\":{\"" PFM_SERVICE
+    "\":\"unheard-of\",\"" PFM_ZONE "\":\"a\",\"" PFM_SLOTS
+    "\":4},\"" PFM_STATUS "\":{\"" PFM_STATE "\":\"ready\",\"" PFM_SEQ
+    "\":9000}}",
+    "{\"" PFM_ADDRESS "\":\"127.0.1.2:1\",\"" PFM_INFO "\":{\"" PFM_SERVICE
+    "\":\"stock\",\"" PFM_ZONE "\":\"a\",\"" PFM_SLOTS "\":4},\"" PFM_STATUS
+    "\":{\"" PFM_STATE "\":\"odd\",\"" PFM_SEQ "\":9000}}",
+  };
+
+  start_mesh ();
+  for (const char *body : bodies)
+    {
+      Peer peer = Peer::connect (address_of (1, control_port));
+
+      peer.send ("POST " PFM_HEARTBEAT_PATH "i-forged HTTP/1.1\r\n"
+                 "Content-Length: "
+                 + std::to_string (strlen (body)) + "\r\n\r\n" + body);
+      EXPECT_TRUE (receives (peer, "HTTP/1.1 400 ")) << body;
+    }
+  EXPECT_EQ (status_of (0, "/stock/"), 200);
+}
+
+/* Guards against a history that is gone: the watchers list again.  */
+TEST_F (Sidecars, SurviveALostHistory)
+{
+  start_mesh ();
+  sst_compact (store);
+  put_config (2);
+  EXPECT_TRUE (converges (2, 2500));
+  sst_compact (store);
+  run_for (100);
+  put_config (3);
+  EXPECT_TRUE (converges (3, 2500));
+}
+
+/* Guards against a configuration that is not valid and is used in part.  */
+TEST_F (Sidecars, KeepTheVersionWhenTheNextIsNotValid)
+{
+  start_mesh ();
+  sst_put (store, PFM_CONFIG_KIND, PFM_CONFIG_NAME,
+           json_pack ("{s:i, s:[{s:s, s:{s:s}, s:{s:s}}]}", PFM_VERSION, 5,
+                      PFM_RESOURCES, PFM_ENTRY_TYPE, PFM_ROUTES, PFM_METADATA,
+                      PFM_NAME, "r", PFM_SPEC, PFM_PATH_PREFIX, "bare"));
+  run_for (300);
+  EXPECT_EQ (sdc_version (vms[0].sidecar), 1u);
+  EXPECT_EQ (status_of (0, "/stock/"), 200);
+  put_config (6);
+  EXPECT_TRUE (converges (6, 1500));
+}
--- /dev/null
+++ b/tests/support/load_sim.cc
@@ -0,0 +1,337 @@
+/* Replay of a load on one service.  */
+
+#include "support/load_sim.h"
+
+#include "que/que.h"
+
+#include <cmath>
+#include <functional>
+#include <memory>
+#include <queue>
+
+namespace
+{
+
+const size_t centres_per_region = 2;
+const int max_bounces = 3;
+const clk_time one_way[PLC_LOCALITIES]
+    = { CLK_MILLISECOND / 10, CLK_MILLISECOND / 2, 8 * CLK_MILLISECOND };
+
+clk_time
+ms (double value)
+{
+  return (clk_time)(value * (double)CLK_MILLISECOND);
+}
+
+struct call
+{
+  const sim_kind *kind;
+  size_t node;
+  clk_time start;
+  clk_time work;
+  int bounces = 0;
+};
+
+struct server
+{
+  size_t centre;
+  double speed;
+  uint32_t running = 0;
+  clk_time slot = 0;
+  struct que queue = {};
+};
+
+class replay
+{
+public:
+  replay (const struct sim_load &the_load, const sim_placement &the_placement)
+      : load (the_load), placement (the_placement)
+  {
+    rnd_init (&random, load.seed);
+    rnd_init (&choices, load.seed + 1);
+    for (size_t centre = 0; centre < load.centres; centre++)
+      for (size_t i = 0; i < load.servers; i++)
+        {
+          servers.push_back (std::make_unique<server> ());
+          servers.back ()->centre = centre;
+          servers.back ()->speed
+              = load.speeds[servers.size () % load.speeds.size ()];
+        }
+    known.resize (load.centres * load.nodes * servers.size ());
+    for (struct plc_load &entry : known)
+      entry.slots = load.slots;
+  }
+
+  struct sim_result
+  play ()
+  {
+    for (const sim_kind &kind : load.kinds)
+      plan_arrival (&kind);
+    while (!events.empty () && events.top ().when < ms (load.seconds * 1e3))
+      {
+        event next = events.top ();
+
+        events.pop ();
+        now = next.when;
+        next.action ();
+      }
+    return result;
+  }
+
+private:
+  struct event
+  {
+    clk_time when;
+    uint64_t order;
+    std::function<void ()> action;
+    bool
+    operator<(const event &other) const
+    {
+      return when != other.when ? when > other.when : order > other.order;
+    }
+  };
+
+  void
+  at (clk_time when, std::function<void ()> action)
+  {
+    events.push ({ when, ++order, std::move (action) });
+  }
+
+  const sim_event *
+  current () const
+  {
+    for (const sim_event &entry : load.events)
+      if (now >= ms (entry.from_s * 1e3) && now < ms (entry.to_s * 1e3))
+        return &entry;
+    return nullptr;
+  }
+
+  double
+  normal ()
+  {
+    return std::sqrt (-2 * std::log (1 - rnd_unit (&random)))
+           * std::cos (2 * M_PI * rnd_unit (&random));
+  }
+
+  void
+  plan_arrival (const sim_kind *kind)
+  {
+    const sim_event *entry = current ();
+    double rate = kind->per_s * (entry != nullptr ? entry->load : 1);
+
+    at (now + ms (-std::log (1 - rnd_unit (&random)) * 1e3 / rate),
+        [this, kind] { arrive (kind); });
+  }
+
+  void
+  arrive (const sim_kind *kind)
+  {
+    const sim_event *entry = current ();
+    auto item = std::make_shared<call> ();
+    size_t node = rnd_below (&random, (uint32_t)(load.centres * load.nodes));
+
+    if (entry != nullptr && entry->fed_centre >= 0)
+      node = (size_t)entry->fed_centre * load.nodes + node % load.nodes;
+    plan_arrival (kind);
+    item->kind = kind;
+    item->node = node;
+    item->start = now;
+    item->work = ms (kind->work_ms
+                     * std::exp (kind->spread * normal ()
+                                 - kind->spread * kind->spread / 2));
+    result.asked++;
+    place (item);
+  }
+
+  uint8_t
+  locality (size_t node, size_t index) const
+  {
+    size_t centre = node / load.nodes;
+
+    if (centre == servers[index]->centre)
+      return PLC_SAME_DATA_CENTRE;
+    return centre / centres_per_region
+                   == servers[index]->centre / centres_per_region
+               ? PLC_SAME_REGION
+               : PLC_OTHER_REGION;
+  }
+
+  void
+  place (const std::shared_ptr<call> &item)
+  {
+    std::vector<struct plc_candidate> candidates (servers.size ());
+    struct plc_call wanted
+        = { ms (item->kind->target_ms),
+            item->start + ms (item->kind->deadline_ms) - now,
+            item->bounces >= max_bounces };
+
+    for (size_t i = 0; i < servers.size (); i++)
+      {
+        candidates[i].load = known[item->node * servers.size () + i];
+        candidates[i].locality = locality (item->node, i);
+        candidates[i].usable = true;
+        candidates[i].round_trip = 2 * one_way[candidates[i].locality];
+      }
+    struct plc_choice choice = placement (
+        candidates.data (), candidates.size (), &wanted, now, &choices);
+    if (choice.index == PLC_NONE || item->bounces > 2 * max_bounces)
+      {
+        result.refused++;
+        return;
+      }
+    known[item->node * servers.size () + choice.index].sent++;
+    at (now + one_way[candidates[choice.index].locality],
+        [this, item, choice] { admit (item, choice); });
+  }
+
+  struct que_item
+  make_item (const std::shared_ptr<call> &item)
+  {
+    return { new std::shared_ptr<call> (item), item->kind->priority,
+             ms (item->kind->work_ms),
+             item->start + ms (item->kind->target_ms),
+             item->start + ms (item->kind->deadline_ms) };
+  }
+
+  clk_time
+  expect_wait (server &gate, const struct que_item &item)
+  {
+    if (gate.running < load.slots)
+      return 0;
+    return gate.slot * (clk_time)(que_ahead (&gate.queue, &item, now) + 1)
+           / load.slots;
+  }
+
+  void
+  admit (const std::shared_ptr<call> &item, struct plc_choice choice)
+  {
+    server &gate = *servers[choice.index];
+    struct que_item entry = make_item (item);
+    clk_time wait = expect_wait (gate, entry);
+
+    if (gate.running < load.slots)
+      {
+        drop (entry.call);
+        run (item, choice.index);
+      }
+    else if (wait > choice.max_wait
+             || now + wait + entry.service > entry.deadline
+             || !que_push (&gate.queue, &entry))
+      {
+        drop (entry.call);
+        answer (item, choice.index, false);
+      }
+  }
+
+  static void
+  drop (void *entry)
+  {
+    delete static_cast<std::shared_ptr<call> *> (entry);
+  }
+
+  void
+  run (const std::shared_ptr<call> &item, size_t index)
+  {
+    const sim_event *entry = current ();
+    server &gate = *servers[index];
+    double slow = entry != nullptr && entry->slow_server == (int)index
+                      ? entry->slow
+                      : 1;
+    clk_time time = (clk_time)((double)item->work * slow / gate.speed);
+
+    gate.running++;
+    at (now + time, [this, item, index, time] { end (item, index, time); });
+  }
+
+  void
+  end (const std::shared_ptr<call> &item, size_t index, clk_time time)
+  {
+    server &gate = *servers[index];
+    void *next;
+
+    gate.running--;
+    gate.slot = gate.slot == 0 ? time : gate.slot + (time - gate.slot) / 32;
+    answer (item, index, true);
+    while ((next = que_expire (&gate.queue, now)) != nullptr)
+      {
+        answer (*static_cast<std::shared_ptr<call> *> (next), index, false);
+        drop (next);
+      }
+    next = que_pop (&gate.queue, now);
+    if (next != nullptr)
+      {
+        run (*static_cast<std::shared_ptr<call> *> (next), index);
+        drop (next);
+      }
+  }
+
+  /* Sends an answer, or that the gate is busy, with the gate's load.  */
+  void
+  answer (const std::shared_ptr<call> &item, size_t index, bool done)
+  {
+    server &gate = *servers[index];
+    struct que_item entry = make_item (item);
+    struct plc_load told = { gate.running,
+                             load.slots,
+                             gate.slot,
+                             gate.slot,
+                             expect_wait (gate, entry),
+                             0,
+                             0,
+                             0. };
+
+    drop (entry.call);
+    at (now + one_way[locality (item->node, index)],
+        [this, item, index, done, told] { hear (item, index, done, told); });
+  }
+
+  void
+  hear (const std::shared_ptr<call> &item, size_t index, bool done,
+        struct plc_load told)
+  {
+    uint8_t way = locality (item->node, index);
+
+    told.heard = now;
+    known[item->node * servers.size () + index] = told;
+    if (!done)
+      {
+        item->bounces++;
+        result.bounced++;
+        place (item);
+        return;
+      }
+    result.crossed_centre += way == PLC_SAME_REGION;
+    result.crossed_region += way == PLC_OTHER_REGION;
+    if (now <= item->start + ms (item->kind->target_ms))
+      result.on_time++;
+    else if (now <= item->start + ms (item->kind->deadline_ms))
+      result.late++;
+    else
+      result.refused++;
+  }
+
+  const struct sim_load &load;
+  const sim_placement &placement;
+  struct sim_result result = {};
+  struct rnd random;
+  struct rnd choices;
+  clk_time now = 1;
+  uint64_t order = 0;
+  std::priority_queue<event> events;
+  std::vector<std::unique_ptr<server> > servers;
+  std::vector<struct plc_load> known; /* by node and server */
+};
+
+} // namespace
+
+struct sim_result
+sim_play (const struct sim_load &load, const sim_placement &placement)
+{
+  return replay (load, placement).play ();
+}
+
+double
+sim_on_time (const struct sim_result &result)
+{
+  return (double)result.on_time / (double)result.asked;
+}
--- /dev/null
+++ b/tests/support/load_sim.h
@@ -0,0 +1,74 @@
+/* Replay of a load on one service in virtual time: nodes of several data
+   centres send calls, gates admit and queue them as src/gat does, servers of
+   different speed run them.  What a sender knows of a gate is what its last
+   answer said.  The placement is a parameter, so that two versions meet the
+   same arrivals and the same work.  */
+
+#ifndef TESTS_SUPPORT_LOAD_SIM_H
+#define TESTS_SUPPORT_LOAD_SIM_H
+
+#include "plc/plc.h"
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+/* One kind of call.  */
+struct sim_kind
+{
+  double per_s;   /* of all nodes together */
+  double work_ms; /* mean */
+  double spread;  /* of the logarithm of the work */
+  double target_ms;
+  double deadline_ms;
+  uint32_t priority;
+};
+
+/* A change of the load or of a server.  */
+struct sim_event
+{
+  double from_s;
+  double to_s;
+  double load;     /* times the usual arrivals */
+  int slow_server; /* -1: none */
+  double slow;     /* times the usual work */
+  int fed_centre;  /* that gets all arrivals; -1: all get the same */
+};
+
+struct sim_load
+{
+  std::vector<sim_kind> kinds;
+  std::vector<sim_event> events;
+  std::vector<double> speeds; /* of the servers of a data centre, repeated */
+  size_t centres;             /* two in each region */
+  size_t servers;             /* of a data centre */
+  size_t nodes;               /* that send, of a data centre */
+  uint32_t slots;
+  double seconds;
+  uint64_t seed;
+};
+
+struct sim_result
+{
+  uint64_t asked;
+  uint64_t on_time;
+  uint64_t late;
+  uint64_t refused;
+  uint64_t crossed_centre;
+  uint64_t crossed_region;
+  uint64_t bounced;
+};
+
+/* Chooses as plc_choose does.  */
+using sim_placement = std::function<struct plc_choice (
+    const struct plc_candidate *candidates, size_t count,
+    const struct plc_call *call, clk_time now, struct rnd *random)>;
+
+/* Plays LOAD with PLACEMENT.  */
+struct sim_result sim_play (const struct sim_load &load,
+                            const sim_placement &placement);
+
+/* Returns the part of the calls that were answered on time.  */
+double sim_on_time (const struct sim_result &result);
+
+#endif
--- /dev/null
+++ b/tests/support/loop_test.h
@@ -0,0 +1,93 @@
+/* Test fixture with an event loop and plain sockets beside it.  Everything
+   runs in the test's thread: the loop runs while the test waits.  */
+
+#ifndef TESTS_SUPPORT_LOOP_TEST_H
+#define TESTS_SUPPORT_LOOP_TEST_H
+
+#include "base/net.h"
+#include "evl/evl.h"
+
+#include <functional>
+#include <gtest/gtest.h>
+#include <string>
+
+/* A TCP socket of the test that never blocks.  */
+class Peer
+{
+public:
+  Peer () = default;
+  explicit Peer (int the_descriptor) : descriptor (the_descriptor) {}
+  Peer (const Peer &) = delete;
+  Peer &operator= (const Peer &) = delete;
+  Peer (Peer &&other) noexcept;
+  Peer &operator= (Peer &&other) noexcept;
+  ~Peer ();
+
+  /* Connects to ADDRESS.  */
+  static Peer connect (struct net_address address);
+
+  /* Sends all of TEXT.  */
+  void send (const std::string &text) const;
+
+  /* Adds what has come to RECEIVED.  Returns false at the end of the
+     connection.  */
+  bool receive ();
+
+  /* Closes the connection, with a reset when RESET is true.  */
+  void close (bool reset = false);
+
+  bool
+  is_open () const
+  {
+    return descriptor >= 0;
+  }
+
+  std::string received;
+  bool ended = false;
+
+private:
+  int descriptor = -1;
+};
+
+/* A listening socket of the test.  */
+class Listener
+{
+public:
+  explicit Listener (struct net_address address);
+  ~Listener ();
+  Listener (const Listener &) = delete;
+  Listener &operator= (const Listener &) = delete;
+
+  /* Accepts a connection if there is one.  */
+  bool accept (Peer *peer) const;
+
+private:
+  int descriptor;
+};
+
+class LoopTest : public testing::Test
+{
+protected:
+  LoopTest ();
+  ~LoopTest () override;
+
+  /* Runs the loop until DONE is true, at most LIMIT_MS.  Returns whether it
+     became true.  */
+  bool run_until (const std::function<bool ()> &done, int limit_ms = 3000);
+
+  /* Runs the loop for a while.  */
+  void run_for (int ms);
+
+  /* Runs the loop until PEER has received TEXT.  */
+  bool receives (Peer &peer, const std::string &text, int limit_ms = 3000);
+
+  /* Runs the loop until PEER's connection has ended.  */
+  bool ends (Peer &peer, int limit_ms = 3000);
+
+  /* Returns an address on loopback that no other test uses.  */
+  static struct net_address next_address ();
+
+  struct evl *loop;
+};
+
+#endif
--- /dev/null
+++ b/tests/support/sidecar_mesh.h
@@ -0,0 +1,93 @@
+/* A mesh of sidecars, upstreams and the platform's store on one event loop.
+   Each VM has an address of its own on loopback.  */
+
+#ifndef TESTS_SUPPORT_SIDECAR_MESH_H
+#define TESTS_SUPPORT_SIDECAR_MESH_H
+
+#include "sdc/sdc.h"
+#include "sst.h"
+#include "sup.h"
+#include "support/loop_test.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+/* One VM: a sidecar and its upstream, which come and go separately.  */
+struct Vm
+{
+  std::string name;
+  std::string data_centre;
+  std::string region;
+  std::string service;
+  uint32_t ip = 0;
+  struct sdc *sidecar = nullptr;
+  struct sup *upstream = nullptr;
+  unsigned starts = 0; /* of its upstream */
+};
+
+class SidecarMesh : public LoopTest
+{
+protected:
+  SidecarMesh ();
+  ~SidecarMesh () override;
+
+  /* Adds a VM and starts its sidecar and upstream.  Returns its index.  */
+  size_t add_vm (const std::string &service,
+                 const std::string &data_centre = "a",
+                 const std::string &region = "r", bool first_start = false);
+
+  void start_sidecar (size_t vm, bool first_start = false);
+  void kill_sidecar (size_t vm);
+  void start_upstream (size_t vm);
+  void kill_upstream (size_t vm);
+
+  /* Writes the document that sends /SERVICE/ to each service and /once/ to
+     orders at most once.  */
+  void put_config (uint64_t version,
+                   const std::vector<std::string> &more_paths = {});
+
+  /* Runs until all sidecars hold this version and know all VMs.  */
+  bool converges (uint64_t version, int limit_ms = 5000);
+
+  /* Connects to the sidecar of a VM as a caller.  */
+  Peer call (size_t vm, const std::string &path, const std::string &id = "",
+             int timeout_ms = 1000, const std::string &method = "GET");
+
+  /* Calls and returns the status, 0 when there is none.  */
+  int status_of (size_t vm, const std::string &path,
+                 const std::string &id = "", int timeout_ms = 1000,
+                 const std::string &method = "GET");
+
+  /* Returns the status that a peer has received, 0 when there is none.  */
+  static int status_in (const Peer &peer);
+
+  /* Asks the readiness probe.  */
+  int ready_status (size_t vm);
+
+  std::string next_id ();
+
+  struct net_address address_of (size_t vm, uint16_t port) const;
+
+  static const uint16_t calls_port = 0;
+  static const uint16_t links_port = 1;
+  static const uint16_t ready_port = 2;
+  static const uint16_t control_port = 3;
+  static const uint16_t metrics_port = 4;
+  static const uint16_t upstream_port = 5;
+
+  uint16_t base_port;
+  struct sst *store = nullptr;
+  std::vector<Vm> vms;
+  clk_time work = 5 * CLK_MILLISECOND;
+  uint32_t slots = 4;
+  clk_time heartbeat = 200 * CLK_MILLISECOND;
+  clk_time grace = 6 * CLK_SECOND;
+  int64_t retry_slack = 100;
+
+private:
+  uint64_t ids = 0;
+};
+
+#endif
