Take servers that have told nothing to be like the others

Cause: a server of which a node knew nothing was taken to need 0.3 of the target latency; beside known, faster ones it got no call, for good.

--- a/src/fwd/fwd.c
+++ b/src/fwd/fwd.c
@@ -31,12 +31,16 @@
   return forwarder;
 }
 
+struct fwd_call *
+fwd_call_at (const struct lst_link *link)
+{
+  return link != NULL ? LST_ITEM (link, struct fwd_call, list) : NULL;
+}
+
 void
 fwd_free_call (struct fwd_call *call)
 {
-  *call->place = call->next;
-  if (call->next != NULL)
-    call->next->place = call->place;
+  lst_remove (&call->forwarder->calls, &call->list);
   call->forwarder->call_count--;
   evl_timer_stop (&call->timer);
   htp_message_close (&call->message);
@@ -48,10 +52,12 @@
 void
 fwd_destroy (struct fwd *forwarder)
 {
+  struct lst_link *link;
+
   if (forwarder == NULL)
     return;
-  while (forwarder->calls != NULL)
-    fwd_free_call (forwarder->calls);
+  while ((link = lst_take (&forwarder->calls)) != NULL)
+    fwd_free_call (fwd_call_at (link));
   snp_release (forwarder->snapshot);
   bud_destroy (forwarder->budget);
   free (forwarder->share_points);
@@ -146,11 +152,7 @@
   call->arrival = evl_now (forwarder->parts.loop);
   call->deadline = call->arrival + read_patience (forwarder, &call->message);
   call->target = call->deadline;
-  call->next = forwarder->calls;
-  call->place = &forwarder->calls;
-  if (call->next != NULL)
-    call->next->place = &call->next;
-  forwarder->calls = call;
+  lst_add (&forwarder->calls, &call->list);
   forwarder->call_count++;
   evl_timer_init (&call->timer, forwarder->parts.loop, on_deadline, call);
   srv_set_data (connection, call);
@@ -237,8 +239,10 @@
 void
 fwd_abandon (struct fwd *forwarder)
 {
-  while (forwarder->calls != NULL)
-    on_deadline (forwarder->calls);
+  struct lst_link *link;
+
+  while ((link = lst_take (&forwarder->calls)) != NULL)
+    on_deadline (fwd_call_at (link));
 }
 
 size_t
--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -3,6 +3,7 @@
 #ifndef MULBERRYSHIFT_FWD_FWD_INTERNAL_H
 #define MULBERRYSHIFT_FWD_FWD_INTERNAL_H
 
+#include "base/lst.h"
 #include "fwd/fwd.h"
 #include "gat/gat.h"
 #include "out/out.h"
@@ -39,8 +40,7 @@
 struct fwd_call
 {
   struct fwd *forwarder;
-  struct fwd_call *next;
-  struct fwd_call **place; /* that points to this call */
+  struct lst_link list;
   struct srv_connection *connection;
   struct htp_message message;
   struct snp_snapshot *snapshot;
@@ -68,7 +68,7 @@
 {
   struct fwd_parts parts;
   struct snp_snapshot *snapshot;
-  struct fwd_call *calls;
+  struct lst calls;
   size_t call_count;
   uint32_t next_number;
   struct fwd_peer *peers;
@@ -79,6 +79,9 @@
   double *share_points; /* of each route with shares; see fwd_route.c */
 };
 
+/* Returns the call of a place in the list of calls, null after the last.  */
+struct fwd_call *fwd_call_at (const struct lst_link *link);
+
 /* Returns what is known of PEER.  */
 struct fwd_peer *fwd_peer (struct fwd *forwarder, dir_handle peer);
 
--- a/src/fwd/fwd_reply.c
+++ b/src/fwd/fwd_reply.c
@@ -8,11 +8,11 @@
 static struct fwd_call *
 find_call (const struct fwd *forwarder, const Mesh__CallId *id)
 {
-  struct fwd_call *call = forwarder->calls;
+  struct fwd_call *call = fwd_call_at (forwarder->calls.first);
 
   while (call != NULL
          && (id == NULL || call->number == 0 || call->number != id->number))
-    call = call->next;
+    call = fwd_call_at (call->list.next);
   return call;
 }
 
@@ -90,11 +90,11 @@
 void
 fwd_link_lost (struct fwd *forwarder, dir_handle peer, uint64_t link)
 {
-  struct fwd_call *call = forwarder->calls;
+  struct fwd_call *call = fwd_call_at (forwarder->calls.first);
 
   while (call != NULL)
     {
-      struct fwd_call *next = call->next;
+      struct fwd_call *next = fwd_call_at (call->list.next);
 
       if (call->number != 0 && call->link == link && call->peer == peer)
         {
--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -31,6 +31,13 @@
   return gate;
 }
 
+/* Returns the call of a place in the list of calls, null after the last.  */
+static struct gat_call *
+call_at (const struct lst_link *link)
+{
+  return link != NULL ? LST_ITEM (link, struct gat_call, list) : NULL;
+}
+
 static void
 free_call (struct gat_call *call)
 {
@@ -41,9 +48,7 @@
   else if (call->state == GAT_WAITING)
     que_remove (&gate->queue, call);
   gate->call_count--;
-  *call->place = call->next;
-  if (call->next != NULL)
-    call->next->place = call->place;
+  lst_remove (&gate->calls, &call->list);
   evl_timer_stop (&call->timer);
   frm_free (call->frame);
   free (call);
@@ -52,12 +57,16 @@
 void
 gat_destroy (struct gat *gate)
 {
+  struct lst_link *link;
+
   if (gate == NULL)
     return;
-  while (gate->calls != NULL)
+  while ((link = lst_take (&gate->calls)) != NULL)
     {
-      cnx_close (gate->calls->connection);
-      free_call (gate->calls);
+      struct gat_call *call = call_at (link);
+
+      cnx_close (call->connection);
+      free_call (call);
     }
   gat_close_idle (gate);
   evl_timer_stop (&gate->expiry);
@@ -217,12 +226,12 @@
 find_call (const struct gat *gate, const struct hub_origin *origin,
            const Mesh__CallId *id)
 {
-  struct gat_call *call = gate->calls;
+  struct gat_call *call = call_at (gate->calls.first);
 
   while (call != NULL
          && (call->origin != origin || id == NULL
              || call->frame->call->id->number != id->number))
-    call = call->next;
+    call = call_at (call->list.next);
   return call;
 }
 
@@ -263,11 +272,7 @@
   call->arrival = now;
   call->target = now + (clk_time)message->target_us * CLK_MICROSECOND;
   call->deadline = now + (clk_time)message->remaining_us * CLK_MICROSECOND;
-  call->next = gate->calls;
-  call->place = &gate->calls;
-  if (call->next != NULL)
-    call->next->place = &call->next;
-  gate->calls = call;
+  lst_add (&gate->calls, &call->list);
   gate->call_count++;
   count_caller (call);
   evl_timer_init (&call->timer, gate->loop, NULL, call);
@@ -327,11 +332,11 @@
 void
 gat_drop_origin (struct gat *gate, const struct hub_origin *origin)
 {
-  struct gat_call *call = gate->calls;
+  struct gat_call *call = call_at (gate->calls.first);
 
   while (call != NULL)
     {
-      struct gat_call *next = call->next;
+      struct gat_call *next = call_at (call->list.next);
 
       if (call->origin == origin)
         {
--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -3,6 +3,7 @@
 #ifndef MULBERRYSHIFT_GAT_GAT_INTERNAL_H
 #define MULBERRYSHIFT_GAT_GAT_INTERNAL_H
 
+#include "base/lst.h"
 #include "cnx/cnx.h"
 #include "gat/gat.h"
 #include "gat/gat_kinds.h"
@@ -23,8 +24,7 @@
 struct gat_call
 {
   struct gat *gate;
-  struct gat_call *next;
-  struct gat_call **place; /* that points to this call */
+  struct lst_link list;
   struct hub_origin *origin;
   Mesh__Frame *frame; /* owns the call */
   const char *id;     /* the caller's, from its header; null: none */
@@ -50,7 +50,7 @@
   const struct ptf_platform *platform;
   const struct reg *registration;
   struct gat_hooks hooks;
-  struct gat_call *calls;
+  struct lst calls;
   size_t call_count;
   struct que queue;
   struct evl_timer expiry; /* of waiting calls */
--- a/src/gat/gat_run.c
+++ b/src/gat/gat_run.c
@@ -68,7 +68,7 @@
   answer->id = call->frame->call->id;
   answer->load = &load;
   answer->config_version = gate->hooks.config_version (gate->hooks.context);
-  if (body != NULL)
+  if (body != NULL && body->length > 0)
     {
       answer->body.data = body->data;
       answer->body.len = body->length < PART_SIZE ? body->length : PART_SIZE;
@@ -77,7 +77,7 @@
   frame.body_case = MESH__FRAME__BODY_ANSWER;
   frame.answer = answer;
   send_frame (call, &frame);
-  if (answer->more)
+  if (answer->more && body != NULL)
     send_parts (call, body->data + PART_SIZE, body->length - PART_SIZE);
 }
 
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -42,9 +42,7 @@
 static void
 free_origin (struct hub_origin *origin)
 {
-  *origin->place = origin->next;
-  if (origin->next != NULL)
-    origin->next->place = origin->place;
+  lst_remove (&origin->hub->origins, &origin->list);
   chn_close (origin->channel);
   free (origin);
 }
@@ -75,11 +73,7 @@
       struct hub_origin *origin = mem_alloc (1, sizeof *origin);
 
       origin->hub = hub;
-      origin->next = hub->origins;
-      origin->place = &hub->origins;
-      if (origin->next != NULL)
-        origin->next->place = &origin->next;
-      hub->origins = origin;
+      lst_add (&hub->origins, &origin->list);
       origin->channel
           = chn_accept (hub->loop, descriptor, &origin_handlers, origin);
     }
@@ -120,12 +114,14 @@
 void
 hub_destroy (struct hub *hub)
 {
+  struct lst_link *link;
+
   if (hub == NULL)
     return;
-  while (hub->origins != NULL)
-    free_origin (hub->origins);
-  while (hub->links != NULL)
-    hub_close_link (hub->links);
+  while ((link = lst_take (&hub->origins)) != NULL)
+    free_origin (LST_ITEM (link, struct hub_origin, list));
+  while ((link = lst_take (&hub->links)) != NULL)
+    hub_close_link (hub_link_at (link));
   while (hub->first_frame != NULL)
     {
       struct hub_loop_frame *frame = hub->first_frame;
@@ -154,23 +150,23 @@
 hub_send (struct hub *hub, dir_handle peer, const Mesh__Frame *frame,
           unsigned expected, uint64_t *link)
 {
-  struct hub_peer *entry;
+  struct hub_link *current;
 
   *link = LOOP_LINK;
   if (peer == hub->self)
     return hub_loop (hub, frame, false);
   if (!hub_can_send (hub, peer))
     return HUB_DOWN;
-  entry = hub_peer (hub, peer);
-  if (entry->link == NULL)
-    hub_open_link (hub, peer);
-  *link = entry->link->number;
-  if (!chn_send (entry->link->channel, frame))
+  current = hub_peer (hub, peer)->link;
+  if (current == NULL)
+    current = hub_open_link (hub, peer);
+  *link = current->number;
+  if (!chn_send (current->channel, frame))
     return HUB_TOO_LONG;
-  if (expected > 0 && entry->link->outstanding == 0)
-    entry->link->expecting = evl_now (hub->loop);
-  entry->link->outstanding += expected;
-  if (entry->link->outstanding > 0)
+  if (expected > 0 && current->outstanding == 0)
+    current->expecting = evl_now (hub->loop);
+  current->outstanding += expected;
+  if (current->outstanding > 0)
     hub_start_check (hub);
   return HUB_OK;
 }
@@ -178,11 +174,16 @@
 void
 hub_send_on (struct hub *hub, uint64_t number, const Mesh__Frame *frame)
 {
+  const struct hub_link *link;
+
   if (number == LOOP_LINK)
-    hub_loop (hub, frame, false);
-  for (struct hub_link *link = hub->links; link != NULL; link = link->next)
-    if (link->number == number)
-      chn_send (link->channel, frame);
+    {
+      hub_loop (hub, frame, false);
+      return;
+    }
+  link = hub_find_link (hub, number);
+  if (link != NULL)
+    chn_send (link->channel, frame);
 }
 
 void
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -3,6 +3,7 @@
 #ifndef MULBERRYSHIFT_HUB_HUB_INTERNAL_H
 #define MULBERRYSHIFT_HUB_HUB_INTERNAL_H
 
+#include "base/lst.h"
 #include "chn/chn.h"
 #include "hub/hub.h"
 
@@ -10,8 +11,7 @@
 {
   struct hub *hub;
   struct chn *channel; /* null for the node itself */
-  struct hub_origin *next;
-  struct hub_origin **place; /* that points to this origin */
+  struct lst_link list;
 };
 
 /* A link that this node opened.  */
@@ -25,8 +25,7 @@
   clk_time expecting;   /* since when without a byte from the peer */
   clk_time ping_sent;   /* 0: no ping is under way */
   uint32_t ping_nonce;
-  struct hub_link *next;
-  struct hub_link **place; /* that points to this link */
+  struct lst_link list;
 };
 
 /* What is known of a peer, by its handle.  */
@@ -66,9 +65,9 @@
   int listener;
   struct evl_socket socket;
   struct evl_timer check; /* of silence */
-  struct hub_origin *origins;
+  struct lst origins;
   struct hub_origin own; /* the node itself */
-  struct hub_link *links;
+  struct lst links;
   struct hub_peer *peers;
   dir_handle peer_count;
   uint64_t next_link;
@@ -79,11 +78,17 @@
   struct evl_task report; /* of the losses */
 };
 
+/* Returns the link of a place in the list of links, null after the last.  */
+struct hub_link *hub_link_at (const struct lst_link *at);
+
+/* Returns the link with this number, null when it has ended.  */
+struct hub_link *hub_find_link (const struct hub *hub, uint64_t number);
+
 /* Returns the entry of PEER.  */
 struct hub_peer *hub_peer (struct hub *hub, dir_handle peer);
 
 /* Opens a link to PEER and makes it the current one.  */
-void hub_open_link (struct hub *hub, dir_handle peer);
+struct hub_link *hub_open_link (struct hub *hub, dir_handle peer);
 
 /* Reports links that have ended.  */
 void hub_report_losses (void *context);
--- a/src/hub/hub_link.c
+++ b/src/hub/hub_link.c
@@ -46,9 +46,7 @@
 
   if (peer->link == link)
     peer->link = NULL;
-  *link->place = link->next;
-  if (link->next != NULL)
-    link->next->place = link->place;
+  lst_remove (&link->hub->links, &link->list);
   chn_close (link->channel);
   free (link);
 }
@@ -197,7 +195,23 @@
   chn_send (link->channel, &frame);
 }
 
-void
+struct hub_link *
+hub_link_at (const struct lst_link *at)
+{
+  return at != NULL ? LST_ITEM (at, struct hub_link, list) : NULL;
+}
+
+struct hub_link *
+hub_find_link (const struct hub *hub, uint64_t number)
+{
+  struct hub_link *link = hub_link_at (hub->links.first);
+
+  while (link != NULL && link->number != number)
+    link = hub_link_at (link->list.next);
+  return link;
+}
+
+struct hub_link *
 hub_open_link (struct hub *hub, dir_handle peer)
 {
   struct hub_link *link = mem_alloc (1, sizeof *link);
@@ -206,16 +220,13 @@
   link->peer = peer;
   link->number = hub->next_link++;
   link->expecting = evl_now (hub->loop);
-  link->next = hub->links;
-  link->place = &hub->links;
-  if (link->next != NULL)
-    link->next->place = &link->next;
-  hub->links = link;
+  lst_add (&hub->links, &link->list);
   link->channel
       = chn_connect (hub->loop, dir_get (hub->directory, peer)->address,
                      &link_handlers, link);
   hub_peer (hub, peer)->link = link;
   send_hello (link);
+  return link;
 }
 
 void
@@ -291,8 +302,7 @@
   if (entry->link != NULL || entry->retry > evl_now (hub->loop)
       || dir_get (hub->directory, peer) == NULL)
     return;
-  hub_open_link (hub, peer);
-  send_ping (hub_peer (hub, peer)->link);
+  send_ping (hub_open_link (hub, peer));
 }
 
 static bool
@@ -310,9 +320,10 @@
   struct hub_link *next;
   bool needed = false;
 
-  for (struct hub_link *link = hub->links; link != NULL; link = next)
+  for (struct hub_link *link = hub_link_at (hub->links.first); link != NULL;
+       link = next)
     {
-      next = link->next;
+      next = hub_link_at (link->list.next);
       needed = needed || is_awaited (link);
       if (is_awaited (link))
         check_link (link);
@@ -333,16 +344,15 @@
 void
 hub_settle (struct hub *hub, uint64_t number)
 {
-  for (struct hub_link *link = hub->links; link != NULL; link = link->next)
-    if (link->number == number)
-      {
-        if (link->outstanding > 0)
-          link->outstanding--;
-        link->expecting = evl_now (hub->loop);
-        if (link->outstanding == 0 && hub_peer (hub, link->peer)->link != link)
-          hub_close_link (link);
-        return;
-      }
+  struct hub_link *link = hub_find_link (hub, number);
+
+  if (link == NULL)
+    return;
+  if (link->outstanding > 0)
+    link->outstanding--;
+  link->expecting = evl_now (hub->loop);
+  if (link->outstanding == 0 && !is_current (link))
+    hub_close_link (link);
 }
 
 void
@@ -362,9 +372,10 @@
 {
   struct hub_link *next;
 
-  for (struct hub_link *link = hub->links; link != NULL; link = next)
+  for (struct hub_link *link = hub_link_at (hub->links.first); link != NULL;
+       link = next)
     {
-      next = link->next;
+      next = hub_link_at (link->list.next);
       if (link->peer == peer)
         {
           report_loss (hub, peer, link->number);
--- a/src/plc/plc.c
+++ b/src/plc/plc.c
@@ -29,9 +29,19 @@
 /* A gate may be wrong by this much before a call is sent elsewhere.  */
 #define WAIT_TOLERANCE (2 * CLK_MILLISECOND)
 
-/* Time in a slot assumed where nothing is known, as part of the target.  */
+/* Time in a slot assumed while nothing is known of any server, as part of the
+   target.  */
 #define ASSUMED_SERVICE 0.3
 
+/* A choice that is being made.  */
+struct search
+{
+  const struct plc_call *call;
+  clk_time now;
+  clk_time assumed; /* time in a slot of servers that have told none */
+  struct rnd *random;
+};
+
 clk_time
 plc_expect_wait (const struct plc_load *load, clk_time now)
 {
@@ -50,54 +60,73 @@
 }
 
 static clk_time
-service_of (const struct plc_load *load, const struct plc_call *call)
+service_of (const struct plc_load *load, const struct search *search)
 {
   if (load->service > 0)
     return load->service;
-  if (load->slot > 0)
-    return load->slot;
-  return (clk_time)(ASSUMED_SERVICE * (double)call->target);
+  return load->slot > 0 ? load->slot : search->assumed;
+}
+
+/* Returns the mean of what is known: a server that has told nothing is taken
+   to be like the others, so that new ones get their share.  */
+static clk_time
+assume_service (const struct plc_candidate *candidates, size_t count,
+                const struct plc_call *call)
+{
+  clk_time sum = 0;
+  clk_time known = 0;
+
+  for (size_t i = 0; i < count; i++)
+    if (candidates[i].load.service > 0)
+      {
+        sum += candidates[i].load.service;
+        known++;
+      }
+  return known > 0 ? sum / known
+                   : (clk_time)(ASSUMED_SERVICE * (double)call->target);
 }
 
 /* Returns the expected time until the answer.  */
 static clk_time
-expect_end (const struct plc_candidate *candidate, const struct plc_call *call,
-            clk_time now)
+expect_end (const struct plc_candidate *candidate, const struct search *search)
 {
-  return candidate->round_trip + plc_expect_wait (&candidate->load, now)
-         + service_of (&candidate->load, call);
+  return candidate->round_trip
+         + plc_expect_wait (&candidate->load, search->now)
+         + service_of (&candidate->load, search);
 }
 
 static double
-cost_of (const struct plc_candidate *candidate, const struct plc_call *call,
-         clk_time now, struct rnd *random)
+cost_of (const struct plc_candidate *candidate, const struct search *search)
 {
   const struct plc_load *load = &candidate->load;
-  double service = (double)service_of (load, call);
+  double target = (double)search->call->target;
+  double service = (double)service_of (load, search);
   double busy = (double)(load->running + load->sent) / load->slots;
-  double cost = (double)expect_end (candidate, call, now);
-  double late = cost - SAFE_PART * (double)call->target;
+  double cost = (double)expect_end (candidate, search);
+  double late = cost - SAFE_PART * target;
 
   if (late > 0)
     cost += LATE_COST * late;
   cost *= 1 + FAILED_COST * load->failed;
   cost += service * LOAD_COST * (busy < 1 ? busy : 1);
-  cost += service * JITTER * rnd_unit (random);
-  return cost + crossing_cost[candidate->locality] * (double)call->target;
+  cost += service * JITTER * rnd_unit (search->random);
+  return cost + crossing_cost[candidate->locality] * target;
 }
 
 static bool
 is_eligible (const struct plc_candidate *candidate,
-             const struct plc_call *call, clk_time now)
+             const struct search *search)
 {
   return candidate->usable && candidate->load.slots > 0
-         && expect_end (candidate, call, now) <= call->deadline_left;
+         && expect_end (candidate, search) <= search->call->deadline_left;
 }
 
 struct plc_choice
 plc_choose (const struct plc_candidate *candidates, size_t count,
             const struct plc_call *call, clk_time now, struct rnd *random)
 {
+  struct search search
+      = { call, now, assume_service (candidates, count, call), random };
   struct plc_choice choice = { PLC_NONE, 0 };
   double best = 0;
   double second = -1;
@@ -107,9 +136,9 @@
     {
       double cost;
 
-      if (!is_eligible (&candidates[i], call, now))
+      if (!is_eligible (&candidates[i], &search))
         continue;
-      cost = cost_of (&candidates[i], call, now, random);
+      cost = cost_of (&candidates[i], &search);
       if (choice.index == PLC_NONE || cost < best)
         {
           second = choice.index == PLC_NONE ? -1 : best;
@@ -122,7 +151,7 @@
   if (choice.index == PLC_NONE)
     return choice;
   latest = call->deadline_left - candidates[choice.index].round_trip
-           - service_of (&candidates[choice.index].load, call);
+           - service_of (&candidates[choice.index].load, &search);
   choice.max_wait = latest;
   if (!call->insists && second >= 0)
     choice.max_wait = plc_expect_wait (&candidates[choice.index].load, now)
--- a/src/rel/rel.c
+++ b/src/rel/rel.c
@@ -46,7 +46,7 @@
     if (i != index && is_alive (nodes, i, self)
         && strcmp (nodes[i].data_centre, node->data_centre) == 0
         && (nodes[i].hash < node->hash
-            || (nodes[i].hash == node->hash && i < index)))
+            || (i < index && nodes[i].hash == node->hash)))
       place++;
   return place;
 }
--- a/src/sto/sto.c
+++ b/src/sto/sto.c
@@ -3,6 +3,7 @@
 #include "sto/sto.h"
 
 #include "base/err.h"
+#include "base/lst.h"
 #include "base/mem.h"
 #include "cnx/cnx.h"
 
@@ -21,8 +22,7 @@
 struct sto_call
 {
   struct sto *store;
-  struct sto_call *next;
-  struct sto_call **place; /* that points to this call */
+  struct lst_link list;
   struct sto_request request;
   sto_done done;
   void *context;
@@ -37,7 +37,7 @@
   struct net_address address;
   char host[NET_TEXT_SIZE];
   const struct ptf_platform *platform;
-  struct sto_call *calls;
+  struct lst calls;
   struct cnx *idle[MAX_IDLE];
   size_t idle_count;
   uint64_t call_count;
@@ -65,9 +65,7 @@
 static void
 free_call (struct sto_call *call)
 {
-  *call->place = call->next;
-  if (call->next != NULL)
-    call->next->place = call->place;
+  lst_remove (&call->store->calls, &call->list);
   evl_timer_stop (&call->timer);
   free (call);
 }
@@ -177,10 +175,12 @@
 void
 sto_destroy (struct sto *store)
 {
+  struct lst_link *link;
+
   if (store == NULL)
     return;
-  while (store->calls != NULL)
-    sto_cancel (store->calls);
+  while ((link = lst_take (&store->calls)) != NULL)
+    sto_cancel (LST_ITEM (link, struct sto_call, list));
   for (size_t i = 0; i < store->idle_count; i++)
     cnx_close (store->idle[i]);
   free (store);
@@ -211,11 +211,7 @@
   call->done = done;
   call->context = context;
   call->started = evl_now (store->loop);
-  call->next = store->calls;
-  call->place = &store->calls;
-  if (call->next != NULL)
-    call->next->place = &call->next;
-  store->calls = call;
+  lst_add (&store->calls, &call->list);
   store->call_count++;
   evl_timer_init (&call->timer, store->loop, on_deadline, call);
   evl_timer_set (&call->timer, deadline);
--- a/standins/lib/sst.c
+++ b/standins/lib/sst.c
@@ -2,6 +2,7 @@
 
 #include "sst.h"
 
+#include "base/lst.h"
 #include "base/mem.h"
 #include "pfm_names.h"
 #include "srv/srv.h"
@@ -52,7 +53,7 @@
   char kind[NAME_SIZE];
   uint64_t revision;
   struct evl_timer timer;
-  struct waiting *next;
+  struct lst_link list;
 };
 
 struct sst
@@ -68,7 +69,7 @@
   struct fault faults[MAX_FAULTS];
   size_t fault_count;
   clk_time delay;
-  struct waiting *waiting;
+  struct lst waiting;
   uint64_t calls;
 };
 
@@ -111,14 +112,17 @@
   free (text);
 }
 
+/* Returns the call of a place in the list, null after the last.  */
+static struct waiting *
+waiting_at (const struct lst_link *at)
+{
+  return at != NULL ? LST_ITEM (at, struct waiting, list) : NULL;
+}
+
 static void
 free_waiting (struct waiting *entry)
 {
-  struct waiting **place = &entry->store->waiting;
-
-  while (*place != entry)
-    place = &(*place)->next;
-  *place = entry->next;
+  lst_remove (&entry->store->waiting, &entry->list);
   evl_timer_stop (&entry->timer);
   htp_message_close (&entry->message);
   free (entry);
@@ -152,9 +156,10 @@
 {
   struct waiting *next;
 
-  for (struct waiting *entry = store->waiting; entry != NULL; entry = next)
+  for (struct waiting *entry = waiting_at (store->waiting.first);
+       entry != NULL; entry = next)
     {
-      next = entry->next;
+      next = waiting_at (entry->list.next);
       if (entry->is_watch && entry->connection != NULL
           && strcmp (entry->kind, kind) == 0
           && answer_watch (store, entry->connection, kind, entry->revision,
@@ -307,8 +312,7 @@
 
   entry->store = store;
   entry->connection = connection;
-  entry->next = store->waiting;
-  store->waiting = entry;
+  lst_add (&store->waiting, &entry->list);
   evl_timer_init (&entry->timer, store->loop, on_timer, entry);
   evl_timer_set (&entry->timer, deadline);
   return entry;
@@ -499,8 +503,8 @@
 {
   struct sst *store = context;
 
-  for (struct waiting *entry = store->waiting; entry != NULL;
-       entry = entry->next)
+  for (struct waiting *entry = waiting_at (store->waiting.first);
+       entry != NULL; entry = waiting_at (entry->list.next))
     if (entry->connection == connection)
       {
         free_waiting (entry);
@@ -530,10 +534,12 @@
 void
 sst_destroy (struct sst *store)
 {
+  struct lst_link *link;
+
   if (store == NULL)
     return;
-  while (store->waiting != NULL)
-    free_waiting (store->waiting);
+  while ((link = lst_take (&store->waiting)) != NULL)
+    free_waiting (waiting_at (link));
   srv_destroy (store->server);
   for (size_t i = 0; i < store->object_count; i++)
     json_decref (store->objects[i].spec);
@@ -548,11 +554,12 @@
 {
   struct waiting *next;
 
-  for (struct waiting *entry = store->waiting; entry != NULL; entry = next)
+  for (struct waiting *entry = waiting_at (store->waiting.first);
+       entry != NULL; entry = next)
     {
       struct srv_connection *connection = entry->connection;
 
-      next = entry->next;
+      next = waiting_at (entry->list.next);
       if (connection == NULL || (ip != 0 && srv_peer (connection).ip != ip))
         continue;
       if (fault == SST_SILENT)
@@ -597,11 +604,12 @@
   store->change_count = 0;
   store->revision++;
   store->oldest = store->revision;
-  for (struct waiting *entry = store->waiting; entry != NULL; entry = next)
+  for (struct waiting *entry = waiting_at (store->waiting.first);
+       entry != NULL; entry = next)
     {
       struct srv_connection *connection = entry->connection;
 
-      next = entry->next;
+      next = waiting_at (entry->list.next);
       if (!entry->is_watch)
         continue;
       free_waiting (entry);
--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -2,6 +2,7 @@
 
 #include "sup.h"
 
+#include "base/lst.h"
 #include "base/mem.h"
 #include "cnx/cnx.h"
 #include "pfm_names.h"
@@ -24,7 +25,7 @@
   struct srv_connection *connection;
   char id[NAME_SIZE];
   struct evl_timer timer;
-  struct run *next;
+  struct lst_link list;
 };
 
 struct sup
@@ -36,7 +37,7 @@
   char data_centre[NAME_SIZE];
   struct srv *server;
   enum sup_fault fault;
-  struct run *runs;
+  struct lst runs;
   uint32_t running;
   uint64_t done[MAX_RUNS]; /* hashes of the ids of what ran */
   size_t done_count;
@@ -81,11 +82,7 @@
 static void
 free_run (struct run *run)
 {
-  struct run **place = &run->upstream->runs;
-
-  while (*place != run)
-    place = &(*place)->next;
-  *place = run->next;
+  lst_remove (&run->upstream->runs, &run->list);
   run->upstream->running--;
   evl_timer_stop (&run->timer);
   free (run);
@@ -190,8 +187,7 @@
       run->upstream = upstream;
       run->connection = connection;
       snprintf (run->id, sizeof run->id, "%s", id);
-      run->next = upstream->runs;
-      upstream->runs = run;
+      lst_add (&upstream->runs, &run->list);
       upstream->running++;
       evl_timer_init (&run->timer, upstream->loop, on_done, run);
       evl_timer_set (&run->timer,
@@ -204,10 +200,10 @@
 {
   struct sup *upstream = context;
 
-  for (struct run *run = upstream->runs; run != NULL; run = run->next)
-    if (run->connection == connection)
+  for (struct lst_link *at = upstream->runs.first; at != NULL; at = at->next)
+    if (LST_ITEM (at, struct run, list)->connection == connection)
       {
-        free_run (run);
+        free_run (LST_ITEM (at, struct run, list));
         return;
       }
 }
@@ -319,10 +315,12 @@
 void
 sup_destroy (struct sup *upstream)
 {
+  struct lst_link *link;
+
   if (upstream == NULL)
     return;
-  while (upstream->runs != NULL)
-    free_run (upstream->runs);
+  while ((link = lst_take (&upstream->runs)) != NULL)
+    free_run (LST_ITEM (link, struct run, list));
   evl_timer_stop (&upstream->timer);
   cnx_close (upstream->heartbeat);
   srv_destroy (upstream->server);
--- a/tests/plc_test.cc
+++ b/tests/plc_test.cc
@@ -107,6 +107,22 @@
   EXPECT_EQ (choose ().index, 0u);
 }
 
+/* Guards against a new server that gets no calls because the others, which
+   are known, seem faster.  */
+TEST_F (Placement, NewServersGetTheirShare)
+{
+  size_t chosen = 0;
+
+  candidates = { make_candidate (PLC_SAME_DATA_CENTRE, 2),
+                 make_candidate (PLC_SAME_DATA_CENTRE, 2) };
+  candidates[0].load.service = candidates[0].load.slot = 5 * ms;
+  candidates[1].load = {};
+  candidates[1].load.slots = 6;
+  for (int i = 0; i < 100; i++)
+    chosen += choose ().index == 1;
+  EXPECT_GT (chosen, 20u);
+}
+
 /* Guards against news that are believed for too long: an old wait counts less
    and less.  */
 TEST_F (Placement, OldWaitsFade)
