--- a/tests/dlt_test.cc
+++ b/tests/dlt_test.cc
@@ -64,7 +64,7 @@
 
 /* Returns what apply makes of a difference, null when it refuses.  */
 static struct doc_document *
-apply (const struct doc_document *base, const std::string &data)
+apply_data (const struct doc_document *base, const std::string &data)
 {
   struct doc_document *result;
 
@@ -95,8 +95,9 @@
     {
       struct doc_document *base = make_document (&random, 40);
       struct doc_document *result = make_document (&random, 40);
-      struct doc_document *copy = apply (base, encode (base, result));
-      struct doc_document *whole = apply (nullptr, encode (nullptr, result));
+      struct doc_document *copy = apply_data (base, encode (base, result));
+      struct doc_document *whole
+          = apply_data (nullptr, encode (nullptr, result));
 
       ASSERT_NE (copy, nullptr) << err_last () << test_seed_note (3);
       ASSERT_NE (whole, nullptr) << err_last ();
@@ -121,7 +122,7 @@
 
   rnd_init (&random, 4);
   struct doc_document *base = make_document (&random, 2000);
-  struct doc_document *result = apply (nullptr, encode (nullptr, base));
+  struct doc_document *result = apply_data (nullptr, encode (nullptr, base));
 
   ASSERT_NE (result, nullptr);
   EXPECT_LT (encode (base, result).size (), 100u);
@@ -182,7 +183,8 @@
         for (int i = 0; i < 1 + round % 5; i++)
           broken[rnd_below (&random, (uint32_t)broken.size ())]
               = (char)rnd_bits (&random);
-      struct doc_document *result = apply (round % 2 ? base : nullptr, broken);
+      struct doc_document *result
+          = apply_data (round % 2 ? base : nullptr, broken);
       if (result != nullptr)
         dlt_digest (result);
       doc_destroy (result);
@@ -201,7 +203,7 @@
   struct doc_document *empty = static_cast<struct doc_document *> (
       mem_alloc (1, sizeof (struct doc_document)));
 
-  EXPECT_EQ (apply (base, encode (nullptr, empty)), nullptr);
+  EXPECT_EQ (apply_data (base, encode (nullptr, empty)), nullptr);
   doc_destroy (empty);
   doc_destroy (base);
 }
