Tell all nodes of dead ones; let a link name the node that it means

Change: dead nodes are spread as such and remembered for two minutes; a node taken for dead raises its incarnation; a link's first frame names whom it means, and another node closes it; a node removes the store's record of the one that had its address before.

--- a/src/dir/dir.c
+++ b/src/dir/dir.c
@@ -14,6 +14,7 @@
 struct dir_slot
 {
   struct mbr_member member;
+  clk_time learned;
   bool used;
 };
 
@@ -71,7 +72,7 @@
 
 enum dir_change
 dir_merge (struct dir *directory, const struct mbr_member *member,
-           dir_handle *handle)
+           clk_time now, dir_handle *handle)
 {
   dir_handle at = dir_find (directory, member->name);
   enum dir_change change = DIR_CHANGED;
@@ -91,7 +92,7 @@
   *handle = at;
   if (change == DIR_SAME || change == DIR_OLDER)
     return change;
-  directory->slots[at] = (struct dir_slot){ .member = *member, .used = true };
+  directory->slots[at] = (struct dir_slot){ *member, now, true };
   directory->version++;
   return change;
 }
@@ -136,6 +137,28 @@
   return directory->count;
 }
 
+size_t
+dir_alive_count (const struct dir *directory)
+{
+  size_t count = 0;
+
+  for (dir_handle i = 0; i < directory->end; i++)
+    if (directory->slots[i].used
+        && directory->slots[i].member.state != MBR_DEAD)
+      count++;
+  return count;
+}
+
+void
+dir_purge (struct dir *directory, clk_time limit)
+{
+  for (dir_handle i = 0; i < directory->end; i++)
+    if (directory->slots[i].used
+        && directory->slots[i].member.state == MBR_DEAD
+        && directory->slots[i].learned < limit)
+      dir_remove (directory, i);
+}
+
 uint64_t
 dir_digest (const struct dir *directory)
 {
--- a/src/dir/dir.h
+++ b/src/dir/dir.h
@@ -1,6 +1,7 @@
 /* Directory of the nodes that this node knows, with the upstream beside each.
    Records come from the platform's store and from other nodes, in any order;
-   the newer one of a node wins.  Pure.
+   the newer one of a node wins.  The record of a dead node stays for a while,
+   so that an older one does not bring it back.  Pure.
 
    A node has the same handle as long as it is known.  */
 
@@ -43,12 +44,15 @@
   /* Frees a directory.  */
   void dir_destroy (struct dir *directory);
 
-  /* Adds or replaces the record of a node.  *HANDLE is set unless the result
-     is DIR_FULL.  */
+  /* Adds or replaces the record of a node, learned at NOW.  *HANDLE is set
+     unless the result is DIR_FULL.  */
   enum dir_change dir_merge (struct dir *directory,
-                             const struct mbr_member *member,
+                             const struct mbr_member *member, clk_time now,
                              dir_handle *handle);
 
+  /* Removes the records of nodes that have been dead since before LIMIT.  */
+  void dir_purge (struct dir *directory, clk_time limit);
+
   /* Removes a node; its handle may be given to another one later.  */
   void dir_remove (struct dir *directory, dir_handle handle);
 
@@ -63,9 +67,12 @@
   /* Returns a number that no handle in use reaches, for loops.  */
   dir_handle dir_end (const struct dir *directory);
 
-  /* Returns the number of nodes.  */
+  /* Returns the number of records.  */
   size_t dir_count (const struct dir *directory);
 
+  /* Returns the number of nodes that are not dead.  */
+  size_t dir_alive_count (const struct dir *directory);
+
   /* Returns a digest that is equal for equal sets of records.  */
   uint64_t dir_digest (const struct dir *directory);
 
--- a/src/dir/dir_json.c
+++ b/src/dir/dir_json.c
@@ -80,5 +80,6 @@
   member->upstream_leaving = leaving != 0;
   member->platform_distance = (uint32_t)distance;
   member->capacity = (uint32_t)capacity;
+  member->state = MBR_ALIVE;
   return true;
 }
--- a/src/fwd/fwd_place.c
+++ b/src/fwd/fwd_place.c
@@ -165,7 +165,7 @@
   clk_time now = evl_now (forwarder->parts.loop);
   struct field field;
 
-  forwarder->parts.budget.nodes = dir_count (forwarder->parts.directory);
+  forwarder->parts.budget.nodes = dir_alive_count (forwarder->parts.directory);
   if ((!call->may_have_run || call->route->call_class == DOC_REPEATABLE)
       && call->runs < max_runs (call)
       && bud_take (forwarder->budget, call->service, &forwarder->parts.budget,
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -2,6 +2,7 @@
 
 #include "hub/hub.h"
 
+#include "base/log.h"
 #include "base/mem.h"
 #include "hub/hub_internal.h"
 
@@ -29,16 +30,6 @@
   return &hub->peers[peer];
 }
 
-static bool
-on_origin_frame (void *context, struct chn *channel, Mesh__Frame *frame)
-{
-  struct hub_origin *origin = context;
-  struct hub *hub = origin->hub;
-
-  (void)channel;
-  return hub->handlers->request (hub->context, origin, frame);
-}
-
 static void
 free_origin (struct hub_origin *origin)
 {
@@ -58,6 +49,35 @@
   free_origin (origin);
 }
 
+/* Returns whether a link was meant for another node, which had this address
+   before.  */
+static bool
+is_for_another (const struct hub *hub, const Mesh__Frame *frame)
+{
+  const struct mbr_member *self = dir_get (hub->directory, hub->self);
+
+  return frame->body_case == MESH__FRAME__BODY_HELLO
+         && frame->hello->to[0] != '\0'
+         && strcmp (frame->hello->to, self->name) != 0;
+}
+
+static bool
+on_origin_frame (void *context, struct chn *channel, Mesh__Frame *frame)
+{
+  struct hub_origin *origin = context;
+  struct hub *hub = origin->hub;
+
+  (void)channel;
+  if (is_for_another (hub, frame))
+    {
+      log_write (LOG_INFO, "hub", "node %s looked for node %s here",
+                 frame->hello->from, frame->hello->to);
+      on_origin_closed (origin, channel);
+      return false;
+    }
+  return hub->handlers->request (hub->context, origin, frame);
+}
+
 static const struct chn_handlers origin_handlers
     = { NULL, on_origin_frame, on_origin_closed };
 
--- a/src/hub/hub_link.c
+++ b/src/hub/hub_link.c
@@ -190,6 +190,7 @@
   hello.incarnation = self->incarnation;
   mbr_member_to_wire (self, &member);
   hello.member = &member;
+  hello.to = (char *)dir_get (link->hub->directory, link->peer)->name;
   frame.body_case = MESH__FRAME__BODY_HELLO;
   frame.hello = &hello;
   chn_send (link->channel, &frame);
@@ -292,6 +293,14 @@
     replace_link (link);
 }
 
+static bool
+is_known (const struct hub *hub, dir_handle peer)
+{
+  const struct mbr_member *member = dir_get (hub->directory, peer);
+
+  return member != NULL && member->state != MBR_DEAD;
+}
+
 /* Tries a peer that was silent or lost; it is used again when it answers a
    ping, since a frozen VM accepts connections too.  */
 static void
@@ -300,7 +309,7 @@
   struct hub_peer *entry = hub_peer (hub, peer);
 
   if (entry->link != NULL || entry->retry > evl_now (hub->loop)
-      || dir_get (hub->directory, peer) == NULL)
+      || !is_known (hub, peer))
     return;
   send_ping (hub_open_link (hub, peer));
 }
@@ -335,7 +344,7 @@
         retry_peer (hub, peer);
       }
     else if (hub->peers[peer].watched && hub->peers[peer].link == NULL
-             && dir_get (hub->directory, peer) != NULL)
+             && is_known (hub, peer))
       hub_open_link (hub, peer);
   if (needed)
     hub_start_check (hub);
--- a/src/pub/pub.c
+++ b/src/pub/pub.c
@@ -43,6 +43,7 @@
   copy.incarnation = right->incarnation;
   copy.sequence = right->sequence;
   copy.platform_distance = right->platform_distance;
+  copy.state = right->state;
   return mbr_member_equal (&copy, right);
 }
 
@@ -248,6 +249,14 @@
   proceed (publisher);
 }
 
+void
+pub_forget (struct pub *publisher)
+{
+  publisher->revision = 0;
+  publisher->has_stored = false;
+  proceed (publisher);
+}
+
 void
 pub_withdraw (struct pub *publisher)
 {
--- a/src/pub/pub.h
+++ b/src/pub/pub.h
@@ -45,6 +45,9 @@
      written.  */
   void pub_set (struct pub *publisher, const struct mbr_member *record);
 
+  /* The object is gone from the store: it is written again.  */
+  void pub_forget (struct pub *publisher);
+
   /* Removes the object, now and again until it is gone; the node leaves for
      good.  */
   void pub_withdraw (struct pub *publisher);
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -99,6 +99,9 @@
 /* Uses a version if it is newer; takes over SNAPSHOT's reference.  */
 void sdc_use_snapshot (struct sdc *sidecar, struct snp_snapshot *snapshot);
 
+/* Tells the store and the other nodes what this node's record says now.  */
+void sdc_publish_record (struct sdc *sidecar);
+
 /* Passes a change of the registration on: to the gate, the directory and the
    store.  */
 void sdc_registration_changed (struct sdc *sidecar);
--- a/src/sdc/sdc_join.c
+++ b/src/sdc/sdc_join.c
@@ -30,7 +30,7 @@
   sidecar->join_at = evl_now (sidecar->loop) + CONFIG_PATIENCE;
   wch_stop (sidecar->node_watch);
   log_write (LOG_INFO, "sdc", "joined, with %zu nodes known",
-             dir_count (sidecar->directory));
+             dir_alive_count (sidecar->directory));
   syn_start (sidecar->sync);
 }
 
@@ -44,7 +44,8 @@
       sidecar->record.platform_distance
           = (uint32_t)(distance / CLK_MILLISECOND) + 1;
       sidecar->record.sequence++;
-      dir_merge (sidecar->directory, &sidecar->record, &sidecar->self);
+      dir_merge (sidecar->directory, &sidecar->record, evl_now (sidecar->loop),
+                 &sidecar->self);
       pub_set (sidecar->publisher, &sidecar->record);
     }
   if (sidecar->settings.first_start && sidecar->join_at == CLK_NEVER)
@@ -100,7 +101,7 @@
          themselves while the store is away.  */
       if (!wch_is_started (sidecar->node_watch))
         wch_start (sidecar->node_watch);
-      else if (dir_count (sidecar->directory) > 1)
+      else if (dir_alive_count (sidecar->directory) > 1)
         take_roles (sidecar);
       return;
     }
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -33,6 +33,10 @@
    seconds.  */
 #define MISSED_HEARTBEATS 4
 
+/* Records of dead nodes are kept this long; older records of them that are
+   still under way come within seconds.  */
+#define DEAD_AGE (120 * CLK_SECOND)
+
 /* One arena: only one thread allocates much.  */
 #define MAX_ARENAS 1
 
@@ -150,7 +154,8 @@
   record->incarnation = clk_wall_ms ();
   record->sequence = 1;
   record->state = MBR_ALIVE;
-  dir_merge (sidecar->directory, record, &sidecar->self);
+  dir_merge (sidecar->directory, record, evl_now (sidecar->loop),
+             &sidecar->self);
 }
 
 static bool
@@ -262,9 +267,7 @@
   fwd_limit (sidecar->forwarder, sidecar->stop_at - ANSWER_MARGIN);
   srv_drain (sidecar->calls);
   sidecar->record.state = MBR_LEAVING;
-  sidecar->record.sequence++;
-  dir_merge (sidecar->directory, &sidecar->record, &sidecar->self);
-  syn_publish (sidecar->sync, &sidecar->record);
+  sdc_publish_record (sidecar);
   if (sidecar->registration.state == REG_LEAVING
       || sidecar->registration.state == REG_NONE)
     pub_withdraw (sidecar->publisher);
@@ -363,6 +366,7 @@
 
   sdc_check_acks (sidecar);
   check_upstream (sidecar, now);
+  dir_purge (sidecar->directory, now - DEAD_AGE);
   sdc_check_join (sidecar, now);
   if (read_settings_time (sidecar->file) != sidecar->settings_time)
     reload (sidecar);
@@ -408,7 +412,7 @@
 size_t
 sdc_node_count (const struct sdc *sidecar)
 {
-  return dir_count (sidecar->directory);
+  return dir_alive_count (sidecar->directory);
 }
 
 static void
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -14,6 +14,9 @@
 static const struct srv_limits default_limits
     = { { 16384, 16u * 1024u * 1024u }, 5 * CLK_SECOND, 60 * CLK_SECOND, 0 };
 
+/* A removal, which the store answers in milliseconds, may take this long.  */
+#define REMOVE_PATIENCE CLK_SECOND
+
 /* Part of the memory that one body may take.  */
 #define BODY_SHARE 8
 
@@ -122,9 +125,15 @@
 {
   /* A time of day that was set back must not make this process seem older
      than the one before it.  */
-  if (record->incarnation > sidecar->record.incarnation
-      || (record->incarnation == sidecar->record.incarnation
-          && record->sequence > sidecar->record.sequence))
+  if (record->state == MBR_DEAD && sidecar->stop_at == 0)
+    {
+      sidecar->record.incarnation = record->incarnation + 1;
+      log_write (LOG_INFO, "sdc", "others took this node for dead");
+      sdc_publish_record (sidecar);
+    }
+  else if (record->incarnation > sidecar->record.incarnation
+           || (record->incarnation == sidecar->record.incarnation
+               && record->sequence > sidecar->record.sequence))
     sidecar->record.incarnation = record->incarnation + 1;
   if (reg_adopt (&sidecar->registration, record, sidecar->settings.upstream,
                  evl_now (sidecar->loop)))
@@ -157,6 +166,26 @@
   sidecar->listed[node] = true;
 }
 
+static void bury_node (struct sdc *sidecar, dir_handle node);
+
+/* Takes nodes for dead whose address another node, which started later, has
+   now.  */
+static void
+bury_predecessors (struct sdc *sidecar, dir_handle node)
+{
+  struct mbr_member record = *dir_get (sidecar->directory, node);
+
+  for (dir_handle i = 0; i < dir_end (sidecar->directory); i++)
+    {
+      const struct mbr_member *other = dir_get (sidecar->directory, i);
+
+      if (other != NULL && i != node
+          && net_equal (other->address, record.address)
+          && other->incarnation < record.incarnation)
+        bury_node (sidecar, i);
+    }
+}
+
 /* Adds or replaces a record.  Returns whether it was news.  */
 static bool
 merge_node (struct sdc *sidecar, const struct mbr_member *record)
@@ -169,7 +198,8 @@
       = before != NULL && before->incarnation != record->incarnation;
   dir_handle node;
 
-  change = dir_merge (sidecar->directory, record, &node);
+  change
+      = dir_merge (sidecar->directory, record, evl_now (sidecar->loop), &node);
   if (change == DIR_FULL)
     {
       log_write (LOG_ERROR, "sdc", "the directory has no room for %s",
@@ -179,7 +209,9 @@
   mark_listed (sidecar, node);
   if (change != DIR_NEW && change != DIR_CHANGED)
     return false;
-  if (moved || change == DIR_NEW)
+  if (record->state != MBR_DEAD)
+    bury_predecessors (sidecar, node);
+  if (moved || change == DIR_NEW || record->state == MBR_DEAD)
     {
       hub_forget (sidecar->hub, node);
       syn_forget (sidecar->sync, node);
@@ -202,6 +234,31 @@
   return false;
 }
 
+static void
+on_stored_removed (void *context, const struct sto_request *request,
+                   const struct sto_reply *reply)
+{
+  (void)context;
+  (void)request;
+  log_write (LOG_INFO, "sdc", "removing an old record ended: %s",
+             sto_status_name (reply->status));
+}
+
+/* Removes the record of a node that had this node's address before.  */
+static void
+remove_stored (struct sdc *sidecar, const struct sto_object *object)
+{
+  struct sto_request request = { .operation = STO_REMOVE,
+                                 .kind = PUB_KIND,
+                                 .name = object->name,
+                                 .revision = object->revision };
+
+  log_write (LOG_INFO, "sdc", "node %s had this address before", object->name);
+  sto_start (sidecar->store, &request,
+             evl_now (sidecar->loop) + REMOVE_PATIENCE, on_stored_removed,
+             sidecar);
+}
+
 static void
 on_node (void *context, const struct sto_object *object)
 {
@@ -215,7 +272,10 @@
                  object->name);
       return;
     }
-  if (strcmp (record.name, sidecar->record.name) != 0)
+  if (strcmp (record.name, sidecar->record.name) != 0
+      && net_equal (record.address, sidecar->record.address))
+    remove_stored (sidecar, object);
+  else if (strcmp (record.name, sidecar->record.name) != 0)
     {
       if (merge_node (sidecar, &record))
         syn_publish (sidecar->sync, &record);
@@ -225,17 +285,21 @@
   take_own_record (sidecar, &record);
 }
 
+/* Takes a node for dead and tells the others.  */
 static void
-remove_node (struct sdc *sidecar, dir_handle node)
+bury_node (struct sdc *sidecar, dir_handle node)
 {
-  if (node == DIR_NONE || node == sidecar->self)
+  const struct mbr_member *known = dir_get (sidecar->directory, node);
+  struct mbr_member record;
+
+  if (known == NULL || node == sidecar->self || known->state == MBR_DEAD)
     return;
-  log_write (LOG_INFO, "sdc", "node %s is gone",
-             dir_get (sidecar->directory, node)->name);
-  dir_remove (sidecar->directory, node);
-  hub_forget (sidecar->hub, node);
-  syn_forget (sidecar->sync, node);
-  syn_refresh (sidecar->sync);
+  record = *known;
+  record.state = MBR_DEAD;
+  record.sequence++;
+  log_write (LOG_INFO, "sdc", "node %s is gone", record.name);
+  if (merge_node (sidecar, &record))
+    syn_publish (sidecar->sync, &record);
 }
 
 static void
@@ -243,7 +307,10 @@
 {
   struct sdc *sidecar = context;
 
-  remove_node (sidecar, dir_find (sidecar->directory, name));
+  if (strcmp (name, sidecar->record.name) != 0)
+    bury_node (sidecar, dir_find (sidecar->directory, name));
+  else if (sidecar->stop_at == 0)
+    pub_forget (sidecar->publisher);
 }
 
 static void
@@ -260,10 +327,11 @@
 {
   struct sdc *sidecar = context;
 
+  /* A node that is connected lives, and will write its record.  */
   for (dir_handle i = 0; i < dir_end (sidecar->directory); i++)
-    if (dir_get (sidecar->directory, i) != NULL
-        && (i >= sidecar->listed_count || !sidecar->listed[i]))
-      remove_node (sidecar, i);
+    if ((i >= sidecar->listed_count || !sidecar->listed[i])
+        && !hub_is_connected (sidecar->hub, i))
+      bury_node (sidecar, i);
   sidecar->nodes_known = true;
   pub_set (sidecar->publisher, &sidecar->record);
   if (!sidecar->joined)
@@ -291,13 +359,20 @@
 const struct pub_handlers sdc_publish_handlers = { on_stored, on_found };
 
 void
-sdc_registration_changed (struct sdc *sidecar)
+sdc_publish_record (struct sdc *sidecar)
 {
-  if (reg_fill_record (&sidecar->registration, &sidecar->record))
-    sidecar->record.sequence++;
-  dir_merge (sidecar->directory, &sidecar->record, &sidecar->self);
+  sidecar->record.sequence++;
+  dir_merge (sidecar->directory, &sidecar->record, evl_now (sidecar->loop),
+             &sidecar->self);
   if (sidecar->nodes_known)
     pub_set (sidecar->publisher, &sidecar->record);
   syn_publish (sidecar->sync, &sidecar->record);
+}
+
+void
+sdc_registration_changed (struct sdc *sidecar)
+{
+  reg_fill_record (&sidecar->registration, &sidecar->record);
+  sdc_publish_record (sidecar);
   gat_refresh (sidecar->gate);
 }
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -2162,7 +2162,7 @@
   (ProtobufCMessageInit) mesh__datagram__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__hello__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mesh__hello__field_descriptors[6] =
 {
   {
     "protocol",
@@ -2224,6 +2224,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "to",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Hello, to),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__hello__field_indices_by_name[] = {
   2,   /* field[2] = from */
@@ -2231,11 +2243,12 @@
   4,   /* field[4] = member */
   1,   /* field[1] = mesh */
   0,   /* field[0] = protocol */
+  5,   /* field[5] = to */
 };
 static const ProtobufCIntRange mesh__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mesh__hello__descriptor =
 {
@@ -2245,7 +2258,7 @@
   "Mesh__Hello",
   "mesh",
   sizeof(Mesh__Hello),
-  5,
+  6,
   mesh__hello__field_descriptors,
   mesh__hello__field_indices_by_name,
   1,  mesh__hello__number_ranges,
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -242,10 +242,14 @@
    * the sender's record
    */
   Mesh__Member *member;
+  /*
+   * whom the sender means; another node closes the link
+   */
+  char *to;
 };
 #define MESH__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mesh__hello__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, NULL, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/standins/lib/sst.c
+++ b/standins/lib/sst.c
@@ -624,6 +624,15 @@
   put_object (store, kind, name, spec);
 }
 
+void
+sst_remove (struct sst *store, const char *kind, const char *name)
+{
+  struct object *object = find_object (store, kind, name);
+
+  if (object != NULL)
+    remove_object (store, object);
+}
+
 const json_t *
 sst_get (const struct sst *store, const char *kind, const char *name)
 {
--- a/standins/lib/sst.h
+++ b/standins/lib/sst.h
@@ -56,6 +56,9 @@
   void sst_put (struct sst *store, const char *kind, const char *name,
                 json_t *spec);
 
+  /* Removes an object, at once and whatever the fault.  */
+  void sst_remove (struct sst *store, const char *kind, const char *name);
+
   /* Returns the content of an object, null when there is none.  */
   const json_t *sst_get (const struct sst *store, const char *kind,
                          const char *name);
--- a/tests/dir_test.cc
+++ b/tests/dir_test.cc
@@ -36,7 +36,7 @@
     struct mbr_member member = make_member (name, incarnation, sequence);
 
     member.upstream_leaving = leaving;
-    return dir_merge (directory, &member, &handle);
+    return dir_merge (directory, &member, 0, &handle);
   }
   struct dir *directory = dir_create ();
   dir_handle handle = DIR_NONE;
@@ -76,6 +76,23 @@
   EXPECT_EQ (dir_count (directory), 2u);
 }
 
+/* Guards against a dead node that an older record brings back, and against
+   records of dead nodes that stay for good.  */
+TEST_F (Directory, DeadNodesStayDeadForAWhile)
+{
+  struct mbr_member member = make_member ("n", 5, 3);
+
+  merge ("n", 5, 2);
+  member.state = MBR_DEAD;
+  EXPECT_EQ (dir_merge (directory, &member, 100, &handle), DIR_CHANGED);
+  EXPECT_EQ (dir_alive_count (directory), 0u);
+  EXPECT_EQ (merge ("n", 5, 2), DIR_OLDER);
+  dir_purge (directory, 100);
+  EXPECT_EQ (dir_count (directory), 1u);
+  dir_purge (directory, 101);
+  EXPECT_EQ (dir_count (directory), 0u);
+}
+
 /* Guards against a directory that grows without bound.  */
 TEST_F (Directory, IsBounded)
 {
@@ -94,12 +111,12 @@
 
   merge ("a", 1, 1);
   merge ("b", 1, 1);
-  dir_merge (other, &b, &handle);
+  dir_merge (other, &b, 0, &handle);
   EXPECT_NE (dir_digest (directory), dir_digest (other));
-  dir_merge (other, &a, &handle);
+  dir_merge (other, &a, 0, &handle);
   EXPECT_EQ (dir_digest (directory), dir_digest (other));
   b.sequence = 2;
-  dir_merge (other, &b, &handle);
+  dir_merge (other, &b, 0, &handle);
   EXPECT_NE (dir_digest (directory), dir_digest (other));
   dir_destroy (other);
 }
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -303,6 +303,60 @@
              sup_run_count (vms[1].upstream));
 }
 
+/* Guards against a node that is taken for the one that had its address before:
+   it seems alive to those who look for the other one, and its calls come to
+   nothing (garmi-mesh-grown trouble-2).  */
+TEST_F (Sidecars, NoticeThatAnAddressChangesItsNode)
+{
+  start_mesh ();
+  kill_upstream (1);
+  kill_sidecar (1);
+  run_for (300);
+  vms[1].name = "vm-other";
+  vms[1].service = "orders";
+  start_sidecar (1);
+  start_upstream (1);
+  EXPECT_TRUE (converges (1));
+  EXPECT_TRUE (
+      run_until ([&] { return sst_count (store, "mesh-nodes") == 4; }));
+  for (int i = 0; i < 20; i++)
+    EXPECT_EQ (status_of (i % 4, "/stock/"), 200);
+}
+
+/* Guards against nodes that have left for good and are still known: their
+   records go when their upstream has left and they stop.  */
+TEST_F (Sidecars, ForgetANodeThatHasLeft)
+{
+  start_mesh ();
+  sup_drain (vms[1].upstream);
+  ASSERT_TRUE (
+      run_until ([&] { return sup_is_acknowledged (vms[1].upstream); }));
+  kill_upstream (1);
+  sdc_terminate (vms[1].sidecar);
+  ASSERT_TRUE (
+      run_until ([&] { return sdc_has_ended (vms[1].sidecar); }, 4000));
+  kill_sidecar (1);
+  EXPECT_EQ (sst_count (store, "mesh-nodes"), 3u);
+  EXPECT_TRUE (run_until ([&] {
+    return sdc_node_count (vms[0].sidecar) == 3
+           && sdc_node_count (vms[2].sidecar) == 3;
+  }));
+}
+
+/* Guards against a node that others took for dead and that nobody uses any
+   more: it says that it lives.  */
+TEST_F (Sidecars, ComeBackWhenTakenForDead)
+{
+  start_mesh ();
+  sst_remove (store, "mesh-nodes", "vm-1");
+  EXPECT_TRUE (run_until ([&] {
+    return sst_count (store, "mesh-nodes") == 4
+           && sdc_node_count (vms[0].sidecar) == 4
+           && sdc_node_count (vms[3].sidecar) == 4;
+  }));
+  EXPECT_EQ (status_of (0, "/stock/"), 200);
+}
+
 /* Guards against work at an upstream for a caller that has left (GONE).  */
 TEST_F (Sidecars, CancelWhenACallerLeaves)
 {
