Use an upstream until its node leaves, not only until SIGTERM

Cause: a node that is restarted refused calls for its upstream from SIGTERM on, 2.3 s before it could leave; nobody else can reach the upstream.

Found on the way: a record that was spread after its removal from the store brought the node back in the directories (ForgetANodeThatHasLeft).

--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -263,14 +263,8 @@
   sidecar->leave_at = now + LEAVE_PAUSE;
   sidecar->stop_at = now + sidecar->settings.grace - KILL_MARGIN;
   sidecar->close_at = now + sidecar->settings.grace / 2;
-  gat_stop (sidecar->gate);
   fwd_limit (sidecar->forwarder, sidecar->stop_at - ANSWER_MARGIN);
   srv_drain (sidecar->calls);
-  sidecar->record.state = MBR_LEAVING;
-  sdc_publish_record (sidecar);
-  if (sidecar->registration.state == REG_LEAVING
-      || sidecar->registration.state == REG_NONE)
-    pub_withdraw (sidecar->publisher);
 }
 
 static void
@@ -322,11 +316,29 @@
          && gat_in_progress (sidecar->gate) == 0;
 }
 
+/* Takes no more calls for the upstream.  Until now it was used on, because
+   nobody else can reach it.  */
+static void
+leave_mesh (struct sdc *sidecar)
+{
+  if (sidecar->record.state == MBR_LEAVING)
+    return;
+  gat_stop (sidecar->gate);
+  sidecar->record.state = MBR_LEAVING;
+  sdc_publish_record (sidecar);
+  /* Without an upstream the VM goes for good.  */
+  if (sidecar->registration.state == REG_LEAVING
+      || sidecar->registration.state == REG_NONE)
+    pub_withdraw (sidecar->publisher);
+}
+
 static void
 check_shutdown (struct sdc *sidecar, clk_time now)
 {
   if (sidecar->stop_at == 0)
     return;
+  if (now >= sidecar->leave_at)
+    leave_mesh (sidecar);
   /* Calls that still run at the upstream may make calls of their own, so
      callers are turned away only after them.  */
   if (now >= sidecar->close_at
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -125,7 +125,9 @@
 {
   /* A time of day that was set back must not make this process seem older
      than the one before it.  */
-  if (record->state == MBR_DEAD && sidecar->stop_at == 0)
+  if (sidecar->stop_at != 0)
+    return;
+  if (record->state == MBR_DEAD)
     {
       sidecar->record.incarnation = record->incarnation + 1;
       log_write (LOG_INFO, "sdc", "others took this node for dead");
