Log each decision about a request; count and time them

One JSON line a decision (placed, bounced, queued, started, ended, repeated, denied, refused, lost, answered) with the request's id, what decided it, the age of the news or the version, and the outcome; counters and histograms by service. Lines go through a bounded buffer and a thread to standard output: a reader that does not read costs lines, not time. Each kind of line has a rate; lines about failures have five times that of the others.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,10 +1,10 @@
-/* Logs as JSON lines on standard error, through log4c.  */
+/* Logs as JSON lines on standard output, through log4c.  */
 
 #include "base/log.h"
 
-#include "base/clk.h"
+#include "base/lgw.h"
 
-#include <jansson.h>
+#include <inttypes.h>
 #include <log4c.h>
 #include <pthread.h>
 #include <stdarg.h>
@@ -13,7 +13,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
+#include <xxhash.h>
 
 #define LOG_MESSAGE_SIZE 1024
 #define LOG_NAME_SIZE 128
@@ -32,10 +32,30 @@
 /* What the layout needs beside the message.  */
 struct log_line
 {
+  enum log_level level;
   const char *module;
   unsigned dropped;
 };
 
+/* Lines a second about one event, and how many seconds' worth may come at
+   once.  Warnings are about requests that failed, which matter most.  */
+#define EVENT_RATE 10.
+#define WARNING_RATE 50.
+#define BURST_SECONDS 4.
+
+/* When lines about an event become scarce, those of one in this many requests
+   are kept, chosen by the request's id.  */
+#define KEPT_SHARE 16
+
+/* Lines that an event may still have.  */
+struct log_event
+{
+  const char *event;
+  double lines;
+  clk_time filled;
+  unsigned dropped;
+};
+
 static char node_name[LOG_NAME_SIZE];
 static char data_centre_name[LOG_NAME_SIZE];
 static atomic_int lowest_level = LOG_INFO;
@@ -47,79 +67,178 @@
 static log4c_category_t *log_root;
 static pthread_mutex_t site_lock = PTHREAD_MUTEX_INITIALIZER;
 static struct log_site sites[LOG_SITES];
+static struct log_event events[LOG_SITES];
 
 static const char *
-level_name (int priority)
+level_name (enum log_level level)
 {
-  switch (priority)
-    {
-    case LOG4C_PRIORITY_DEBUG:
-      return "debug";
-    case LOG4C_PRIORITY_INFO:
-      return "info";
-    case LOG4C_PRIORITY_WARN:
-      return "warning";
-    default:
-      return "error";
-    }
+  static const char *const names[] = { "debug", "info", "warning", "error" };
+
+  return names[level];
 }
 
+/* Writes the time of day; the part that changes once a second is kept.  */
 static void
 format_time (char *text, size_t size)
 {
+  static _Thread_local time_t second = -1;
+  static _Thread_local char prefix[32];
   struct timespec now;
   struct tm parts;
-  size_t length;
 
   clock_gettime (CLOCK_REALTIME, &now);
-  gmtime_r (&now.tv_sec, &parts);
-  length = strftime (text, size, "%Y-%m-%dT%H:%M:%S", &parts);
-  snprintf (text + length, size - length, ".%03ldZ", now.tv_nsec / 1000000);
+  if (now.tv_sec != second)
+    {
+      second = now.tv_sec;
+      gmtime_r (&now.tv_sec, &parts);
+      strftime (prefix, sizeof prefix, "%Y-%m-%dT%H:%M:%S", &parts);
+    }
+  snprintf (text, size, "%s.%03ldZ", prefix, now.tv_nsec / 1000000);
+}
+
+/* Returns the length of the UTF-8 character at TEXT, 0 when it is none.  */
+static size_t
+utf8_length (const unsigned char *text)
+{
+  size_t length = text[0] < 0x80   ? 1
+                  : text[0] < 0xc2 ? 0
+                  : text[0] < 0xe0 ? 2
+                  : text[0] < 0xf0 ? 3
+                  : text[0] < 0xf5 ? 4
+                                   : 0;
+
+  for (size_t i = 1; i < length; i++)
+    if ((text[i] & 0xc0) != 0x80)
+      return 0;
+  return length;
+}
+
+/* Appends one character as JSON has it; a byte that is not UTF-8 as the
+   character of its number.  Returns the bytes of TEXT that were used.  */
+static size_t
+put_character (char *output, size_t *length, const char *text)
+{
+  unsigned char byte = (unsigned char)text[0];
+  size_t used = utf8_length ((const unsigned char *)text);
+
+  if (byte == '"' || byte == '\\')
+    {
+      output[(*length)++] = '\\';
+      output[(*length)++] = (char)byte;
+    }
+  else if (byte < ' ' || byte == 0x7f || used == 0)
+    *length += (size_t)sprintf (output + *length, "\\u%04x", byte);
+  else
+    {
+      memcpy (output + *length, text, used);
+      *length += used;
+      return used;
+    }
+  return 1;
+}
+
+/* Longest form of one character.  */
+#define CHARACTER_SIZE 6
+
+/* Room that every field leaves for the end of the line.  */
+#define TAIL_SIZE 64
+
+/* Appends "KEY": to ENTRY, with a comma before all but the first.  Returns
+   false when there is no room for a field with LENGTH bytes of value.  */
+static bool
+put_key (struct log_entry *entry, const char *key, size_t length)
+{
+  size_t needed = strlen (key) + length + 8;
+
+  if (entry->length + needed + TAIL_SIZE > sizeof entry->text)
+    return false;
+  entry->length
+      += (size_t)sprintf (entry->text + entry->length,
+                          "%s\"%s\":", entry->length > 1 ? "," : "", key);
+  return true;
+}
+
+void
+log_text (struct log_entry *entry, const char *key, const char *value)
+{
+  if (value == NULL || !put_key (entry, key, 2))
+    return;
+  entry->text[entry->length++] = '"';
+  while (*value != '\0'
+         && entry->length + CHARACTER_SIZE + TAIL_SIZE < sizeof entry->text)
+    value += put_character (entry->text, &entry->length, value);
+  entry->text[entry->length++] = '"';
+}
+
+void
+log_number (struct log_entry *entry, const char *key, int64_t value)
+{
+  if (put_key (entry, key, 21))
+    entry->length
+        += (size_t)sprintf (entry->text + entry->length, "%" PRId64, value);
+}
+
+void
+log_ms (struct log_entry *entry, const char *key, clk_time value)
+{
+  if (put_key (entry, key, 28))
+    entry->length += (size_t)sprintf (entry->text + entry->length, "%.2f",
+                                      (double)value / (double)CLK_MILLISECOND);
+}
+
+/* Starts a line with the fields that every line has.  */
+static void
+start_line (struct log_entry *entry, enum log_level level, const char *module)
+{
+  char when[64];
+
+  format_time (when, sizeof when);
+  entry->text[0] = '{';
+  entry->length = 1;
+  log_text (entry, "time", when);
+  log_text (entry, "level", level_name (level));
+  log_text (entry, "module", module);
+  log_text (entry, "node", node_name);
+  log_text (entry, "data_centre", data_centre_name);
+  log_number (entry, "version", (int64_t)atomic_load (&config_version));
+}
+
+static void
+finish_line (struct log_entry *entry)
+{
+  entry->text[entry->length++] = '}';
+  entry->text[entry->length++] = '\n';
+  entry->text[entry->length] = '\0';
 }
 
 static const char *
 format_json (const log4c_layout_t *layout, const log4c_logging_event_t *event)
 {
-  static _Thread_local char text[2 * LOG_MESSAGE_SIZE + 512];
+  static _Thread_local struct log_entry entry;
   const struct log_line *line = event->evt_loc->loc_data;
-  char when[64];
-  json_t *object;
-  size_t length;
 
   (void)layout;
-  format_time (when, sizeof when);
-  object = json_pack (
-      "{s:s, s:s, s:s, s:s, s:s, s:I, s:s}", "time", when, "level",
-      level_name (event->evt_priority), "module", line->module, "node",
-      node_name, "data_centre", data_centre_name, "version",
-      (json_int_t)atomic_load (&config_version), "message", event->evt_msg);
-  if (object == NULL)
-    return "{\"message\":\"log line is not valid UTF-8\"}\n";
-  if (call_id != NULL)
-    json_object_set_new (object, "call", json_string (call_id));
+  start_line (&entry, line->level, line->module);
+  log_text (&entry, "message", event->evt_msg);
+  log_text (&entry, "call", call_id);
   if (line->dropped > 0)
-    json_object_set_new (object, "dropped", json_integer (line->dropped));
-  length = json_dumpb (object, text, sizeof text - 2, JSON_COMPACT);
-  json_decref (object);
-  if (length > sizeof text - 2)
-    length = 0;
-  text[length] = '\n';
-  text[length + 1] = '\0';
-  return text;
+    log_number (&entry, "dropped", line->dropped);
+  finish_line (&entry);
+  return entry.text;
 }
 
 static const log4c_layout_type_t json_layout
     = { "mulberryshift_json", format_json };
 
-/* Writes a line with one call, so that lines of several threads do not mix.
-   log4c's own appender puts its name before each line.  */
+/* log4c's own appender puts its name before each line.  */
 static int
 append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
   const char *line = event->evt_rendered_msg;
 
   (void)appender;
-  return write (STDERR_FILENO, line, strlen (line)) < 0 ? -1 : 0;
+  lgw_add (line, strlen (line));
+  return 0;
 }
 
 static const log4c_appender_type_t line_appender
@@ -157,6 +276,7 @@
   if (log_root == NULL && open_log4c () != 0)
     return -1;
   category = log_root;
+  lgw_start ();
   return 0;
 }
 
@@ -215,7 +335,7 @@
   static const int priorities[]
       = { LOG4C_PRIORITY_DEBUG, LOG4C_PRIORITY_INFO, LOG4C_PRIORITY_WARN,
           LOG4C_PRIORITY_ERROR };
-  struct log_line line = { .module = module };
+  struct log_line line = { .level = level, .module = module };
   char message[LOG_MESSAGE_SIZE];
   log4c_location_info_t location = { .loc_data = &line };
   va_list arguments;
@@ -230,8 +350,68 @@
                               message);
 }
 
+/* Takes a line about EVENT from its budget.  Returns false when the line is
+   left out; else sets *DROPPED to those left out before it.  */
+static bool
+admit_event (enum log_level level, const char *event, const char *call,
+             unsigned *dropped)
+{
+  struct log_event *entry = &events[((uintptr_t)event >> 3) % LOG_SITES];
+  double rate = level >= LOG_WARNING ? WARNING_RATE : EVENT_RATE;
+  clk_time now = clk_now ();
+  bool admitted;
+
+  pthread_mutex_lock (&site_lock);
+  if (entry->event != event)
+    *entry = (struct log_event){ event, rate * BURST_SECONDS, now, 0 };
+  entry->lines += (double)(now - entry->filled) / (double)CLK_SECOND * rate;
+  if (entry->lines > rate * BURST_SECONDS)
+    entry->lines = rate * BURST_SECONDS;
+  entry->filled = now;
+  admitted = entry->lines >= rate * BURST_SECONDS / 2
+             || (entry->lines >= 1
+                 && (level >= LOG_WARNING || call == NULL
+                     || XXH3_64bits (call, strlen (call)) % KEPT_SHARE == 0));
+  *dropped = 0;
+  if (admitted)
+    {
+      entry->lines--;
+      *dropped = entry->dropped;
+      entry->dropped = 0;
+    }
+  else
+    entry->dropped++;
+  pthread_mutex_unlock (&site_lock);
+  return admitted;
+}
+
+bool
+log_begin (struct log_entry *entry, enum log_level level, const char *module,
+           const char *event, const char *call)
+{
+  unsigned dropped;
+
+  if ((int)level < atomic_load (&lowest_level) || category == NULL
+      || !admit_event (level, event, call, &dropped))
+    return false;
+  start_line (entry, level, module);
+  log_text (entry, "event", event);
+  log_text (entry, "call", call);
+  if (dropped > 0)
+    log_number (entry, "dropped", dropped);
+  return true;
+}
+
+void
+log_end (struct log_entry *entry)
+{
+  finish_line (entry);
+  lgw_add (entry->text, entry->length);
+}
+
 void
 log_close (void)
 {
   category = NULL;
+  lgw_stop ();
 }
--- a/src/fwd/fwd.c
+++ b/src/fwd/fwd.c
@@ -4,7 +4,7 @@
 
 #include "base/log.h"
 #include "base/mem.h"
-#include "fwd/fwd_internal.h"
+#include "fwd/fwd_log.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -86,6 +86,7 @@
   struct buf *output = start_answer (call, status);
   char text[32];
 
+  fwd_log_failed (call, status, reason, retry_after);
   fwd_cancel (call);
   htp_put_header (output, "Content-Type", "text/plain");
   if (retry_after > 0)
@@ -104,6 +105,7 @@
   struct srv_connection *connection = call->connection;
   struct buf *output = srv_answer (connection, answer->status);
 
+  fwd_log_answered (call, answer->status);
   for (size_t i = 0; i < answer->n_headers; i++)
     htp_put_header (output, answer->headers[i]->name,
                     answer->headers[i]->value);
@@ -119,9 +121,9 @@
   struct fwd_call *call = context;
 
   if (call->may_have_run || call->number != 0)
-    fwd_fail (call, 504, "no answer in time\n", 0);
+    fwd_fail (call, 504, "no answer in time", 0);
   else
-    fwd_fail (call, 503, "not run: no upstream in time\n", 0);
+    fwd_fail (call, 503, "not run: no upstream in time", 0);
 }
 
 /* Returns the time that the caller waits, in ns.  */
@@ -188,13 +190,13 @@
 
   if (forwarder->snapshot == NULL)
     {
-      fwd_fail (call, 503, "not run: no configuration yet\n", UNREADY_RETRY);
+      fwd_fail (call, 503, "not run: no configuration yet", UNREADY_RETRY);
       return;
     }
   call->snapshot = snp_retain (forwarder->snapshot);
   if (!fwd_find_route (call))
     {
-      fwd_fail (call, 404, "no route\n", 0);
+      fwd_fail (call, 404, "no route", 0);
       return;
     }
   apply_route (call);
@@ -211,6 +213,7 @@
   (void)context;
   if (call == NULL)
     return;
+  fwd_log_gone (call);
   fwd_cancel (call);
   fwd_free_call (call);
 }
--- /dev/null
+++ b/src/fwd/fwd_log.c
@@ -0,0 +1,203 @@
+/* Log lines and metrics of the forwarder.  */
+
+#include "fwd/fwd_log.h"
+
+#include "base/log.h"
+#include "met/met.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static clk_time
+now_of (const struct fwd_call *call)
+{
+  return evl_now (call->forwarder->parts.loop);
+}
+
+static const char *
+name_of (const struct fwd_call *call, dir_handle peer)
+{
+  const struct mbr_member *member
+      = dir_get (call->forwarder->parts.directory, peer);
+
+  return member != NULL ? member->name : "(gone)";
+}
+
+/* Counts an event of a service, with one more label unless it is null.  The
+   series is looked up by name, as documents bring services and take them
+   away.  */
+static void
+count (const struct fwd_call *call, const char *name, const char *label,
+       const char *value)
+{
+  const char *service = call->service != NULL ? call->service : "";
+  char labels[192];
+
+  if (label == NULL)
+    snprintf (labels, sizeof labels, "service=\"%s\"", service);
+  else
+    snprintf (labels, sizeof labels, "service=\"%s\",%s=\"%s\"", service,
+              label, value);
+  met_add (met_counter (name, labels), 1);
+}
+
+static void
+add_call_fields (struct log_entry *entry, const struct fwd_call *call)
+{
+  log_text (entry, "service", call->service);
+  log_number (entry, "sent_with",
+              call->snapshot != NULL ? (int64_t)call->snapshot->stamp.version
+                                     : 0);
+  log_ms (entry, "elapsed_ms", now_of (call) - call->arrival);
+}
+
+void
+fwd_log_placed (const struct fwd_call *call, dir_handle peer,
+                clk_time max_wait)
+{
+  struct fwd *forwarder = call->forwarder;
+  const struct mbr_member *member = dir_get (forwarder->parts.directory, peer);
+  struct plc_load load
+      = fwd_peer_load (forwarder, peer, call->kind, member->slots);
+  struct log_entry entry;
+
+  if (!log_begin (&entry, LOG_INFO, "fwd", "placed", call->id))
+    return;
+  add_call_fields (&entry, call);
+  log_text (&entry, "route", call->route->path);
+  log_text (&entry, "to", member->name);
+  log_number (&entry, "running", load.running);
+  log_number (&entry, "slots", load.slots);
+  log_ms (&entry, "wait_ms", plc_expect_wait (&load, now_of (call)));
+  log_ms (&entry, "max_wait_ms", max_wait);
+  if (load.heard != 0)
+    log_ms (&entry, "news_age_ms", now_of (call) - load.heard);
+  log_ms (&entry, "left_ms", call->deadline - now_of (call));
+  log_end (&entry);
+}
+
+void
+fwd_log_bounced (const struct fwd_call *call, dir_handle peer,
+                 enum gat_refusal refusal)
+{
+  struct log_entry entry;
+
+  count (call, "calls_bounced_total", "reason", gat_refusal_name (refusal));
+  if (!log_begin (&entry, LOG_INFO, "fwd", "bounced", call->id))
+    return;
+  add_call_fields (&entry, call);
+  log_text (&entry, "from", name_of (call, peer));
+  log_text (&entry, "reason", gat_refusal_name (refusal));
+  log_number (&entry, "bounces", call->bounces);
+  log_end (&entry);
+}
+
+void
+fwd_log_lost (const struct fwd_call *call, dir_handle peer, const char *reason)
+{
+  struct log_entry entry;
+
+  count (call, "calls_lost_total", NULL, NULL);
+  if (!log_begin (&entry, LOG_WARNING, "fwd", "answer lost", call->id))
+    return;
+  add_call_fields (&entry, call);
+  log_text (&entry, "from", name_of (call, peer));
+  log_text (&entry, "reason", reason);
+  log_end (&entry);
+}
+
+void
+fwd_log_repeated (const struct fwd_call *call)
+{
+  struct log_entry entry;
+
+  count (call, "calls_repeated_total", NULL, NULL);
+  if (!log_begin (&entry, LOG_INFO, "fwd", "repeated", call->id))
+    return;
+  add_call_fields (&entry, call);
+  log_number (&entry, "upstreams", call->runs);
+  log_end (&entry);
+}
+
+void
+fwd_log_denied (const struct fwd_call *call, enum fwd_denial denial)
+{
+  static const char *const names[]
+      = { "the call may have run", "no more upstreams for this route",
+          "the budget of repeats is spent" };
+  struct log_entry entry;
+
+  count (call, "repeats_denied_total", NULL, NULL);
+  if (!log_begin (&entry, LOG_WARNING, "fwd", "repeat denied", call->id))
+    return;
+  add_call_fields (&entry, call);
+  log_text (&entry, "reason", names[denial]);
+  log_number (&entry, "upstreams", call->runs);
+  log_end (&entry);
+}
+
+void
+fwd_log_answered (const struct fwd_call *call, unsigned status)
+{
+  clk_time elapsed = now_of (call) - call->arrival;
+  struct log_entry entry;
+  char labels[96];
+  char text[16];
+
+  snprintf (text, sizeof text, "%u", status);
+  count (call, "calls_answered_total", "status", text);
+  snprintf (labels, sizeof labels, "service=\"%s\"", call->service);
+  hst_record (met_histogram ("call_seconds", labels), (uint64_t)elapsed);
+  if (!log_begin (&entry, status >= 500 ? LOG_WARNING : LOG_INFO, "fwd",
+                  status >= 500 ? "answered by a failure" : "answered",
+                  call->id))
+    return;
+  add_call_fields (&entry, call);
+  log_number (&entry, "status", status);
+  log_text (&entry, "from", name_of (call, call->peer));
+  log_text (&entry, "on_time", now_of (call) <= call->target ? "yes" : "no");
+  log_end (&entry);
+}
+
+void
+fwd_log_failed (const struct fwd_call *call, unsigned status,
+                const char *reason, clk_time retry_after)
+{
+  struct log_entry entry;
+  char text[16];
+
+  snprintf (text, sizeof text, "%u", status);
+  count (call, "calls_failed_total", "status", text);
+  if (!log_begin (&entry, LOG_WARNING, "fwd",
+                  status == 503 ? "refused" : "failed", call->id))
+    return;
+  add_call_fields (&entry, call);
+  log_number (&entry, "status", status);
+  log_text (&entry, "reason", reason);
+  log_text (&entry, "target",
+            call->route == NULL ? htp_target (&call->message) : NULL);
+  if (call->number != 0)
+    log_text (&entry, "waits_for", name_of (call, call->peer));
+  log_text (&entry, "may_have_run", call->may_have_run ? "yes" : "no");
+  log_number (&entry, "upstreams", call->runs);
+  log_number (&entry, "bounces", call->bounces);
+  log_number (&entry, "nodes",
+              (int64_t)dir_alive_count (call->forwarder->parts.directory));
+  if (retry_after > 0)
+    log_ms (&entry, "retry_after_ms", retry_after);
+  log_end (&entry);
+}
+
+void
+fwd_log_gone (const struct fwd_call *call)
+{
+  struct log_entry entry;
+
+  count (call, "callers_gone_total", NULL, NULL);
+  if (!log_begin (&entry, LOG_INFO, "fwd", "caller left", call->id))
+    return;
+  add_call_fields (&entry, call);
+  if (call->number != 0)
+    log_text (&entry, "cancelled_at", name_of (call, call->peer));
+  log_end (&entry);
+}
--- /dev/null
+++ b/src/fwd/fwd_log.h
@@ -0,0 +1,40 @@
+/* Log lines and metrics of the forwarder: one line a decision, with what
+   decided it.  Used inside this module.  */
+
+#ifndef MULBERRYSHIFT_FWD_FWD_LOG_H
+#define MULBERRYSHIFT_FWD_FWD_LOG_H
+
+#include "fwd/fwd_internal.h"
+
+/* Why a call is not sent again.  */
+enum fwd_denial
+{
+  FWD_KIND,     /* it may have run, and must not run twice */
+  FWD_ATTEMPTS, /* its route allows no more upstreams */
+  FWD_BUDGET    /* the budget of repeats is spent */
+};
+
+/* The call goes to PEER, where it may wait MAX_WAIT.  */
+void fwd_log_placed (const struct fwd_call *call, dir_handle peer,
+                     clk_time max_wait);
+
+/* PEER's gate did not run the call.  */
+void fwd_log_bounced (const struct fwd_call *call, dir_handle peer,
+                      enum gat_refusal refusal);
+
+/* PEER's answer will not come.  */
+void fwd_log_lost (const struct fwd_call *call, dir_handle peer,
+                   const char *reason);
+
+/* The call is sent again, or not.  */
+void fwd_log_repeated (const struct fwd_call *call);
+void fwd_log_denied (const struct fwd_call *call, enum fwd_denial denial);
+
+/* The caller got an upstream's answer, or one of this node's own, or has
+   left.  */
+void fwd_log_answered (const struct fwd_call *call, unsigned status);
+void fwd_log_failed (const struct fwd_call *call, unsigned status,
+                     const char *reason, clk_time retry_after);
+void fwd_log_gone (const struct fwd_call *call);
+
+#endif
--- a/src/fwd/fwd_place.c
+++ b/src/fwd/fwd_place.c
@@ -1,7 +1,6 @@
 /* Placement of a call on a node with an upstream of its service.  */
 
-#include "base/log.h"
-#include "fwd/fwd_internal.h"
+#include "fwd/fwd_log.h"
 
 #include <string.h>
 
@@ -107,7 +106,7 @@
       }
   if (retry < SHORTEST_RETRY)
     retry = SHORTEST_RETRY;
-  fwd_fail (call, 503, "not run: no upstream has room\n", retry);
+  fwd_fail (call, 503, "not run: no upstream has room", retry);
 }
 
 /* Gives up a call that cannot be sent to another upstream.  */
@@ -115,7 +114,7 @@
 give_up (struct fwd_call *call, const struct field *field, clk_time now)
 {
   if (call->may_have_run)
-    fwd_fail (call, 502, "the upstream's answer was lost\n", 0);
+    fwd_fail (call, 502, "the upstream's answer was lost", 0);
   else
     refuse (call, field, now);
 }
@@ -166,11 +165,16 @@
   struct field field;
 
   forwarder->parts.budget.nodes = dir_alive_count (forwarder->parts.directory);
-  if ((!call->may_have_run || call->route->call_class == DOC_REPEATABLE)
-      && call->runs < max_runs (call)
-      && bud_take (forwarder->budget, call->service, &forwarder->parts.budget,
-                   now))
+  if (call->may_have_run && call->route->call_class != DOC_REPEATABLE)
+    fwd_log_denied (call, FWD_KIND);
+  else if (call->runs >= max_runs (call))
+    fwd_log_denied (call, FWD_ATTEMPTS);
+  else if (!bud_take (forwarder->budget, call->service,
+                      &forwarder->parts.budget, now))
+    fwd_log_denied (call, FWD_BUDGET);
+  else
     {
+      fwd_log_repeated (call);
       fwd_place (call);
       return;
     }
@@ -184,6 +188,7 @@
 {
   bool busy = refusal == GAT_BUSY || refusal == GAT_TOO_LATE;
 
+  fwd_log_bounced (call, peer, refusal);
   if (!busy || call->bounces > MAX_BOUNCES)
     fwd_exclude (call, peer);
   if (busy)
--- a/src/fwd/fwd_reply.c
+++ b/src/fwd/fwd_reply.c
@@ -1,7 +1,7 @@
 /* What follows a try: answers from gates, and their absence.  */
 
 #include "base/mem.h"
-#include "fwd/fwd_internal.h"
+#include "fwd/fwd_log.h"
 
 #include <string.h>
 
@@ -18,8 +18,9 @@
 
 /* The call may have run, and its answer will not come.  */
 static void
-take_unknown (struct fwd_call *call, dir_handle peer)
+take_unknown (struct fwd_call *call, dir_handle peer, const char *reason)
 {
+  fwd_log_lost (call, peer, reason);
   fwd_exclude (call, peer);
   call->runs++;
   call->may_have_run = true;
@@ -35,7 +36,7 @@
   else if (answer->outcome == OUT_NOT_RUN)
     fwd_take_refusal (call, call->peer, (enum gat_refusal)answer->refusal);
   else
-    take_unknown (call, call->peer);
+    take_unknown (call, call->peer, answer->reason);
 }
 
 /* Adds a part to an answer that came in several frames.  */
@@ -99,7 +100,7 @@
       if (call->number != 0 && call->link == link && call->peer == peer)
         {
           call->number = 0;
-          take_unknown (call, peer);
+          take_unknown (call, peer, "the link to its node was lost");
         }
       call = next;
     }
--- a/src/fwd/fwd_send.c
+++ b/src/fwd/fwd_send.c
@@ -1,6 +1,6 @@
 /* Sends calls to gates.  */
 
-#include "fwd/fwd_internal.h"
+#include "fwd/fwd_log.h"
 
 #include <stdio.h>
 #include <strings.h>
@@ -106,6 +106,7 @@
   if (forwarder->next_number == 0)
     forwarder->next_number = 1;
   call->peer = peer;
+  fwd_log_placed (call, peer, max_wait);
   fwd_peer (forwarder, peer)->sent++;
   if (message.more)
     send_parts (call, &id);
--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -4,7 +4,7 @@
 
 #include "base/log.h"
 #include "base/mem.h"
-#include "gat/gat_internal.h"
+#include "gat/gat_log.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -219,6 +219,7 @@
       return;
     }
   call->state = GAT_WAITING;
+  gat_log_queued (call, wait);
   plan_expiry (gate);
 }
 
--- /dev/null
+++ b/src/gat/gat_log.c
@@ -0,0 +1,111 @@
+/* Log lines and metrics of the gate.  */
+
+#include "gat/gat_log.h"
+
+#include "base/log.h"
+#include "met/met.h"
+
+#include <stdio.h>
+
+static clk_time
+now_of (const struct gat_call *call)
+{
+  return evl_now (call->gate->loop);
+}
+
+static void
+add_load (struct log_entry *entry, const struct gat_call *call)
+{
+  const struct gat *gate = call->gate;
+
+  log_text (entry, "service", call->frame->call->service);
+  log_text (entry, "upstream", gate->registration->upstream.name);
+  log_number (entry, "running", gate->running);
+  log_number (entry, "waiting", (int64_t)gate->queue.count);
+  log_number (entry, "slots", gate->registration->upstream.slots);
+}
+
+void
+gat_log_queued (const struct gat_call *call, clk_time wait)
+{
+  struct log_entry entry;
+
+  met_add (met_counter ("gate_queued_total", ""), 1);
+  if (!log_begin (&entry, LOG_INFO, "gat", "queued", call->id))
+    return;
+  add_load (&entry, call);
+  log_ms (&entry, "wait_ms", wait);
+  log_number (&entry, "priority", call->frame->call->priority);
+  log_ms (&entry, "left_ms", call->deadline - now_of (call));
+  log_end (&entry);
+}
+
+void
+gat_log_started (const struct gat_call *call)
+{
+  struct log_entry entry;
+
+  met_add (met_counter ("gate_started_total", ""), 1);
+  hst_record (met_histogram ("gate_wait_seconds", ""),
+              (uint64_t)(now_of (call) - call->arrival));
+  if (!log_begin (&entry, LOG_INFO, "gat", "started", call->id))
+    return;
+  add_load (&entry, call);
+  log_ms (&entry, "waited_ms", now_of (call) - call->arrival);
+  log_text (&entry, "repeat", call->frame->call->repeat ? "yes" : "no");
+  log_end (&entry);
+}
+
+void
+gat_log_ended (const struct gat_call *call, unsigned status)
+{
+  clk_time elapsed = now_of (call) - call->started;
+  struct log_entry entry;
+  char labels[32];
+
+  snprintf (labels, sizeof labels, "status=\"%u\"", status);
+  met_add (met_counter ("gate_ended_total", labels), 1);
+  hst_record (met_histogram ("gate_slot_seconds", ""), (uint64_t)elapsed);
+  if (!log_begin (&entry, status >= 500 ? LOG_WARNING : LOG_INFO, "gat",
+                  status >= 500 ? "failed by the upstream" : "ended",
+                  call->id))
+    return;
+  add_load (&entry, call);
+  log_number (&entry, "status", status);
+  log_ms (&entry, "slot_ms", elapsed);
+  log_end (&entry);
+}
+
+void
+gat_log_refused (const struct gat_call *call, enum gat_refusal refusal)
+{
+  struct log_entry entry;
+  char labels[48];
+
+  snprintf (labels, sizeof labels, "reason=\"%s\"",
+            gat_refusal_name (refusal));
+  met_add (met_counter ("gate_refused_total", labels), 1);
+  if (!log_begin (&entry, LOG_INFO, "gat", "not run", call->id))
+    return;
+  add_load (&entry, call);
+  log_text (&entry, "reason", gat_refusal_name (refusal));
+  log_ms (&entry, "wait_ms", gat_expect_wait (call));
+  log_ms (&entry, "max_wait_ms",
+          (clk_time)call->frame->call->max_wait_us * CLK_MICROSECOND);
+  log_ms (&entry, "left_ms", call->deadline - now_of (call));
+  log_end (&entry);
+}
+
+void
+gat_log_unknown (const struct gat_call *call, const char *reason)
+{
+  struct log_entry entry;
+
+  met_add (met_counter ("gate_lost_total", ""), 1);
+  if (!log_begin (&entry, LOG_WARNING, "gat", "answer lost", call->id))
+    return;
+  add_load (&entry, call);
+  log_text (&entry, "reason", reason);
+  log_ms (&entry, "slot_ms", now_of (call) - call->started);
+  log_end (&entry);
+}
--- a/src/gat/gat_run.c
+++ b/src/gat/gat_run.c
@@ -2,7 +2,7 @@
 
 #include "base/err.h"
 #include "base/log.h"
-#include "gat/gat_internal.h"
+#include "gat/gat_log.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -92,6 +92,7 @@
       gate->running--;
       call->state = GAT_RECEIVING;
     }
+  gat_log_refused (call, refusal);
   answer.outcome = OUT_NOT_RUN;
   answer.refusal = refusal;
   send_answer (call, &answer, NULL);
@@ -109,6 +110,7 @@
       gate->running--;
       call->state = GAT_RECEIVING;
     }
+  gat_log_unknown (call, reason);
   answer.outcome = OUT_UNKNOWN;
   answer.reason = (char *)reason;
   send_answer (call, &answer, NULL);
@@ -137,6 +139,7 @@
       header->value = (char *)htp_value (response, i);
       pointers[answer.n_headers++] = header;
     }
+  gat_log_ended (call, response->status);
   gate->running--;
   call->state = GAT_RECEIVING;
   send_answer (call, &answer, &response->body);
@@ -350,6 +353,7 @@
   call->state = GAT_RUNNING;
   call->started = evl_now (gate->loop);
   gate->running++;
+  gat_log_started (call);
   call->connection = take_connection (gate);
   cnx_set_data (call->connection, call);
   output = cnx_request (call->connection);
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -12,8 +12,10 @@
 #include <jansson.h>
 
 #include <algorithm>
+#include <csignal>
 #include <string>
 #include <thread>
+#include <unistd.h>
 
 /* Guards against a long message that is not terminated.  */
 TEST (Err, TruncatesLongMessages)
@@ -124,13 +126,13 @@
   json_t *line;
   std::string text;
 
-  testing::internal::CaptureStderr ();
+  testing::internal::CaptureStdout ();
   ASSERT_EQ (log_init ("n1", "dc-a", LOG_INFO), 0);
   log_set_version (7);
   log_write (LOG_INFO, "test", "a \"quoted\" %s", "text\n");
   log_write (LOG_DEBUG, "test", "below the level");
   log_close ();
-  text = testing::internal::GetCapturedStderr ();
+  text = testing::internal::GetCapturedStdout ();
   line = json_loads (text.c_str (), 0, &error);
   ASSERT_NE (line, nullptr) << text;
   EXPECT_STREQ (json_string_value (json_object_get (line, "message")),
@@ -140,16 +142,104 @@
   json_decref (line);
 }
 
+/* Guards against lines that a JSON parser refuses because of what a caller
+   sent, and against fields that are lost.  */
+TEST (Log, WritesFieldsOfAnyBytes)
+{
+  struct log_entry entry;
+  std::string text;
+
+  testing::internal::CaptureStdout ();
+  ASSERT_EQ (log_init ("n1", "dc-a", LOG_INFO), 0);
+  ASSERT_TRUE (log_begin (&entry, LOG_INFO, "test", "placed",
+                          "a\"b\\\x01\xff\xc3\xa4"));
+  log_text (&entry, "none", nullptr);
+  log_text (&entry, "long", std::string (5000, '\x02').c_str ());
+  log_number (&entry, "count", -5);
+  log_ms (&entry, "wait_ms", 2500000);
+  log_end (&entry);
+  log_close ();
+  text = testing::internal::GetCapturedStdout ();
+  json_t *line = json_loads (text.c_str (), 0, nullptr);
+  ASSERT_NE (line, nullptr) << text;
+  EXPECT_STREQ (json_string_value (json_object_get (line, "call")),
+                "a\"b\\\x01\xc3\xbf\xc3\xa4");
+  EXPECT_STREQ (json_string_value (json_object_get (line, "event")), "placed");
+  json_decref (line);
+  EXPECT_LE (text.size (), (size_t)LOG_LINE_SIZE);
+}
+
+/* Guards against a process that waits for the reader of its log, and against
+   one that does not end because of it.  */
+TEST (Log, NeverWaitsForItsReader)
+{
+  int ends[2];
+  int saved = dup (STDOUT_FILENO);
+  struct log_entry entry;
+  clk_time start;
+
+  signal (SIGPIPE, SIG_IGN);
+  fflush (stdout);
+  ASSERT_EQ (pipe (ends), 0);
+  dup2 (ends[1], STDOUT_FILENO);
+  ASSERT_EQ (log_init ("n1", "dc-a", LOG_INFO), 0);
+  start = clk_now ();
+  for (int i = 0; i < 5000; i++)
+    {
+      static const char *const names[] = { "a", "b", "c", "d", "e", "f" };
+
+      if (log_begin (&entry, LOG_WARNING, "test", names[i % 6], "id"))
+        {
+          log_text (&entry, "filler", std::string (1200, 'x').c_str ());
+          log_end (&entry);
+        }
+    }
+  EXPECT_LT (clk_now () - start, CLK_SECOND);
+  start = clk_now ();
+  log_close ();
+  EXPECT_LT (clk_now () - start, CLK_SECOND);
+  dup2 (saved, STDOUT_FILENO);
+  close (ends[0]);
+  close (ends[1]);
+  close (saved);
+}
+
+/* Guards against a log that grows with the load, and against lines about
+   failed requests that are left out for those about good ones.  */
+TEST (Log, BoundsTheLinesOfAnEvent)
+{
+  struct log_entry entry;
+  int good = 0;
+  int failed = 0;
+
+  testing::internal::CaptureStdout ();
+  ASSERT_EQ (log_init ("n1", "dc-a", LOG_INFO), 0);
+  for (int i = 0; i < 10000; i++)
+    {
+      std::string id = std::to_string (i);
+
+      if (log_begin (&entry, LOG_INFO, "test", "good", id.c_str ()))
+        good++;
+      if (log_begin (&entry, LOG_WARNING, "test", "failed", id.c_str ()))
+        failed++;
+    }
+  log_close ();
+  testing::internal::GetCapturedStdout ();
+  EXPECT_LE (good, 100);
+  EXPECT_GE (failed, 2 * good);
+  EXPECT_LE (failed, 500);
+}
+
 /* Guards against a log that a repeated fault fills.  */
 TEST (Log, DropsRepeatsBeyondTheLimit)
 {
   std::string text;
 
-  testing::internal::CaptureStderr ();
+  testing::internal::CaptureStdout ();
   ASSERT_EQ (log_init ("n1", "dc-a", LOG_INFO), 0);
   for (int i = 0; i < 1000; i++)
     log_write (LOG_INFO, "test", "repeat %d", i);
   log_close ();
-  text = testing::internal::GetCapturedStderr ();
+  text = testing::internal::GetCapturedStdout ();
   EXPECT_LE (std::count (text.begin (), text.end (), '\n'), 30);
 }
