Refuse late calls that would starve; count a backlog as cost

Near gates with long queues went on getting calls, since a call on time goes before what waits.

Change: a gate measures the share of slots that late calls get and expects their wait accordingly; placement counts the time by which a call makes others wait.

--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -28,6 +28,7 @@
 struct fwd_peer
 {
   uint32_t running;
+  uint32_t waiting;
   uint32_t slots;
   clk_time slot; /* mean time of any call in a slot, ns; 0: unknown */
   double failed;
--- a/src/fwd/fwd_peer.c
+++ b/src/fwd/fwd_peer.c
@@ -49,6 +49,7 @@
   struct fwd_kind *kind;
 
   known->running = load->running;
+  known->waiting = load->waiting;
   known->slots = load->slots;
   known->slot = (clk_time)load->slot_us * CLK_MICROSECOND;
   known->failed = load->failed_permille / 1000.;
@@ -74,6 +75,8 @@
   load.slots = known->slots;
   load.slot = known->slot;
   load.failed = known->failed;
+  if (known->slots > 0)
+    load.backlog = known->slot * known->waiting / known->slots;
   load.heard = known->heard;
   if (kind != NULL)
     {
--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -14,6 +14,11 @@
    most servers keep one for longer.  */
 #define DEFAULT_KEEP_TIME (4 * CLK_SECOND)
 
+/* Weight of the newest slot in the share that late calls get, and the smallest
+   share that is reckoned with.  */
+#define LATE_WEIGHT 16.
+#define LEAST_LATE_SHARE 0.02
+
 static void on_expiry (void *context);
 
 struct gat *
@@ -27,6 +32,7 @@
   gate->registration = registration;
   gate->hooks = *hooks;
   gate->keep_time = DEFAULT_KEEP_TIME;
+  gate->late_share = 1;
   evl_timer_init (&gate->expiry, loop, on_expiry, gate);
   return gate;
 }
@@ -107,6 +113,23 @@
   return GAT_NONE;
 }
 
+/* Takes the next call from the queue and notes whether late calls get slots
+   at all.  */
+static struct gat_call *
+take_waiting (struct gat *gate)
+{
+  clk_time now = evl_now (gate->loop);
+  size_t late = que_late_count (&gate->queue, now);
+  struct gat_call *call = que_pop (&gate->queue, now);
+  double took_late;
+
+  if (late == 0 || call == NULL)
+    return call;
+  took_late = que_late_count (&gate->queue, now) < late ? 1. : 0.;
+  gate->late_share += (took_late - gate->late_share) / LATE_WEIGHT;
+  return call;
+}
+
 void
 gat_next (struct gat *gate)
 {
@@ -115,7 +138,7 @@
   while (registration->state == REG_READY
          && gate->running < registration->upstream.slots)
     {
-      struct gat_call *call = que_pop (&gate->queue, evl_now (gate->loop));
+      struct gat_call *call = take_waiting (gate);
 
       if (call == NULL)
         break;
@@ -168,12 +191,19 @@
   struct gat *gate = call->gate;
   uint32_t slots = gate->registration->upstream.slots;
   struct que_item item = make_item ((struct gat_call *)call);
-  size_t ahead;
+  clk_time now = evl_now (gate->loop);
+  clk_time wait;
 
   if (gate->running < slots || slots == 0)
     return 0;
-  ahead = que_ahead (&gate->queue, &item, evl_now (gate->loop));
-  return gate->slot * (clk_time)(ahead + 1) / slots;
+  wait = gate->slot * (clk_time)(que_ahead (&gate->queue, &item, now) + 1)
+         / slots;
+  if (que_can_be_on_time (&item, now + wait))
+    return wait;
+  return (clk_time)((double)wait
+                    / (gate->late_share > LEAST_LATE_SHARE
+                           ? gate->late_share
+                           : LEAST_LATE_SHARE));
 }
 
 static void
--- a/src/plc/plc.c
+++ b/src/plc/plc.c
@@ -42,18 +42,24 @@
   struct rnd *random;
 };
 
+/* Returns what is left of a time that was heard a while ago.  */
+static clk_time
+fade (clk_time heard, clk_time age)
+{
+  for (; age >= WAIT_HALF_LIFE && heard > 0; age -= WAIT_HALF_LIFE)
+    heard /= 2;
+  return heard;
+}
+
 clk_time
 plc_expect_wait (const struct plc_load *load, clk_time now)
 {
-  clk_time wait = load->wait;
+  clk_time wait = fade (load->wait, now - load->heard);
   uint32_t free
       = load->slots > load->running ? load->slots - load->running : 0;
 
   if (load->slots == 0)
     return CLK_NEVER / 4;
-  for (clk_time age = now - load->heard; age >= WAIT_HALF_LIFE && wait > 0;
-       age -= WAIT_HALF_LIFE)
-    wait /= 2;
   if (load->sent >= free)
     wait += load->slot * (clk_time)(load->sent - free) / load->slots;
   return wait;
@@ -95,6 +101,17 @@
          + service_of (&candidate->load, search);
 }
 
+/* Returns how much longer than the call itself others would wait: a call that
+   goes before those that wait makes one of them late or lost.  */
+static clk_time
+displaced_time (const struct plc_load *load, const struct search *search)
+{
+  clk_time backlog = fade (load->backlog, search->now - load->heard);
+  clk_time wait = plc_expect_wait (load, search->now);
+
+  return backlog > wait ? backlog - wait : 0;
+}
+
 static double
 cost_of (const struct plc_candidate *candidate, const struct search *search)
 {
@@ -102,7 +119,8 @@
   double target = (double)search->call->target;
   double service = (double)service_of (load, search);
   double busy = (double)(load->running + load->sent) / load->slots;
-  double cost = (double)expect_end (candidate, search);
+  double cost = (double)expect_end (candidate, search)
+                + (double)displaced_time (load, search);
   double late = cost - SAFE_PART * target;
 
   if (late > 0)
--- a/src/plc/plc.h
+++ b/src/plc/plc.h
@@ -44,6 +44,7 @@
     clk_time slot;    /* mean time of any call in a slot; 0: unknown */
     clk_time service; /* mean time of a call of this kind; 0: unknown */
     clk_time wait;    /* expected wait of a call of this kind */
+    clk_time backlog; /* time in which all calls that wait would have run */
     clk_time heard;   /* when this was told; 0: never */
     uint32_t sent;    /* calls sent there since */
     double failed;    /* recent share of calls that the upstream failed */
--- a/src/que/que.c
+++ b/src/que/que.c
@@ -4,8 +4,8 @@
 
 #include <string.h>
 
-static bool
-can_be_on_time (const struct que_item *item, clk_time now)
+bool
+que_can_be_on_time (const struct que_item *item, clk_time now)
 {
   return now + item->service <= item->target;
 }
@@ -15,8 +15,8 @@
 is_before (const struct que_item *left, const struct que_item *right,
            clk_time now)
 {
-  bool left_on_time = can_be_on_time (left, now);
-  bool right_on_time = can_be_on_time (right, now);
+  bool left_on_time = que_can_be_on_time (left, now);
+  bool right_on_time = que_can_be_on_time (right, now);
 
   if (left_on_time != right_on_time)
     return left_on_time;
@@ -92,6 +92,17 @@
   return ahead;
 }
 
+size_t
+que_late_count (const struct que *queue, clk_time now)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < queue->count; i++)
+    if (!que_can_be_on_time (&queue->items[i], now))
+      count++;
+  return count;
+}
+
 clk_time
 que_wake (const struct que *queue)
 {
--- a/src/que/que.h
+++ b/src/que/que.h
@@ -59,6 +59,12 @@
   size_t que_ahead (const struct que *queue, const struct que_item *item,
                     clk_time now);
 
+  /* Returns how many waiting calls cannot be on time any more.  */
+  size_t que_late_count (const struct que *queue, clk_time now);
+
+  /* Returns whether a call can still be on time.  */
+  bool que_can_be_on_time (const struct que_item *item, clk_time now);
+
   /* Returns when que_expire will next find a call, CLK_NEVER when none
      waits.  */
   clk_time que_wake (const struct que *queue);
--- a/tests/plc_test.cc
+++ b/tests/plc_test.cc
@@ -15,7 +15,8 @@
 {
   struct plc_candidate candidate = {};
 
-  candidate.load = { running, 6, 60 * ms, 60 * ms, wait, CLK_SECOND, 0, 0. };
+  candidate.load
+      = { running, 6, 60 * ms, 60 * ms, wait, wait, CLK_SECOND, 0, 0. };
   candidate.locality = locality;
   candidate.usable = true;
   candidate.round_trip = locality == PLC_OTHER_REGION ? 16 * ms : ms;
@@ -127,7 +128,8 @@
    and less.  */
 TEST_F (Placement, OldWaitsFade)
 {
-  struct plc_load load = { 6, 6, 60 * ms, 60 * ms, 400 * ms, 0, 0, 0. };
+  struct plc_load load
+      = { 6, 6, 60 * ms, 60 * ms, 400 * ms, 400 * ms, 0, 0, 0. };
 
   EXPECT_EQ (plc_expect_wait (&load, 0), 400 * ms);
   EXPECT_LT (plc_expect_wait (&load, 2 * CLK_SECOND), 10 * ms);
--- a/tests/support/load_sim.cc
+++ b/tests/support/load_sim.cc
@@ -4,6 +4,7 @@
 
 #include "que/que.h"
 
+#include <algorithm>
 #include <cmath>
 #include <functional>
 #include <memory>
@@ -38,6 +39,7 @@
   double speed;
   uint32_t running = 0;
   clk_time slot = 0;
+  double late_share = 1;
   struct que queue = {};
 };
 
@@ -198,8 +200,13 @@
   {
     if (gate.running < load.slots)
       return 0;
-    return gate.slot * (clk_time)(que_ahead (&gate.queue, &item, now) + 1)
-           / load.slots;
+    clk_time wait = gate.slot
+                    * (clk_time)(que_ahead (&gate.queue, &item, now) + 1)
+                    / load.slots;
+
+    if (que_can_be_on_time (&item, now + wait))
+      return wait;
+    return (clk_time)((double)wait / std::max (gate.late_share, 0.02));
   }
 
   void
@@ -257,7 +264,13 @@
         answer (*static_cast<std::shared_ptr<call> *> (next), index, false);
         drop (next);
       }
+    size_t late = que_late_count (&gate.queue, now);
+
     next = que_pop (&gate.queue, now);
+    if (late > 0)
+      gate.late_share
+          += ((que_late_count (&gate.queue, now) < late) - gate.late_share)
+             / 16;
     if (next != nullptr)
       {
         run (*static_cast<std::shared_ptr<call> *> (next), index);
@@ -271,14 +284,16 @@
   {
     server &gate = *servers[index];
     struct que_item entry = make_item (item);
-    struct plc_load told = { gate.running,
-                             load.slots,
-                             gate.slot,
-                             gate.slot,
-                             expect_wait (gate, entry),
-                             0,
-                             0,
-                             0. };
+    struct plc_load told
+        = { gate.running,
+            load.slots,
+            gate.slot,
+            gate.slot,
+            expect_wait (gate, entry),
+            gate.slot * (clk_time)gate.queue.count / load.slots,
+            0,
+            0,
+            0. };
 
     drop (entry.call);
     at (now + one_way[locality (item->node, index)],
