Remove records of nodes that are gone without a word

Change: a node that has not reached another for 8 s tells the nodes that watch the store; one of these that cannot reach it either removes the record and spreads that it is dead. A node that cannot reach half of the others takes itself for cut off and removes nothing. Connects fail after 200 ms.

Test: ForgetANodeThatIsGoneWithoutAWord.

--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -256,6 +256,24 @@
   return hub->peers[peer].health;
 }
 
+clk_time
+hub_lost_since (const struct hub *hub, dir_handle peer)
+{
+  if (hub_health (hub, peer) == HUB_HEALTHY)
+    return CLK_NEVER;
+  return hub->peers[peer].lost;
+}
+
+void
+hub_probe (struct hub *hub, dir_handle peer)
+{
+  if (peer == hub->self || hub_peer (hub, peer)->link != NULL
+      || !hub_can_send (hub, peer))
+    return;
+  hub_open_link (hub, peer);
+  hub_start_check (hub);
+}
+
 clk_time
 hub_round_trip (const struct hub *hub, dir_handle peer)
 {
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -99,6 +99,12 @@
   /* Returns the health of PEER.  */
   enum hub_health hub_health (const struct hub *hub, dir_handle peer);
 
+  /* Returns since when PEER has not been healthy, CLK_NEVER when it is.  */
+  clk_time hub_lost_since (const struct hub *hub, dir_handle peer);
+
+  /* Tries to reach PEER when there is no link to it.  */
+  void hub_probe (struct hub *hub, dir_handle peer);
+
   /* Returns the last round trip of a ping to PEER in ns, 0 before one.  */
   clk_time hub_round_trip (const struct hub *hub, dir_handle peer);
 
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -35,6 +35,7 @@
   enum hub_health health;
   clk_time retry;    /* when a lost peer may be tried again */
   unsigned failures; /* in a row */
+  clk_time lost;     /* since when it is not healthy */
   clk_time round_trip;
   bool watched;
 };
--- a/src/hub/hub_link.c
+++ b/src/hub/hub_link.c
@@ -26,7 +26,7 @@
 
 /* A connect that takes longer has failed: the next packet of an unanswered
    one leaves only after a second.  */
-#define CONNECT_PATIENCE (400 * CLK_MILLISECOND)
+#define CONNECT_PATIENCE (200 * CLK_MILLISECOND)
 
 void
 hub_set_health (struct hub *hub, dir_handle peer, enum hub_health health)
@@ -35,6 +35,8 @@
 
   if (entry->health == health)
     return;
+  if (entry->health == HUB_HEALTHY)
+    entry->lost = evl_now (hub->loop);
   entry->health = health;
   hub->handlers->health (hub->context, peer, health);
 }
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -55,6 +55,7 @@
   bool joined;      /* roles are taken; see sdc_join.c */
   clk_time join_at; /* next step of the join; CLK_NEVER: it waits */
   struct sto_call *config_call; /* reads the configuration after a start */
+  clk_time report_at;           /* when lost nodes are reported again */
   uint64_t confirmed; /* sequence of this node's record that a parent holds */
   struct sdc_ack *acks;
   struct evl_timer tick; /* of the sidecar's own deadlines */
@@ -93,6 +94,21 @@
    news.  */
 bool sdc_take_member (struct sdc *sidecar, const struct mbr_member *record);
 
+/* Another node cannot reach PEER: tries it, and removes its record when it
+   cannot be reached from here either.  */
+void sdc_suspect (struct sdc *sidecar, dir_handle peer);
+
+/* Looks for nodes that have not been reached for a while.  */
+void sdc_check_lost (struct sdc *sidecar, clk_time now);
+
+/* Removes a node's record from the store; REVISION is a condition unless it is
+   0.  */
+void sdc_remove_record (struct sdc *sidecar, const char *name,
+                        uint64_t revision);
+
+/* Takes a node for dead and tells the others.  */
+void sdc_bury_node (struct sdc *sidecar, dir_handle node);
+
 /* Uses the operator's document from the store if it is valid and newer.  */
 void sdc_use_config (struct sdc *sidecar, const json_t *content);
 
--- a/src/sdc/sdc_join.c
+++ b/src/sdc/sdc_join.c
@@ -20,14 +20,17 @@
 #define LIST_PATIENCE (400 * CLK_MILLISECOND)
 
 /* A node without a configuration reads it from the store when no other node
-   has given it one for this long.  */
-#define CONFIG_PATIENCE (600 * CLK_MILLISECOND)
+   has given it one for this long, and for up to as long again: many nodes that
+   start together must not all read it.  */
+#define CONFIG_PATIENCE (900 * CLK_MILLISECOND)
 
 static void
 take_roles (struct sdc *sidecar)
 {
   sidecar->joined = true;
-  sidecar->join_at = evl_now (sidecar->loop) + CONFIG_PATIENCE;
+  sidecar->join_at
+      = evl_now (sidecar->loop) + CONFIG_PATIENCE
+        + (clk_time)(rel_hash (sidecar->record.name) % CONFIG_PATIENCE);
   wch_stop (sidecar->node_watch);
   log_write (LOG_INFO, "sdc", "joined, with %zu nodes known",
              dir_alive_count (sidecar->directory));
@@ -164,6 +167,12 @@
   syn_set_sight (sidecar->sync, REL_UNKNOWN);
 }
 
+static void
+suspect_hook (void *context, dir_handle peer)
+{
+  sdc_suspect (context, peer);
+}
+
 static void
 confirmed_hook (void *context, uint64_t sequence)
 {
@@ -177,8 +186,8 @@
 struct syn_hooks
 sdc_sync_hooks (struct sdc *sidecar)
 {
-  struct syn_hooks hooks
-      = { sidecar, version_hook, member_hook, watch_hook, confirmed_hook };
+  struct syn_hooks hooks = { sidecar,    version_hook, member_hook,
+                             watch_hook, suspect_hook, confirmed_hook };
 
   return hooks;
 }
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -380,6 +380,7 @@
   check_upstream (sidecar, now);
   dir_purge (sidecar->directory, now - DEAD_AGE);
   sdc_check_join (sidecar, now);
+  sdc_check_lost (sidecar, now);
   if (read_settings_time (sidecar->file) != sidecar->settings_time)
     reload (sidecar);
   check_shutdown (sidecar, now);
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -14,9 +14,6 @@
 static const struct srv_limits default_limits
     = { { 16384, 16u * 1024u * 1024u }, 5 * CLK_SECOND, 60 * CLK_SECOND, 0 };
 
-/* A removal, which the store answers in milliseconds, may take this long.  */
-#define REMOVE_PATIENCE CLK_SECOND
-
 /* Part of the memory that one body may take.  */
 #define BODY_SHARE 8
 
@@ -131,6 +128,7 @@
     {
       sidecar->record.incarnation = record->incarnation + 1;
       log_write (LOG_INFO, "sdc", "others took this node for dead");
+      pub_forget (sidecar->publisher);
       sdc_publish_record (sidecar);
     }
   else if (record->incarnation > sidecar->record.incarnation
@@ -168,8 +166,6 @@
   sidecar->listed[node] = true;
 }
 
-static void bury_node (struct sdc *sidecar, dir_handle node);
-
 /* Takes nodes for dead whose address another node, which started later, has
    now.  */
 static void
@@ -184,7 +180,7 @@
       if (other != NULL && i != node
           && net_equal (other->address, record.address)
           && other->incarnation < record.incarnation)
-        bury_node (sidecar, i);
+        sdc_bury_node (sidecar, i);
     }
 }
 
@@ -236,31 +232,6 @@
   return false;
 }
 
-static void
-on_stored_removed (void *context, const struct sto_request *request,
-                   const struct sto_reply *reply)
-{
-  (void)context;
-  (void)request;
-  log_write (LOG_INFO, "sdc", "removing an old record ended: %s",
-             sto_status_name (reply->status));
-}
-
-/* Removes the record of a node that had this node's address before.  */
-static void
-remove_stored (struct sdc *sidecar, const struct sto_object *object)
-{
-  struct sto_request request = { .operation = STO_REMOVE,
-                                 .kind = PUB_KIND,
-                                 .name = object->name,
-                                 .revision = object->revision };
-
-  log_write (LOG_INFO, "sdc", "node %s had this address before", object->name);
-  sto_start (sidecar->store, &request,
-             evl_now (sidecar->loop) + REMOVE_PATIENCE, on_stored_removed,
-             sidecar);
-}
-
 static void
 on_node (void *context, const struct sto_object *object)
 {
@@ -276,7 +247,11 @@
     }
   if (strcmp (record.name, sidecar->record.name) != 0
       && net_equal (record.address, sidecar->record.address))
-    remove_stored (sidecar, object);
+    {
+      log_write (LOG_INFO, "sdc", "node %s had this address before",
+                 record.name);
+      sdc_remove_record (sidecar, record.name, object->revision);
+    }
   else if (strcmp (record.name, sidecar->record.name) != 0)
     {
       if (merge_node (sidecar, &record))
@@ -287,9 +262,8 @@
   take_own_record (sidecar, &record);
 }
 
-/* Takes a node for dead and tells the others.  */
-static void
-bury_node (struct sdc *sidecar, dir_handle node)
+void
+sdc_bury_node (struct sdc *sidecar, dir_handle node)
 {
   const struct mbr_member *known = dir_get (sidecar->directory, node);
   struct mbr_member record;
@@ -310,7 +284,7 @@
   struct sdc *sidecar = context;
 
   if (strcmp (name, sidecar->record.name) != 0)
-    bury_node (sidecar, dir_find (sidecar->directory, name));
+    sdc_bury_node (sidecar, dir_find (sidecar->directory, name));
   else if (sidecar->stop_at == 0)
     pub_forget (sidecar->publisher);
 }
@@ -333,7 +307,7 @@
   for (dir_handle i = 0; i < dir_end (sidecar->directory); i++)
     if ((i >= sidecar->listed_count || !sidecar->listed[i])
         && !hub_is_connected (sidecar->hub, i))
-      bury_node (sidecar, i);
+      sdc_bury_node (sidecar, i);
   sidecar->nodes_known = true;
   pub_set (sidecar->publisher, &sidecar->record);
   if (!sidecar->joined)
--- a/src/sto/sto.c
+++ b/src/sto/sto.c
@@ -207,6 +207,9 @@
 
   call->store = store;
   call->request = *request;
+  call->request.kind = NULL;
+  call->request.name = NULL;
+  call->request.after = NULL;
   call->request.content = NULL;
   call->done = done;
   call->context = context;
--- a/src/sto/sto.h
+++ b/src/sto/sto.h
@@ -34,8 +34,9 @@
   /* Ends all calls without a report and frees the client.  */
   void sto_destroy (struct sto *store);
 
-  /* Starts a call; REQUEST's strings must live until its end, its content only
-     until this returns.  At DEADLINE the call ends as STO_UNKNOWN.  */
+  /* Starts a call; REQUEST's strings and content must live until this returns,
+     and the report has none of them.  At DEADLINE the call ends as
+     STO_UNKNOWN.  */
   struct sto_call *sto_start (struct sto *store,
                               const struct sto_request *request,
                               clk_time deadline, sto_done done, void *context);
--- a/src/syn/syn.c
+++ b/src/syn/syn.c
@@ -452,6 +452,42 @@
   hub_reply (sync->hub, from, &frame);
 }
 
+void
+syn_suspect (struct syn *sync, dir_handle peer)
+{
+  const struct mbr_member *member = dir_get (sync->directory, peer);
+  Mesh__Suspect message = MESH__SUSPECT__INIT;
+  Mesh__Frame frame = MESH__FRAME__INIT;
+  uint64_t link;
+
+  if (sync->watches)
+    {
+      sync->hooks.suspect (sync->hooks.context, peer);
+      return;
+    }
+  message.name = (char *)member->name;
+  message.incarnation = member->incarnation;
+  frame.body_case = MESH__FRAME__BODY_SUSPECT;
+  frame.suspect = &message;
+  for (size_t i = 0; i < REL_PARENTS; i++)
+    if (sync->parents[i] != DIR_NONE && sync->parents[i] != peer)
+      hub_send (sync->hub, sync->parents[i], &frame, 0, &link);
+}
+
+/* Passes a suspicion on towards the watchers, if it is about the start that
+   this node knows too.  */
+static void
+take_suspect (struct syn *sync, const Mesh__Suspect *message)
+{
+  dir_handle peer = dir_find (sync->directory, message->name);
+  const struct mbr_member *member = dir_get (sync->directory, peer);
+
+  if (member != NULL && peer != sync->self
+      && member->incarnation <= message->incarnation
+      && member->state != MBR_DEAD)
+    syn_suspect (sync, peer);
+}
+
 static void
 answer_ping (struct syn *sync, struct hub_origin *origin,
              const Mesh__Ping *ping)
@@ -482,6 +518,9 @@
     case MESH__FRAME__BODY_MEMBERS:
       take_members (sync, frame->members, origin, DIR_NONE);
       return true;
+    case MESH__FRAME__BODY_SUSPECT:
+      take_suspect (sync, frame->suspect);
+      return true;
     case MESH__FRAME__BODY_FETCH_REQUEST:
       syn_answer_fetch (sync, origin, frame->fetch_request);
       return true;
--- a/src/syn/syn.h
+++ b/src/syn/syn.h
@@ -30,6 +30,9 @@
     bool (*member) (void *context, const struct mbr_member *member);
     /* This node starts or stops to watch the platform.  */
     void (*watch) (void *context, bool watches);
+    /* A node says that it cannot reach PEER; called on nodes that watch the
+       platform.  */
+    void (*suspect) (void *context, dir_handle peer);
     /* A parent holds the record that syn_publish sent.  */
     void (*confirmed) (void *context, uint64_t sequence);
   };
@@ -54,6 +57,9 @@
   /* Passes on a record that came from the platform or is this node's own.  */
   void syn_publish (struct syn *sync, const struct mbr_member *member);
 
+  /* Tells the nodes that watch the platform that PEER cannot be reached.  */
+  void syn_suspect (struct syn *sync, dir_handle peer);
+
   /* Removes a subscriber that is gone.  */
   void syn_origin_lost (struct syn *sync, const struct hub_origin *origin);
 
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -1312,6 +1312,51 @@
   assert(message->base.descriptor == &mesh__members__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mesh__suspect__init
+                     (Mesh__Suspect         *message)
+{
+  static const Mesh__Suspect init_value = MESH__SUSPECT__INIT;
+  *message = init_value;
+}
+size_t mesh__suspect__get_packed_size
+                     (const Mesh__Suspect *message)
+{
+  assert(message->base.descriptor == &mesh__suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mesh__suspect__pack
+                     (const Mesh__Suspect *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mesh__suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mesh__suspect__pack_to_buffer
+                     (const Mesh__Suspect *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mesh__suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mesh__Suspect *
+       mesh__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mesh__Suspect *)
+     protobuf_c_message_unpack (&mesh__suspect__descriptor,
+                                allocator, len, data);
+}
+void   mesh__suspect__free_unpacked
+                     (Mesh__Suspect *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mesh__suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mesh__members_ack__init
                      (Mesh__MembersAck         *message)
 {
@@ -4013,6 +4058,57 @@
   (ProtobufCMessageInit) mesh__members__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mesh__suspect__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Suspect, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Suspect, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mesh__suspect__field_indices_by_name[] = {
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange mesh__suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mesh__suspect__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mesh.Suspect",
+  "Suspect",
+  "Mesh__Suspect",
+  "mesh",
+  sizeof(Mesh__Suspect),
+  2,
+  mesh__suspect__field_descriptors,
+  mesh__suspect__field_indices_by_name,
+  1,  mesh__suspect__number_ranges,
+  (ProtobufCMessageInit) mesh__suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mesh__members_ack__field_descriptors[1] =
 {
   {
@@ -4051,7 +4147,7 @@
   (ProtobufCMessageInit) mesh__members_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__frame__field_descriptors[18] =
+static const ProtobufCFieldDescriptor mesh__frame__field_descriptors[19] =
 {
   {
     "hello",
@@ -4269,6 +4365,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspect",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, suspect),
+    &mesh__suspect__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__frame__field_indices_by_name[] = {
   4,   /* field[4] = answer */
@@ -4288,12 +4396,13 @@
   8,   /* field[8] = query_reply */
   1,   /* field[1] = refusal */
   14,   /* field[14] = subscribe */
+  18,   /* field[18] = suspect */
   9,   /* field[9] = window_grant */
 };
 static const ProtobufCIntRange mesh__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor mesh__frame__descriptor =
 {
@@ -4303,7 +4412,7 @@
   "Mesh__Frame",
   "mesh",
   sizeof(Mesh__Frame),
-  18,
+  19,
   mesh__frame__field_descriptors,
   mesh__frame__field_indices_by_name,
   1,  mesh__frame__number_ranges,
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -44,6 +44,7 @@
 typedef struct Mesh__Pong Mesh__Pong;
 typedef struct Mesh__Subscribe Mesh__Subscribe;
 typedef struct Mesh__Members Mesh__Members;
+typedef struct Mesh__Suspect Mesh__Suspect;
 typedef struct Mesh__MembersAck Mesh__MembersAck;
 typedef struct Mesh__Frame Mesh__Frame;
 
@@ -670,6 +671,20 @@
     , 0,NULL, 0 }
 
 
+/*
+ * The sender has not reached this node for a while.
+ */
+struct  Mesh__Suspect
+{
+  ProtobufCMessage base;
+  char *name;
+  uint64_t incarnation;
+};
+#define MESH__SUSPECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mesh__suspect__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Mesh__MembersAck
 {
   ProtobufCMessage base;
@@ -699,7 +714,8 @@
   MESH__FRAME__BODY_SUBSCRIBE = 15,
   MESH__FRAME__BODY_MEMBERS = 16,
   MESH__FRAME__BODY_MEMBERS_ACK = 17,
-  MESH__FRAME__BODY_PUSH = 18
+  MESH__FRAME__BODY_PUSH = 18,
+  MESH__FRAME__BODY_SUSPECT = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MESH__FRAME__BODY__CASE)
 } Mesh__Frame__BodyCase;
 
@@ -729,6 +745,7 @@
      * a version that the receiver did not ask for
      */
     Mesh__FetchReply *push;
+    Mesh__Suspect *suspect;
   };
 };
 #define MESH__FRAME__INIT \
@@ -1287,6 +1304,25 @@
 void   mesh__members__free_unpacked
                      (Mesh__Members *message,
                       ProtobufCAllocator *allocator);
+/* Mesh__Suspect methods */
+void   mesh__suspect__init
+                     (Mesh__Suspect         *message);
+size_t mesh__suspect__get_packed_size
+                     (const Mesh__Suspect   *message);
+size_t mesh__suspect__pack
+                     (const Mesh__Suspect   *message,
+                      uint8_t             *out);
+size_t mesh__suspect__pack_to_buffer
+                     (const Mesh__Suspect   *message,
+                      ProtobufCBuffer     *buffer);
+Mesh__Suspect *
+       mesh__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mesh__suspect__free_unpacked
+                     (Mesh__Suspect *message,
+                      ProtobufCAllocator *allocator);
 /* Mesh__MembersAck methods */
 void   mesh__members_ack__init
                      (Mesh__MembersAck         *message);
@@ -1414,6 +1450,9 @@
 typedef void (*Mesh__Members_Closure)
                  (const Mesh__Members *message,
                   void *closure_data);
+typedef void (*Mesh__Suspect_Closure)
+                 (const Mesh__Suspect *message,
+                  void *closure_data);
 typedef void (*Mesh__MembersAck_Closure)
                  (const Mesh__MembersAck *message,
                   void *closure_data);
@@ -1455,6 +1494,7 @@
 extern const ProtobufCMessageDescriptor mesh__pong__descriptor;
 extern const ProtobufCMessageDescriptor mesh__subscribe__descriptor;
 extern const ProtobufCMessageDescriptor mesh__members__descriptor;
+extern const ProtobufCMessageDescriptor mesh__suspect__descriptor;
 extern const ProtobufCMessageDescriptor mesh__members_ack__descriptor;
 extern const ProtobufCMessageDescriptor mesh__frame__descriptor;
 
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -343,6 +343,26 @@
   }));
 }
 
+/* Guards against records of nodes that have gone without a word: nodes that
+   start later wait for them (garmi-mesh-grown trouble-3).  */
+TEST_F (Sidecars, ForgetANodeThatIsGoneWithoutAWord)
+{
+  start_mesh ();
+  EXPECT_EQ (status_of (0, "/stock/"), 200);
+  kill_upstream (1);
+  kill_sidecar (1);
+  EXPECT_TRUE (run_until (
+      [&] {
+        return sst_count (store, "mesh-nodes") == 3
+               && sdc_node_count (vms[0].sidecar) == 3
+               && sdc_node_count (vms[3].sidecar) == 3;
+      },
+      20000));
+  start_sidecar (1);
+  start_upstream (1);
+  EXPECT_TRUE (converges (1));
+}
+
 /* Guards against a node that others took for dead and that nobody uses any
    more: it says that it lives.  */
 TEST_F (Sidecars, ComeBackWhenTakenForDead)
