Place calls by the part of their value that is expected to be lost

Cause: the cost of a server was the time until its answer, three times as much beyond 0.6 of the target, and crossing cost a part of the target. A queued call counted as on time until its expected time was left, so every second one that waited that long was late.

Change: cost in parts of the call's value: probability of a late answer and of none, bytes of the way, time as far as it makes queues grow. A queued call is on time while 1.25 times its expected time is left.

The simulator's gates learn the time of each kind, as src/gat does.

--- a/src/fwd/fwd_place.c
+++ b/src/fwd/fwd_place.c
@@ -128,6 +128,7 @@
       = { .target = call->route->target_ms > 0
                         ? call->route->target_ms * CLK_MILLISECOND
                         : call->route->deadline_ms * CLK_MILLISECOND,
+          .target_left = call->target - now,
           .deadline_left = call->deadline - now,
           .insists = call->bounces >= MAX_BOUNCES };
   struct field field;
--- a/src/plc/plc.c
+++ b/src/plc/plc.c
@@ -2,21 +2,38 @@
 
 #include "plc/plc.h"
 
-/* Crossing data centres or regions costs this part of the target latency.  */
-static const double crossing_cost[PLC_LOCALITIES] = { 0., 0.2, 0.65 };
+#include <math.h>
 
-/* An answer expected after this part of the target latency is in danger of
-   being late; the time beyond it costs this many times more.  */
-#define SAFE_PART 0.6
-#define LATE_COST 3.
+/* Costs are parts of a call's value.  */
+
+/* Crossing data centres or regions: what the bytes of a usual call cost.  */
+static const double crossing_cost[PLC_LOCALITIES] = { 0., 0.08, 0.25 };
+
+/* An answer after the target latency, and none by the deadline.  */
+#define LATE_COST 0.7
+#define MISSED_COST 0.3
+
+/* An answer that takes the whole target latency.  Between servers that would
+   all be on time the quicker one is chosen, since a queue that grows makes
+   later calls late.  */
+#define TIME_COST 0.2
+
+/* Expected times are wrong by this part on average: calls of one kind
+   differ.  */
+#define SPREAD 0.35
+#define LEAST_SPREAD CLK_MILLISECOND
+
+/* Slope that makes the logistic curve follow the normal distribution.  */
+#define LOGISTIC_SLOPE 1.7
 
 /* A full server costs this part of its time in a slot more than an empty one,
    since servers slow down when they are nearly full.  */
 #define LOAD_COST 0.3
 
-/* A server that fails every call costs this many times its time: the call has
-   to be sent again, and may be lost.  */
-#define FAILED_COST 6.
+/* A server that fails every call: the call may be lost, or has to be sent
+   again, which takes this many times its time.  */
+#define FAILED_COST 0.5
+#define FAILED_TIMES 6.
 
 /* What was heard of a wait counts half after this time.  */
 #define WAIT_HALF_LIFE (300 * CLK_MILLISECOND)
@@ -29,6 +46,10 @@
 /* A gate may be wrong by this much before a call is sent elsewhere.  */
 #define WAIT_TOLERANCE (2 * CLK_MILLISECOND)
 
+/* Steps of the search for the longest acceptable wait; each halves its
+   error.  */
+#define WAIT_STEPS 14
+
 /* Time in a slot assumed while nothing is known of any server, as part of the
    target.  */
 #define ASSUMED_SERVICE 0.3
@@ -92,15 +113,6 @@
                    : (clk_time)(ASSUMED_SERVICE * (double)call->target);
 }
 
-/* Returns the expected time until the answer.  */
-static clk_time
-expect_end (const struct plc_candidate *candidate, const struct search *search)
-{
-  return candidate->round_trip
-         + plc_expect_wait (&candidate->load, search->now)
-         + service_of (&candidate->load, search);
-}
-
 /* Returns how much longer than the call itself others would wait: a call that
    goes before those that wait makes one of them late or lost.  */
 static clk_time
@@ -112,23 +124,67 @@
   return backlog > wait ? backlog - wait : 0;
 }
 
+/* Returns the probability that an answer expected after END comes later than
+   LIMIT.  */
 static double
-cost_of (const struct plc_candidate *candidate, const struct search *search)
+miss_probability (double end, double limit, double spread)
+{
+  return 1 / (1 + exp (LOGISTIC_SLOPE * (limit - end) / spread));
+}
+
+/* Returns the cost of a server where the call waits for WAIT.  */
+static double
+cost_at (const struct plc_candidate *candidate, const struct search *search,
+         double wait)
 {
+  const struct plc_call *call = search->call;
   const struct plc_load *load = &candidate->load;
-  double target = (double)search->call->target;
   double service = (double)service_of (load, search);
   double busy = (double)(load->running + load->sent) / load->slots;
-  double cost = (double)expect_end (candidate, search)
-                + (double)displaced_time (load, search);
-  double late = cost - SAFE_PART * target;
-
-  if (late > 0)
-    cost += LATE_COST * late;
-  cost *= 1 + FAILED_COST * load->failed;
-  cost += service * LOAD_COST * (busy < 1 ? busy : 1);
-  cost += service * JITTER * rnd_unit (search->random);
-  return cost + crossing_cost[candidate->locality] * target;
+  double end = (double)candidate->round_trip + wait + service;
+  double spread = SPREAD * (wait + service) + (double)LEAST_SPREAD;
+  double time = end + (double)displaced_time (load, search)
+                + LOAD_COST * service * (busy < 1 ? busy : 1)
+                + FAILED_TIMES * load->failed * end;
+
+  return LATE_COST * miss_probability (end, (double)call->target_left, spread)
+         + MISSED_COST
+               * miss_probability (end, (double)call->deadline_left, spread)
+         + TIME_COST * time / (double)call->target + FAILED_COST * load->failed
+         + crossing_cost[candidate->locality];
+}
+
+static double
+cost_of (const struct plc_candidate *candidate, const struct search *search)
+{
+  double service = (double)service_of (&candidate->load, search);
+  double jitter = JITTER * service * rnd_unit (search->random);
+
+  return cost_at (candidate, search,
+                  (double)plc_expect_wait (&candidate->load, search->now))
+         + TIME_COST * jitter / (double)search->call->target;
+}
+
+/* Returns the longest wait, up to LATEST, at which the server costs no more
+   than EXTRA beyond what it costs now.  */
+static clk_time
+longest_wait (const struct plc_candidate *candidate,
+              const struct search *search, double extra, clk_time latest)
+{
+  double low = (double)plc_expect_wait (&candidate->load, search->now);
+  double high = (double)latest;
+  double limit = cost_at (candidate, search, low) + extra;
+
+  for (int i = 0; i < WAIT_STEPS && low < high; i++)
+    {
+      double middle = (low + high) / 2;
+
+      if (cost_at (candidate, search, middle) <= limit)
+        low = middle;
+      else
+        high = middle;
+    }
+  return (clk_time)low + WAIT_TOLERANCE;
 }
 
 static bool
@@ -136,7 +192,10 @@
              const struct search *search)
 {
   return candidate->usable && candidate->load.slots > 0
-         && expect_end (candidate, search) <= search->call->deadline_left;
+         && candidate->round_trip
+                    + plc_expect_wait (&candidate->load, search->now)
+                    + service_of (&candidate->load, search)
+                <= search->call->deadline_left;
 }
 
 struct plc_choice
@@ -172,8 +231,8 @@
            - service_of (&candidates[choice.index].load, &search);
   choice.max_wait = latest;
   if (!call->insists && second >= 0)
-    choice.max_wait = plc_expect_wait (&candidates[choice.index].load, now)
-                      + (clk_time)(second - best) + WAIT_TOLERANCE;
+    choice.max_wait = longest_wait (&candidates[choice.index], &search,
+                                    second - best, latest);
   if (choice.max_wait > latest)
     choice.max_wait = latest;
   return choice;
--- a/src/plc/plc.h
+++ b/src/plc/plc.h
@@ -3,12 +3,14 @@
 
    Load that it answers: traffic that differs between data centres, servers of
    different speed and health, and bursts beyond what the near servers can
-   take. The cost of a server is the time until its answer is expected, plus a
-   part of the call's target latency when the way to it crosses data centres or
-   regions: such bytes are paid for and the link between regions is narrow.
-   What is known of a server is as old as its last answer; a call therefore
-   carries the longest wait at which its server is still the best choice, and a
-   gate where it would wait longer says so at once.  */
+   take.  The cost of a server is the part of the call's value that is expected
+   to be lost there: the answer may be late or may not come, and the way to it
+   may cross data centres or regions, whose bytes are paid for and whose links
+   are narrow.  A far server is thus chosen when it saves a call, and not when
+   all servers are as busy.  What is known of a server is as old as its last
+   answer; a call therefore carries the longest wait at which its server is
+   still the best choice, and a gate where it would wait longer says so at
+   once.  */
 
 #ifndef MULBERRYSHIFT_PLC_PLC_H
 #define MULBERRYSHIFT_PLC_PLC_H
@@ -63,6 +65,7 @@
   struct plc_call
   {
     clk_time target;        /* full target latency of its route */
+    clk_time target_left;   /* in which an answer is on time; may be past */
     clk_time deadline_left; /* in which an answer is worth anything */
     bool insists;           /* take the best server, whatever the wait there */
   };
--- a/src/que/que.c
+++ b/src/que/que.c
@@ -4,10 +4,14 @@
 
 #include <string.h>
 
+/* A call can be on time while this many times its expected time is left: with
+   less, every second call that waited until then would be late.  */
+#define SAFE_TIMES 1.25
+
 bool
 que_can_be_on_time (const struct que_item *item, clk_time now)
 {
-  return now + item->service <= item->target;
+  return now + (clk_time)(SAFE_TIMES * (double)item->service) <= item->target;
 }
 
 /* Returns whether LEFT runs before RIGHT.  */
--- a/tests/plc_test.cc
+++ b/tests/plc_test.cc
@@ -30,7 +30,7 @@
   choose (clk_time target = 250 * ms, clk_time left = 600 * ms,
           bool insists = false)
   {
-    struct plc_call call = { target, left, insists };
+    struct plc_call call = { target, target, left, insists };
 
     return plc_choose (candidates.data (), candidates.size (), &call,
                        CLK_SECOND, &random);
@@ -173,6 +173,63 @@
   return choice;
 }
 
+/* The version after that one: the time until the answer, which counts more
+   once it is near the target, and a part of the target for crossing.  */
+static struct plc_choice
+choose_by_time (const struct plc_candidate *candidates, size_t count,
+                const struct plc_call *call, clk_time now, struct rnd *random)
+{
+  static const double crossing[PLC_LOCALITIES] = { 0., 0.2, 0.65 };
+  struct plc_choice choice = { PLC_NONE, 0 };
+  double target = (double)call->target;
+  double best = 0;
+  double second = -1;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct plc_load &load = candidates[i].load;
+      clk_time wait = plc_expect_wait (&load, now);
+      double service = load.service > 0 ? (double)load.service : 0.3 * target;
+      double cost = (double)(candidates[i].round_trip + wait) + service;
+
+      if (cost > (double)call->deadline_left)
+        continue;
+      if (load.backlog > wait)
+        cost += (double)(load.backlog - wait);
+      if (cost > 0.6 * target)
+        cost += 3 * (cost - 0.6 * target);
+      cost += service * 0.15 * rnd_unit (random)
+              + crossing[candidates[i].locality] * target;
+      if (choice.index != PLC_NONE && cost >= best)
+        second = second < 0 || cost < second ? cost : second;
+      else
+        {
+          second = choice.index == PLC_NONE ? -1 : best;
+          best = cost;
+          choice.index = i;
+          choice.max_wait = wait + 2 * ms;
+        }
+    }
+  if (choice.index != PLC_NONE)
+    choice.max_wait += call->insists || second < 0 ? call->deadline_left
+                                                   : (clk_time)(second - best);
+  return choice;
+}
+
+static void
+print_result (const char *name, const char *version,
+              const struct sim_result &result)
+{
+  double asked = (double)result.asked;
+
+  printf (
+      "%s, %s: on time %.4f, late %.4f, not served %.4f, crossed %.3f "
+      "data centres and %.3f regions a call, bounced %.3f\n",
+      name, version, sim_on_time (result), (double)result.late / asked,
+      (double)result.refused / asked, (double)result.crossed_centre / asked,
+      (double)result.crossed_region / asked, (double)result.bounced / asked);
+}
+
 /* Plays LOAD with both versions and prints what came out.  */
 static void
 compare (const char *name, const struct sim_load &load,
@@ -180,15 +237,8 @@
 {
   *before = sim_play (load, choose_by_tier);
   *after = sim_play (load, plc_choose);
-  for (const struct sim_result *result : { before, after })
-    printf ("%s, %s: on time %.4f, late %.4f, not served %.4f, crossed %.3f "
-            "data centres and %.3f regions a call, bounced %.3f\n",
-            name, result == before ? "before" : "after", sim_on_time (*result),
-            (double)result->late / result->asked,
-            (double)result->refused / result->asked,
-            (double)result->crossed_centre / result->asked,
-            (double)result->crossed_region / result->asked,
-            (double)result->bounced / result->asked);
+  print_result (name, "before", *before);
+  print_result (name, "after", *after);
 }
 
 /* Five servers a data centre at 70 % of their room, of unequal speed.  */
@@ -239,8 +289,34 @@
   EXPECT_GT (sim_on_time (after), 0.97) << test_seed_note (12);
 }
 
+/* Plays LOAD with seeds 1 to COUNT and both versions; returns the sums.  */
+static void
+compare_seeds (const char *name, struct sim_load load, uint64_t count,
+               const sim_placement &placement, struct sim_result *before,
+               struct sim_result *after)
+{
+  *before = *after = {};
+  for (load.seed = 1; load.seed <= count; load.seed++)
+    for (struct sim_result *sum : { before, after })
+      {
+        struct sim_result result
+            = sim_play (load, sum == before ? placement : plc_choose);
+
+        sum->asked += result.asked;
+        sum->on_time += result.on_time;
+        sum->late += result.late;
+        sum->refused += result.refused;
+        sum->crossed_centre += result.crossed_centre;
+        sum->crossed_region += result.crossed_region;
+        sum->bounced += result.bounced;
+      }
+  print_result (name, "before", *before);
+  print_result (name, "after", *after);
+}
+
 /* Guards against a server that turns five times slower and keeps its share of
-   the calls.  */
+   the calls.  One seed does not tell two placements apart here: with seeds 1
+   to 40 the newer one wins 25 times.  */
 TEST (PlacementReplay, SlowServer)
 {
   struct sim_load load = { { { 144, 60, 0.3, 250, 600, 2 } },
@@ -255,7 +331,30 @@
   struct sim_result before;
   struct sim_result after;
 
-  compare ("slow server", load, &before, &after);
+  compare_seeds ("slow server", load, 40, choose_by_tier, &before, &after);
+  EXPECT_GT (sim_on_time (after), sim_on_time (before));
+  EXPECT_GT (sim_on_time (after), 0.95);
+}
+
+/* Guards against calls that cross the paid link though the far servers are as
+   busy: all servers are half as fast for three seconds, as after a loss of
+   power (garmi-mesh-grown trouble-2).  */
+TEST (PlacementReplay, ReturnAfterLossOfPower)
+{
+  struct sim_load load
+      = { { { 651, 84, 0.3, 300, 800, 2 }, { 120, 110, 0.5, 400, 1200, 1 } },
+          { { 4, 7, 1, SIM_ALL, 2, -1 } },
+          { 0.6, 1.0, 1.4 },
+          4,
+          5,
+          15,
+          6,
+          12,
+          1 };
+  struct sim_result before;
+  struct sim_result after;
+
+  compare_seeds ("return", load, 6, choose_by_time, &before, &after);
   EXPECT_GT (sim_on_time (after), sim_on_time (before));
-  EXPECT_GT (sim_on_time (after), 0.95) << test_seed_note (13);
+  EXPECT_LT (2 * after.crossed_region, before.crossed_region);
 }
--- a/tests/support/load_sim.cc
+++ b/tests/support/load_sim.cc
@@ -39,6 +39,7 @@
   double speed;
   uint32_t running = 0;
   clk_time slot = 0;
+  std::vector<clk_time> service = {}; /* mean time of each kind; 0: unknown */
   double late_share = 1;
   struct que queue = {};
 };
@@ -56,6 +57,7 @@
         {
           servers.push_back (std::make_unique<server> ());
           servers.back ()->centre = centre;
+          servers.back ()->service.resize (load.kinds.size ());
           servers.back ()->speed
               = load.speeds[servers.size () % load.speeds.size ()];
         }
@@ -175,6 +177,7 @@
     std::vector<struct plc_candidate> candidates (servers.size ());
     struct plc_call wanted
         = { ms (item->kind->target_ms),
+            item->start + ms (item->kind->target_ms) - now,
             item->start + ms (item->kind->deadline_ms) - now,
             item->bounces >= max_bounces };
 
@@ -197,11 +200,19 @@
         [this, item, choice] { admit (item, choice); });
   }
 
+  clk_time &
+  service_of (const std::shared_ptr<call> &item, server &gate)
+  {
+    return gate.service[(size_t)(item->kind - load.kinds.data ())];
+  }
+
   struct que_item
-  make_item (const std::shared_ptr<call> &item)
+  make_item (const std::shared_ptr<call> &item, server &gate)
   {
+    clk_time service = service_of (item, gate);
+
     return { new std::shared_ptr<call> (item), item->kind->priority,
-             ms (item->kind->work_ms),
+             service > 0 ? service : gate.slot,
              item->start + ms (item->kind->target_ms),
              item->start + ms (item->kind->deadline_ms) };
   }
@@ -224,7 +235,7 @@
   admit (const std::shared_ptr<call> &item, struct plc_choice choice)
   {
     server &gate = *servers[choice.index];
-    struct que_item entry = make_item (item);
+    struct que_item entry = make_item (item, gate);
     clk_time wait = expect_wait (gate, entry);
 
     if (gate.running < load.slots)
@@ -252,9 +263,8 @@
   {
     const sim_event *entry = current ();
     server &gate = *servers[index];
-    double slow = entry != nullptr && entry->slow_server == (int)index
-                      ? entry->slow
-                      : 1;
+    double slow
+        = entry != nullptr && is_slow (*entry, index) ? entry->slow : 1;
     clk_time time = (clk_time)((double)item->work * slow / gate.speed);
 
     gate.running++;
@@ -265,9 +275,11 @@
   end (const std::shared_ptr<call> &item, size_t index, clk_time time)
   {
     server &gate = *servers[index];
+    clk_time &service = service_of (item, gate);
     void *next;
 
     gate.running--;
+    service = service == 0 ? time : service + (time - service) / 16;
     gate.slot = gate.slot == 0 ? time : gate.slot + (time - gate.slot) / 32;
     answer (item, index, true);
     while ((next = que_expire (&gate.queue, now)) != nullptr)
@@ -289,17 +301,23 @@
       }
   }
 
+  static bool
+  is_slow (const sim_event &entry, size_t index)
+  {
+    return entry.slow_server == SIM_ALL || entry.slow_server == (int)index;
+  }
+
   /* Sends an answer, or that the gate is busy, with the gate's load.  */
   void
   answer (const std::shared_ptr<call> &item, size_t index, bool done)
   {
     server &gate = *servers[index];
-    struct que_item entry = make_item (item);
+    struct que_item entry = make_item (item, gate);
     struct plc_load told
         = { gate.running,
             load.slots,
             gate.slot,
-            gate.slot,
+            service_of (item, gate),
             expect_wait (gate, entry),
             gate.slot * (clk_time)gate.queue.count / load.slots,
             0,
--- a/tests/support/load_sim.h
+++ b/tests/support/load_sim.h
@@ -24,13 +24,16 @@
   uint32_t priority;
 };
 
+/* All servers, in place of one.  */
+static const int SIM_ALL = -2;
+
 /* A change of the load or of a server.  */
 struct sim_event
 {
   double from_s;
   double to_s;
   double load;     /* times the usual arrivals */
-  int slow_server; /* -1: none */
+  int slow_server; /* -1: none; SIM_ALL */
   double slow;     /* times the usual work */
   int fed_centre;  /* that gets all arrivals; -1: all get the same */
 };
