Measure the distance to the platform by the time of a connect

Nodes are ordered by distance in steps of 8 ms, so the watchers were chosen by chance.

Change: the round trip of the connect.

--- a/src/cnx/cnx.c
+++ b/src/cnx/cnx.c
@@ -36,6 +36,8 @@
   bool waiting; /* a request was sent and has no response */
   bool kept;
   enum cnx_failure failure;
+  clk_time opened;
+  clk_time connect_time; /* ns; 0: not connected yet */
 };
 
 static void
@@ -198,6 +200,8 @@
           return;
         }
       connection->state = CNX_OPEN;
+      connection->connect_time
+          = evl_now (connection->loop) - connection->opened;
       flush (connection);
       return;
     }
@@ -215,6 +219,7 @@
   struct cnx *connection = mem_alloc (1, sizeof *connection);
 
   connection->loop = loop;
+  connection->opened = evl_now (loop);
   connection->handlers = handlers;
   connection->context = context;
   connection->kept = true;
@@ -278,6 +283,12 @@
   return connection->kept && connection->state == CNX_OPEN;
 }
 
+clk_time
+cnx_connect_time (const struct cnx *connection)
+{
+  return connection->connect_time;
+}
+
 void
 cnx_set_keepalive (struct cnx *connection, int probes)
 {
--- a/src/cnx/cnx.h
+++ b/src/cnx/cnx.h
@@ -74,6 +74,10 @@
      response.  */
   bool cnx_is_kept (const struct cnx *connection);
 
+  /* Returns the time from cnx_open until the peer had accepted, which is one
+     round trip; 0 before that, ns.  */
+  clk_time cnx_connect_time (const struct cnx *connection);
+
   /* Detects a silent peer by the system's probes; see net_set_keepalive.  */
   void cnx_set_keepalive (struct cnx *connection, int probes);
 
--- a/src/sto/sto.c
+++ b/src/sto/sto.c
@@ -28,7 +28,6 @@
   void *context;
   struct cnx *connection;
   struct evl_timer timer;
-  clk_time started;
 };
 
 struct sto
@@ -94,15 +93,15 @@
   sto_reply_close (reply);
 }
 
+/* The time of a whole call would depend on the length of its reply and on how
+   busy the store is.  */
 static void
-measure_distance (struct sto_call *call)
+measure_distance (struct sto *store, const struct cnx *connection)
 {
-  struct sto *store = call->store;
-  clk_time elapsed = evl_now (store->loop) - call->started;
+  clk_time round_trip = cnx_connect_time (connection);
 
-  if (call->request.operation != STO_WATCH
-      && (store->distance == 0 || elapsed < store->distance))
-    store->distance = elapsed;
+  if (store->distance == 0 || round_trip < store->distance)
+    store->distance = round_trip;
 }
 
 static bool
@@ -114,7 +113,7 @@
   struct sto_reply reply;
 
   store->platform->read_store_reply (&call->request, message, &reply);
-  measure_distance (call);
+  measure_distance (store, connection);
   if (reply.status != STO_BUSY && reply.status != STO_INVALID)
     store->answered = evl_now (store->loop);
   release_connection (store, connection);
@@ -190,18 +189,23 @@
 }
 
 static struct cnx *
-take_connection (struct sto *store)
+open_connection (struct sto *store)
 {
-  struct cnx *connection;
+  struct cnx *connection = cnx_open (store->loop, store->address, &handlers,
+                                     store, &reply_limits);
 
-  if (store->idle_count > 0)
-    return store->idle[--store->idle_count];
-  connection = cnx_open (store->loop, store->address, &handlers, store,
-                         &reply_limits);
   cnx_set_keepalive (connection, KEEPALIVE_PROBES);
   return connection;
 }
 
+static struct cnx *
+take_connection (struct sto *store)
+{
+  if (store->idle_count > 0)
+    return store->idle[--store->idle_count];
+  return open_connection (store);
+}
+
 struct sto_call *
 sto_start (struct sto *store, const struct sto_request *request,
            clk_time deadline, sto_done done, void *context)
@@ -216,7 +220,6 @@
   call->request.content = NULL;
   call->done = done;
   call->context = context;
-  call->started = evl_now (store->loop);
   lst_add (&store->calls, &call->list);
   store->call_count++;
   evl_timer_init (&call->timer, store->loop, on_deadline, call);
@@ -250,8 +253,19 @@
   return store->answered;
 }
 
+void
+sto_connect (struct sto *store)
+{
+  if (store->idle_count < MAX_IDLE)
+    store->idle[store->idle_count++] = open_connection (store);
+}
+
 clk_time
 sto_distance (const struct sto *store)
 {
-  return store->distance;
+  clk_time distance = store->distance;
+
+  for (size_t i = 0; distance == 0 && i < store->idle_count; i++)
+    distance = cnx_connect_time (store->idle[i]);
+  return distance;
 }
--- a/src/sto/sto.h
+++ b/src/sto/sto.h
@@ -50,8 +50,11 @@
   /* Returns when the store last served a call, 0 when it never did.  */
   clk_time sto_answered (const struct sto *store);
 
-  /* Returns the shortest round trip of a call that does not wait, in ns; 0
-     before the first reply.  */
+  /* Opens a connection for the first call, which tells the distance.  */
+  void sto_connect (struct sto *store);
+
+  /* Returns the shortest round trip to the store, in ns; 0 while no connection
+     was accepted.  */
   clk_time sto_distance (const struct sto *store);
 
 #ifdef __cplusplus
