Let calls wait for the first configuration; start with two store calls

On a first start each node made four calls to the store: list, create, list, replace.

Change: in the first second of a process a call waits up to 150 ms, or a sixth of its caller's time, for the configuration; later it is refused at once, with 250 ms. On a first start a node writes its record once, with the upstream in it, and lists the others once.

Tests: LetRequestsWaitForTheFirstConfiguration and JoinAFirstStartWithTwoCallsEach fail before; RefuseAtOnceWhenNoConfiguration- IsExpected guards the refusal.

--- a/src/fwd/fwd.c
+++ b/src/fwd/fwd.c
@@ -14,9 +14,19 @@
 /* A caller that names no time of its own waits this long.  */
 #define DEFAULT_PATIENCE (60 * CLK_SECOND)
 
-/* Callers that come before there is a configuration are asked to come back
+/* A process that has just started gets its configuration from another node
+   within this time, unless the store is away or it is the first.  */
+#define START_TIME CLK_SECOND
+
+/* A request that comes before the configuration waits for it as long as the
+   process has just started, but no longer than this part of its caller's time
+   and this time: an answer after that would be late.  */
+#define UNREADY_PART 6
+#define UNREADY_WAIT (150 * CLK_MILLISECOND)
+
+/* Callers that are refused for want of a configuration are asked to come back
    after this time.  */
-#define UNREADY_RETRY (500 * CLK_MILLISECOND)
+#define UNREADY_RETRY (250 * CLK_MILLISECOND)
 
 struct fwd *
 fwd_create (const struct fwd_parts *parts)
@@ -27,6 +37,7 @@
   forwarder->budget = bud_create ();
   forwarder->next_number = 1;
   forwarder->latest = CLK_NEVER;
+  forwarder->started_by = evl_now (parts->loop) + START_TIME;
   rnd_init (&forwarder->random, rnd_system_seed ());
   return forwarder;
 }
@@ -114,13 +125,16 @@
   fwd_free_call (call);
 }
 
-/* The route's time, or the caller's, is over.  */
+/* The route's time, or the caller's, or the wait for a configuration is
+   over.  */
 static void
 on_deadline (void *context)
 {
   struct fwd_call *call = context;
 
-  if (call->may_have_run || call->number != 0)
+  if (call->snapshot == NULL)
+    fwd_fail (call, 503, "not run: no configuration yet", UNREADY_RETRY);
+  else if (call->may_have_run || call->number != 0)
     fwd_fail (call, 504, "no answer in time", 0);
   else
     fwd_fail (call, 503, "not run: no upstream in time", 0);
@@ -181,18 +195,12 @@
   evl_timer_set (&call->timer, call->deadline);
 }
 
+/* Finds the call's route in the configuration in effect and sends it.  */
 static void
-on_request (void *context, struct srv_connection *connection,
-            struct htp_message *message)
+begin_call (struct fwd_call *call)
 {
-  struct fwd *forwarder = context;
-  struct fwd_call *call = start_call (forwarder, connection, message);
+  struct fwd *forwarder = call->forwarder;
 
-  if (forwarder->snapshot == NULL)
-    {
-      fwd_fail (call, 503, "not run: no configuration yet", UNREADY_RETRY);
-      return;
-    }
   call->snapshot = snp_retain (forwarder->snapshot);
   if (!fwd_find_route (call))
     {
@@ -205,6 +213,33 @@
   fwd_place (call);
 }
 
+/* Keeps a call until there is a configuration, if one is about to come.  */
+static void
+await_configuration (struct fwd_call *call)
+{
+  clk_time patience = (call->deadline - call->arrival) / UNREADY_PART;
+  clk_time end
+      = call->arrival + (patience < UNREADY_WAIT ? patience : UNREADY_WAIT);
+
+  if (call->arrival >= call->forwarder->started_by)
+    on_deadline (call);
+  else
+    evl_timer_set (&call->timer, end);
+}
+
+static void
+on_request (void *context, struct srv_connection *connection,
+            struct htp_message *message)
+{
+  struct fwd *forwarder = context;
+  struct fwd_call *call = start_call (forwarder, connection, message);
+
+  if (forwarder->snapshot == NULL)
+    await_configuration (call);
+  else
+    begin_call (call);
+}
+
 static void
 on_gone (void *context, struct srv_connection *connection)
 {
@@ -220,6 +255,23 @@
 
 const struct srv_handlers fwd_handlers = { on_request, on_gone };
 
+/* Begins the calls that came before the first configuration.  A call that
+   ends at once leaves the list, so the next one is looked up before.  */
+static void
+begin_waiting (struct fwd *forwarder)
+{
+  struct fwd_call *call = fwd_call_at (forwarder->calls.first);
+
+  while (call != NULL)
+    {
+      struct fwd_call *next = fwd_call_at (call->list.next);
+
+      if (call->snapshot == NULL)
+        begin_call (call);
+      call = next;
+    }
+}
+
 void
 fwd_set_snapshot (struct fwd *forwarder, struct snp_snapshot *snapshot)
 {
@@ -232,6 +284,7 @@
   for (size_t i = 0; i < count; i++)
     if (snapshot->document->routes[i].share_count > 0)
       forwarder->share_points[i] = rnd_unit (&forwarder->random);
+  begin_waiting (forwarder);
 }
 
 void
--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -76,7 +76,8 @@
   dir_handle peer_count;
   struct bud *budget;
   struct rnd random;
-  clk_time latest;      /* end of every request; CLK_NEVER: not limited */
+  clk_time started_by; /* until then a first configuration may be on its way */
+  clk_time latest;     /* end of every request; CLK_NEVER: not limited */
   double *share_points; /* of each route with shares; see fwd_route.c */
 };
 
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -53,9 +53,11 @@
   struct snp_snapshot *snapshot;
   bool *listed; /* nodes named by the list under way, by handle */
   size_t listed_count;
-  bool nodes_known; /* the directory was listed once */
-  bool joined;      /* roles are taken; see sdc_join.c */
-  clk_time join_at; /* next step of the join; CLK_NEVER: it waits */
+  bool nodes_known;    /* the directory was listed once */
+  bool joined;         /* roles are taken; see sdc_join.c */
+  clk_time join_at;    /* next step of the join; CLK_NEVER: it waits */
+  clk_time publish_at; /* latest time to publish this node on a first start;
+                          CLK_NEVER: done, or no first start */
   struct sto_call *config_call; /* reads the configuration after a start */
   clk_time report_at;           /* when lost nodes are reported again */
   uint64_t confirmed; /* sequence of this node's record that a parent holds */
--- a/src/sdc/sdc_join.c
+++ b/src/sdc/sdc_join.c
@@ -2,8 +2,9 @@
    makes sure that a configuration comes.
 
    When the whole mesh starts for the first time nobody is in the store yet;
-   each node then publishes itself first and lists the nodes a little later,
-   so that all agree on their roles from the start.  A node that starts while
+   each node then publishes itself first, together with its upstream, and lists
+   the nodes a little later, so that all agree on their roles from the start.
+   That takes two calls to the store a node.  A node that starts while
    the store is away learns of the others from those that open links to it.  */
 
 #include "base/err.h"
@@ -12,8 +13,12 @@
 
 #include <string.h>
 
-/* On a first start: from a node's own record to the list of all.  VMs start
-   within 0.3 s of each other.  */
+/* On a first start a node publishes itself when its upstream has sent the
+   first heartbeat, or this long after one was due.  */
+#define FIRST_HEARTBEAT_PATIENCE (200 * CLK_MILLISECOND)
+
+/* On a first start: from the time by which all have published themselves to
+   the list of all.  VMs start within 0.3 s of each other.  */
 #define FIRST_PAUSE (500 * CLK_MILLISECOND)
 
 /* A node that knows others but not the store's list joins after this time.  */
@@ -37,34 +42,62 @@
   syn_start (sidecar->sync);
 }
 
+/* Adds the distance to the platform to this node's record once it is known.
+   Returns whether it is.  */
+static bool
+add_distance (struct sdc *sidecar)
+{
+  clk_time distance = sto_distance (sidecar->store);
+
+  if (sidecar->record.platform_distance > 0)
+    return true;
+  if (distance == 0)
+    return false;
+  sidecar->record.platform_distance
+      = (uint32_t)(distance / CLK_MILLISECOND) + 1;
+  sidecar->record.sequence++;
+  dir_merge (sidecar->directory, &sidecar->record, evl_now (sidecar->loop),
+             &sidecar->self);
+  return true;
+}
+
 void
 sdc_nodes_listed (struct sdc *sidecar)
 {
-  clk_time distance = sto_distance (sidecar->store);
+  if (add_distance (sidecar))
+    pub_set (sidecar->publisher, &sidecar->record);
+  take_roles (sidecar);
+}
 
-  if (sidecar->record.platform_distance == 0)
-    {
-      sidecar->record.platform_distance
-          = (uint32_t)(distance / CLK_MILLISECOND) + 1;
-      sidecar->record.sequence++;
-      dir_merge (sidecar->directory, &sidecar->record, evl_now (sidecar->loop),
-                 &sidecar->self);
-      pub_set (sidecar->publisher, &sidecar->record);
-    }
-  if (sidecar->settings.first_start && sidecar->join_at == CLK_NEVER)
+void
+sdc_join (struct sdc *sidecar)
+{
+  clk_time now = evl_now (sidecar->loop);
+
+  if (!sidecar->settings.first_start)
     {
-      sidecar->join_at = evl_now (sidecar->loop) + FIRST_PAUSE;
-      wch_stop (sidecar->node_watch);
+      sidecar->publish_at = CLK_NEVER;
+      sidecar->join_at = CLK_NEVER;
+      wch_start (sidecar->node_watch);
       return;
     }
-  take_roles (sidecar);
+  sto_connect (sidecar->store);
+  sidecar->publish_at
+      = now + sidecar->settings.heartbeat + FIRST_HEARTBEAT_PATIENCE;
+  sidecar->join_at = sidecar->publish_at + FIRST_PAUSE;
 }
 
-void
-sdc_join (struct sdc *sidecar)
+/* Publishes this node on a first start, with its distance to the platform,
+   without which the others would take it for the nearest.  */
+static void
+publish_first (struct sdc *sidecar, clk_time now)
 {
-  sidecar->join_at = CLK_NEVER;
-  wch_start (sidecar->node_watch);
+  bool announced = sidecar->registration.state != REG_NONE;
+
+  if (!add_distance (sidecar) || (now < sidecar->publish_at && !announced))
+    return;
+  sidecar->publish_at = CLK_NEVER;
+  pub_set (sidecar->publisher, &sidecar->record);
 }
 
 static void
@@ -96,14 +129,19 @@
 void
 sdc_check_join (struct sdc *sidecar, clk_time now)
 {
+  if (sidecar->publish_at != CLK_NEVER)
+    publish_first (sidecar, now);
   if (now < sidecar->join_at)
     return;
   if (!sidecar->joined)
     {
-      /* The second list of a first start, or nodes that have introduced
-         themselves while the store is away.  */
+      /* The list of a first start, or nodes that have introduced themselves
+         while the store is away.  */
       if (!wch_is_started (sidecar->node_watch))
-        wch_start (sidecar->node_watch);
+        {
+          sidecar->join_at = now + LIST_PATIENCE;
+          wch_start (sidecar->node_watch);
+        }
       else if (dir_alive_count (sidecar->directory) > 1)
         take_roles (sidecar);
       return;
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -5,6 +5,7 @@
 #include "pfm_names.h"
 #include "support/sidecar_mesh.h"
 
+#include <algorithm>
 #include <cstring>
 #include <unistd.h>
 
@@ -58,6 +59,49 @@
   EXPECT_EQ (ready_status (0), 200);
 }
 
+/* Guards against requests that are refused although the configuration of a
+   process that has just started comes a moment later (garmi-mesh-grown
+   trouble-3: 1,200 refusals after all processes were killed).  */
+TEST_F (Sidecars, LetRequestsWaitForTheFirstConfiguration)
+{
+  add_vm ("orders");
+  run_for (100);
+  Peer peer = call (0, "/orders/", next_id ());
+  EXPECT_FALSE (receives (peer, "HTTP/1.1", 30));
+  put_config (1);
+  ASSERT_TRUE (receives (peer, "\r\n\r\n"));
+  EXPECT_EQ (status_in (peer), 200);
+}
+
+/* Guards against requests that wait for a configuration which is not about to
+   come.  */
+TEST_F (Sidecars, RefuseAtOnceWhenNoConfigurationIsExpected)
+{
+  add_vm ("orders");
+  run_for (1200);
+  Peer peer = call (0, "/orders/", next_id ());
+  EXPECT_TRUE (receives (peer, "HTTP/1.1 503", 140));
+}
+
+/* Guards against calls to the store that each node makes more than it needs on
+   a first start: it writes its record with the upstream in it, and lists the
+   others once.  */
+TEST_F (Sidecars, JoinAFirstStartWithTwoCallsEach)
+{
+  const size_t count = 8;
+
+  for (size_t i = 0; i < count; i++)
+    add_vm ("orders", i % 2 == 0 ? "a" : "b", "near", true);
+  ASSERT_TRUE (run_until ([&] {
+    return std::all_of (vms.begin (), vms.end (), [&] (const Vm &vm) {
+      return sdc_node_count (vm.sidecar) == count;
+    });
+  }));
+  run_for (100);
+  /* Besides, the watchers list and watch both kinds, and probe.  */
+  EXPECT_LE (sst_call_count (store), 2 * count + 2 * 6);
+}
+
 /* Guards against calls to the store that grow with the number of nodes: after
    the start only the watchers call.  */
 TEST_F (Sidecars, CallTheStoreRarely)
