Add the command explain, which reads one request's path from the logs

It prints the lines of a request and of the calls made for it, over all nodes in order of time, and what these nodes learned meanwhile. Test: PrintsOneRequestOverAllNodes.

--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -47,6 +47,7 @@
   enum cli_exit cli_show (int count, char **arguments);
   enum cli_exit cli_diff (int count, char **arguments);
   enum cli_exit cli_trace (int count, char **arguments);
+  enum cli_exit cli_explain (int count, char **arguments);
 
 #ifdef __cplusplus
 }
--- a/src/cli/cli_run.c
+++ b/src/cli/cli_run.c
@@ -16,6 +16,7 @@
   { "show", "print the document of an environment", cli_show },
   { "diff", "compare two versions, or one with a file", cli_diff },
   { "trace", "show the tries of one call", cli_trace },
+  { "explain", "show what the logs say of one request", cli_explain },
 };
 
 #define COMMAND_COUNT (sizeof commands / sizeof *commands)
--- a/tests/cli_test.cc
+++ b/tests/cli_test.cc
@@ -305,10 +305,42 @@
       run ({ "status", "--settings", settings, "--environment", "trial" }),
       CLI_NOT_DONE);
   for (const char *command : { "node", "check", "apply", "promote", "status",
-                               "history", "show", "diff", "trace" })
+                               "history", "show", "diff", "trace", "explain" })
     EXPECT_EQ (run ({ command, "--help" }), CLI_DONE) << command;
 }
 
+/* Guards against an explanation that mixes requests up, loses the calls made
+   for one, or leaves out what its nodes learned meanwhile.  */
+TEST (Explain, PrintsOneRequestOverAllNodes)
+{
+  std::string first = temporary (
+      "first.jsonl",
+      "{\"time\":\"2026-01-14T19:16:38.010Z\",\"module\":\"fwd\",\"node\":"
+      "\"n1\",\"event\":\"placed\",\"call\":\"ab\",\"to\":\"n2\"}\n"
+      "{\"time\":\"2026-01-14T19:16:38.020Z\",\"module\":\"sdc\",\"node\":"
+      "\"n1\",\"message\":\"node n2 is lost\"}\n"
+      "{\"time\":\"2026-01-14T19:16:38.030Z\",\"module\":\"fwd\",\"node\":"
+      "\"n1\",\"event\":\"refused\",\"call\":\"ab\",\"status\":503}\n"
+      "{\"time\":\"2026-01-14T19:16:38.015Z\",\"module\":\"fwd\",\"node\":"
+      "\"n1\",\"event\":\"placed\",\"call\":\"abc\"}\n"
+      "not a line of ours\n");
+  std::string second = temporary (
+      "second.jsonl",
+      "  32.25 n2 {\"time\":\"2026-01-14T19:16:38.012Z\",\"module\":\"gat\","
+      "\"node\":\"n2\",\"event\":\"started\",\"call\":\"ab.1\"}\n"
+      "{\"time\":\"2026-01-14T19:17:00.000Z\",\"module\":\"sdc\",\"node\":"
+      "\"n2\",\"message\":\"later\"}\n");
+
+  std::string printed;
+  EXPECT_EQ (run ({ "explain", "ab", second, first }, &printed), CLI_DONE);
+  EXPECT_EQ (printed, "19:16:38.010Z  n1  fwd: placed to=\"n2\"\n"
+                      "19:16:38.012Z  n2  gat: started [call 1]\n"
+                      "19:16:38.020Z  n1  sdc: node n2 is lost\n"
+                      "19:16:38.030Z  n1  fwd: refused status=503\n");
+  EXPECT_EQ (run ({ "explain", "unheard-of", first }), CLI_NOT_DONE);
+  EXPECT_EQ (run ({ "explain", "ab", "/nowhere/log" }), CLI_BAD_INPUT);
+}
+
 /* Guards against a trace that lists hops in the order of the nodes asked, or
    that leaves out a try.  */
 TEST (Trace, ListsCallsInOrderOfTime)
