Let the watch of nodes pause a second after changes

Change: a gap after changes, none for the configuration. Records come over links as well; a departure is enforced by its gate, not by the watch.

--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -16,8 +16,11 @@
 
 /* How long one call waits for a change in the store; a connection that has
    gone silent for good is noticed after that.  */
-#define CONFIG_WAIT_MS 3000
-#define NODES_WAIT_MS 10000
+static const struct wch_timing config_timing = { 3000, 0 };
+
+/* Records of nodes come over links as well, and many change together when many
+   nodes start.  */
+static const struct wch_timing nodes_timing = { 10000, CLK_SECOND };
 
 /* Callers are told of a shutdown by the readiness probe, which asks every
    second and believes the second refusal.  */
@@ -218,10 +221,9 @@
       = pub_create (loop, sidecar->store, &sdc_publish_handlers, sidecar);
   sidecar->config_watch
       = wch_create (loop, sidecar->store, sidecar->platform->config_kind,
-                    CONFIG_WAIT_MS, &sdc_config_handlers, sidecar);
-  sidecar->node_watch
-      = wch_create (loop, sidecar->store, PUB_KIND, NODES_WAIT_MS,
-                    &sdc_node_handlers, sidecar);
+                    config_timing, &sdc_config_handlers, sidecar);
+  sidecar->node_watch = wch_create (loop, sidecar->store, PUB_KIND,
+                                    nodes_timing, &sdc_node_handlers, sidecar);
   sidecar->probe = prb_create (loop, sidecar->store, PUB_KIND,
                                sidecar->record.name, sdc_take_probe, sidecar);
   if (!start_servers (sidecar))
--- a/src/wch/wch.c
+++ b/src/wch/wch.c
@@ -25,7 +25,7 @@
   struct evl *loop;
   struct sto *store;
   const char *kind;
-  uint32_t wait_ms;
+  struct wch_timing timing;
   const struct wch_handlers *handlers;
   void *context;
   enum wch_health health;
@@ -74,13 +74,13 @@
   struct sto_request request = { .operation = STO_WATCH,
                                  .kind = watch->kind,
                                  .revision = watch->revision,
-                                 .wait_ms = watch->wait_ms };
+                                 .wait_ms = watch->timing.wait_ms };
 
-  watch->call
-      = sto_start (watch->store, &request,
-                   evl_now (watch->loop) + watch->wait_ms * CLK_MILLISECOND
-                       + WATCH_PATIENCE,
-                   on_change, watch);
+  watch->call = sto_start (watch->store, &request,
+                           evl_now (watch->loop)
+                               + watch->timing.wait_ms * CLK_MILLISECOND
+                               + WATCH_PATIENCE,
+                           on_change, watch);
 }
 
 static void
@@ -188,12 +188,15 @@
     watch->revision = reply->revision;
   report_objects (watch, reply);
   set_health (watch, WCH_CURRENT);
-  proceed (watch);
+  if (reply->object_count > 0 && watch->timing.gap > 0)
+    evl_timer_set (&watch->pause, evl_now (watch->loop) + watch->timing.gap);
+  else
+    proceed (watch);
 }
 
 struct wch *
 wch_create (struct evl *loop, struct sto *store, const char *kind,
-            uint32_t wait_ms, const struct wch_handlers *handlers,
+            struct wch_timing timing, const struct wch_handlers *handlers,
             void *context)
 {
   struct wch *watch = mem_alloc (1, sizeof *watch);
@@ -201,7 +204,7 @@
   watch->loop = loop;
   watch->store = store;
   watch->kind = kind;
-  watch->wait_ms = wait_ms;
+  watch->timing = timing;
   watch->handlers = handlers;
   watch->context = context;
   rnd_init (&watch->random, rnd_system_seed ());
--- a/src/wch/wch.h
+++ b/src/wch/wch.h
@@ -37,11 +37,18 @@
     void (*health) (void *context, enum wch_health health);
   };
 
-  /* Follows KIND; KIND must live as long as the watch.  A change is waited for
-     WAIT_MS at most in one call: a store that does not reply by then is
-     noticed.  */
+  /* How calls are made.  */
+  struct wch_timing
+  {
+    uint32_t wait_ms; /* longest wait for a change in one call: a store that
+                         does not reply by then is noticed */
+    clk_time gap;     /* pause after changes have come, so that those of a
+                         series come together; ns */
+  };
+
+  /* Follows KIND; KIND must live as long as the watch.  */
   struct wch *wch_create (struct evl *loop, struct sto *store,
-                          const char *kind, uint32_t wait_ms,
+                          const char *kind, struct wch_timing timing,
                           const struct wch_handlers *handlers, void *context);
 
   /* Starts to follow, or continues after wch_stop.  */
--- /dev/null
+++ b/tests/wch_test.cc
@@ -0,0 +1,97 @@
+/* Watch of the objects of one kind in the store.  */
+
+#include "base/err.h"
+#include "pfm.h"
+#include "pfm_names.h"
+#include "sst.h"
+#include "support/loop_test.h"
+#include "wch/wch.h"
+
+#include <set>
+
+class Watch : public LoopTest
+{
+protected:
+  Watch ()
+  {
+    struct net_address address = next_address ();
+
+    stand_in = sst_create (loop, address);
+    EXPECT_NE (stand_in, nullptr) << err_last ();
+    store = sto_create (loop, address, &pfm_platform);
+  }
+  ~Watch () override
+  {
+    wch_destroy (watch);
+    sto_destroy (store);
+    sst_destroy (stand_in);
+    run_for (5);
+  }
+  static void
+  on_object (void *context, const struct sto_object *object)
+  {
+    static_cast<Watch *> (context)->seen.insert (object->name);
+  }
+  static void
+  on_removed (void *, const char *)
+  {
+  }
+  static void
+  on_list (void *)
+  {
+  }
+  static void
+  on_health (void *, enum wch_health)
+  {
+  }
+  void
+  start (clk_time gap)
+  {
+    static const struct wch_handlers handlers
+        = { on_object, on_removed, on_list, on_list, on_health };
+
+    watch = wch_create (loop, store, "things", { 2000, gap }, &handlers, this);
+    wch_start (watch);
+    ASSERT_TRUE (
+        run_until ([&] { return wch_health (watch) == WCH_CURRENT; }));
+  }
+  /* Writes objects one after the other and returns the calls until all were
+     seen.  */
+  uint64_t
+  write_series (size_t count)
+  {
+    uint64_t before = sst_call_count (stand_in);
+
+    for (size_t i = 0; i < count; i++)
+      {
+        sst_put (stand_in, "things", ("thing-" + std::to_string (i)).c_str (),
+                 json_object ());
+        run_for (10);
+      }
+    EXPECT_TRUE (run_until ([&] { return seen.size () == count; }));
+    return sst_call_count (stand_in) - before;
+  }
+
+  struct sst *stand_in;
+  struct sto *store;
+  struct wch *watch = nullptr;
+  std::set<std::string> seen;
+};
+
+/* Guards against a call to the store for each of many changes that come
+   together, such as the records of nodes that start together.  */
+TEST_F (Watch, TakesChangesOfASeriesTogether)
+{
+  start (400 * CLK_MILLISECOND);
+  EXPECT_LE (write_series (20), 4u);
+}
+
+/* Guards against changes that wait although each one matters at once.  */
+TEST_F (Watch, TakesEachChangeAtOnceWithoutAGap)
+{
+  start (0);
+  sst_put (stand_in, "things", "one", json_object ());
+  EXPECT_TRUE (run_until ([&] { return seen.size () == 1; }, 300));
+  sst_put (stand_in, "things", "two", json_object ());
+  EXPECT_TRUE (run_until ([&] { return seen.size () == 2; }, 300));
+}
