Refuse waiting calls as soon as they are late and late calls starve

Change: the queue itself measures the part of the slots that late calls do not get (gat did before, and the simulator had a copy), and a late call that would not end by its deadline expires at once. Its caller is refused and asked to come back after a third of its time, since it can come once. A gate without knowledge assumes a time from the target, twice as long while its server is cold.

The test of que_wake expected the moment itself; it now expects the first moment at which que_expire finds the call, which is as strict, and a new one that no wake lies in the past.

--- a/src/fwd/fwd_place.c
+++ b/src/fwd/fwd_place.c
@@ -20,6 +20,10 @@
 #define SHORTEST_RETRY (50 * CLK_MILLISECOND)
 #define LONGEST_RETRY (2 * CLK_SECOND)
 
+/* Part of the time left after which a caller comes back that was refused when
+   it was late; callers wait for a third of their time at most.  */
+#define LATE_RETRY_PART 3
+
 /* The nodes that may run a call.  */
 struct field
 {
@@ -90,23 +94,43 @@
     }
 }
 
-/* Answers that the call was not run, with the time after which room is
+/* Answers that the call was not run; RETRY is the time after which room is
    expected.  */
 static void
-refuse (struct fwd_call *call, const struct field *field, clk_time now)
+refuse (struct fwd_call *call, clk_time retry)
+{
+  if (retry < SHORTEST_RETRY)
+    retry = SHORTEST_RETRY;
+  fwd_fail (call, 503, "not run: no upstream has room",
+            retry < LONGEST_RETRY ? retry : LONGEST_RETRY);
+}
+
+/* Returns the shortest wait that is expected at a usable node.  */
+static clk_time
+shortest_wait (const struct field *field, clk_time now)
 {
-  clk_time retry = LONGEST_RETRY;
+  clk_time shortest = LONGEST_RETRY;
 
   for (size_t i = 0; i < field->count; i++)
     if (field->candidates[i].usable)
       {
         clk_time wait = plc_expect_wait (&field->candidates[i].load, now);
 
-        retry = wait < retry ? wait : retry;
+        shortest = wait < shortest ? wait : shortest;
       }
-  if (retry < SHORTEST_RETRY)
-    retry = SHORTEST_RETRY;
-  fwd_fail (call, 503, "not run: no upstream has room", retry);
+  return shortest;
+}
+
+/* Refuses a call that waited until it was late, while late calls get no slots.
+   Its caller can come back once, so it had better come late, with time enough
+   left for the call.  */
+static void
+refuse_late (struct fwd_call *call, clk_time now)
+{
+  if (call->may_have_run)
+    fwd_fail (call, 502, "the upstream's answer was lost", 0);
+  else
+    refuse (call, (call->deadline - now) / LATE_RETRY_PART);
 }
 
 /* Gives up a call that cannot be sent to another upstream.  */
@@ -116,7 +140,7 @@
   if (call->may_have_run)
     fwd_fail (call, 502, "the upstream's answer was lost", 0);
   else
-    refuse (call, field, now);
+    refuse (call, shortest_wait (field, now));
 }
 
 void
@@ -210,7 +234,7 @@
 fwd_take_refusal (struct fwd_call *call, dir_handle peer,
                   enum gat_refusal refusal)
 {
-  bool busy = refusal == GAT_BUSY || refusal == GAT_TOO_LATE;
+  bool busy = refusal == GAT_BUSY;
 
   fwd_log_bounced (call, peer, refusal);
   if (!busy || call->bounces > MAX_BOUNCES)
@@ -222,6 +246,8 @@
       call->runs++;
       fwd_repeat (call);
     }
+  else if (refusal == GAT_TOO_LATE)
+    refuse_late (call, evl_now (call->forwarder->parts.loop));
   else
     fwd_place (call);
 }
--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/mem.h"
 #include "gat/gat_log.h"
+#include "plc/plc.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -14,10 +15,8 @@
    most servers keep one for longer.  */
 #define DEFAULT_KEEP_TIME (4 * CLK_SECOND)
 
-/* Weight of the newest slot in the share that late calls get, and the smallest
-   share that is reckoned with.  */
-#define LATE_WEIGHT 16.
-#define LEAST_LATE_SHARE 0.02
+/* A server that has just started takes about this many times as long.  */
+#define COLD_TIMES 2.
 
 static void on_expiry (void *context);
 
@@ -32,7 +31,6 @@
   gate->registration = registration;
   gate->hooks = *hooks;
   gate->keep_time = DEFAULT_KEEP_TIME;
-  gate->late_share = 1;
   evl_timer_init (&gate->expiry, loop, on_expiry, gate);
   return gate;
 }
@@ -83,7 +81,7 @@
 static void
 plan_expiry (struct gat *gate)
 {
-  evl_timer_set (&gate->expiry, que_wake (&gate->queue));
+  evl_timer_set (&gate->expiry, que_wake (&gate->queue, evl_now (gate->loop)));
 }
 
 void
@@ -113,23 +111,6 @@
   return GAT_NONE;
 }
 
-/* Takes the next call from the queue and notes whether late calls get slots
-   at all.  */
-static struct gat_call *
-take_waiting (struct gat *gate)
-{
-  clk_time now = evl_now (gate->loop);
-  size_t late = que_late_count (&gate->queue, now);
-  struct gat_call *call = que_pop (&gate->queue, now);
-  double took_late;
-
-  if (late == 0 || call == NULL)
-    return call;
-  took_late = que_late_count (&gate->queue, now) < late ? 1. : 0.;
-  gate->late_share += (took_late - gate->late_share) / LATE_WEIGHT;
-  return call;
-}
-
 void
 gat_next (struct gat *gate)
 {
@@ -138,7 +119,7 @@
   while (registration->state == REG_READY
          && gate->running < registration->upstream.slots)
     {
-      struct gat_call *call = take_waiting (gate);
+      struct gat_call *call = que_pop (&gate->queue, evl_now (gate->loop));
 
       if (call == NULL)
         break;
@@ -157,12 +138,32 @@
                         evl_now (gate->loop));
 }
 
+/* Returns the time in a slot of a call of which nothing is known.  All gates
+   that start together would otherwise take every call in their first moments,
+   many more than they can run in time.  */
+static clk_time
+assume_service (const struct gat_call *call)
+{
+  clk_time now = evl_now (call->gate->loop);
+  clk_time end = call->target > call->arrival ? call->target : call->deadline;
+  double service = PLC_ASSUMED_SERVICE * (double)(end - call->arrival);
+
+  if (now < call->gate->registration->cold_until)
+    service *= COLD_TIMES;
+  return (clk_time)service;
+}
+
 clk_time
 gat_service_of (const struct gat_call *call)
 {
   clk_time service = gat_kind_of (call)->service;
+  clk_time slot = call->gate->slot;
+  clk_time assumed;
 
-  return service > 0 ? service : call->gate->slot;
+  if (service > 0)
+    return service;
+  assumed = assume_service (call);
+  return slot > 0 && slot < assumed ? slot : assumed;
 }
 
 /* A call that an upstream makes while it runs a request goes before all
@@ -191,19 +192,12 @@
   struct gat *gate = call->gate;
   uint32_t slots = gate->registration->upstream.slots;
   struct que_item item = make_item ((struct gat_call *)call);
-  clk_time now = evl_now (gate->loop);
-  clk_time wait;
+  clk_time slot = gate->slot > 0 ? gate->slot : item.service;
 
   if (gate->running < slots || slots == 0)
     return 0;
-  wait = gate->slot * (clk_time)(que_ahead (&gate->queue, &item, now) + 1)
-         / slots;
-  if (que_can_be_on_time (&item, now + wait))
-    return wait;
-  return (clk_time)((double)wait
-                    / (gate->late_share > LEAST_LATE_SHARE
-                           ? gate->late_share
-                           : LEAST_LATE_SHARE));
+  gate->queue.pace = slot / slots;
+  return que_expect_wait (&gate->queue, &item, evl_now (gate->loop));
 }
 
 static void
@@ -433,7 +427,7 @@
   if (registration->state == REG_READY && !gate->stopping)
     load->slots = registration->upstream.slots;
   load->slot_us = (uint32_t)(gate->slot / CLK_MICROSECOND);
-  load->service_us = (uint32_t)(gat_service_of (call) / CLK_MICROSECOND);
+  load->service_us = (uint32_t)(gat_kind_of (call)->service / CLK_MICROSECOND);
   load->wait_us = (uint32_t)(gat_expect_wait (call) / CLK_MICROSECOND);
   load->failed_permille = (uint32_t)(gate->failed * 1000);
 }
--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -55,9 +55,7 @@
   struct que queue;
   struct evl_timer expiry; /* of waiting calls */
   uint32_t running;
-  double late_share; /* recent share of slots that late calls got while some
-                        waited */
-  clk_time slot;     /* mean time of any call in a slot, ns; 0: unknown */
+  clk_time slot; /* mean time of any call in a slot, ns; 0: unknown */
   struct gat_kinds kinds;
   double failed; /* recent share of calls that the upstream failed */
   struct gat_idle idle[GAT_MAX_IDLE];
--- a/src/que/que.c
+++ b/src/que/que.c
@@ -8,10 +8,63 @@
    less, every second call that waited until then would be late.  */
 #define SAFE_TIMES 1.25
 
+/* Weight of the newest call in the part that late calls do not get, and the
+   largest such part that is reckoned with.  */
+#define DENIED_WEIGHT 16.
+#define MOST_DENIED 0.98
+
+/* Returns the last moment at which a call can start and be on time.  */
+static clk_time
+last_start (const struct que_item *item)
+{
+  return item->target - (clk_time)(SAFE_TIMES * (double)item->service);
+}
+
 bool
 que_can_be_on_time (const struct que_item *item, clk_time now)
 {
-  return now + (clk_time)(SAFE_TIMES * (double)item->service) <= item->target;
+  return now <= last_start (item);
+}
+
+static size_t
+count_late (const struct que *queue, clk_time now)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < queue->count; i++)
+    if (!que_can_be_on_time (&queue->items[i], now))
+      count++;
+  return count;
+}
+
+/* Returns the wait of a late call that would wait for WAIT if late calls were
+   taken as soon as any.  */
+static clk_time
+stretch (const struct que *queue, clk_time wait)
+{
+  double denied = queue->denied < MOST_DENIED ? queue->denied : MOST_DENIED;
+
+  return (clk_time)((double)wait / (1 - denied));
+}
+
+/* Returns the expected wait of the last late call.  */
+static clk_time
+late_wait (const struct que *queue, clk_time now)
+{
+  return stretch (queue, queue->pace * (clk_time)count_late (queue, now));
+}
+
+/* Returns until when a call may wait: its deadline less the time that it
+   takes, and less WAIT once it is late.  */
+static clk_time
+last_wait (const struct que_item *item, clk_time wait)
+{
+  clk_time latest = item->deadline - item->service;
+  clk_time late = latest - wait;
+
+  if (late < last_start (item))
+    late = last_start (item);
+  return late < latest ? late : latest;
 }
 
 /* Returns whether LEFT runs before RIGHT.  */
@@ -51,24 +104,59 @@
   return call;
 }
 
-void *
-que_pop (struct que *queue, clk_time now)
+static size_t
+find_next (const struct que *queue, clk_time now)
 {
   size_t best = 0;
 
-  if (queue->count == 0)
-    return NULL;
   for (size_t i = 1; i < queue->count; i++)
     if (is_before (&queue->items[i], &queue->items[best], now))
       best = i;
-  return take (queue, best);
+  return best;
+}
+
+/* Notes whether a late call got the slot, or would have got it.  */
+static void
+learn_denied (struct que *queue, bool denied)
+{
+  queue->denied += ((denied ? 1. : 0.) - queue->denied) / DENIED_WEIGHT;
+}
+
+void *
+que_pop (struct que *queue, clk_time now)
+{
+  size_t next;
+  bool on_time;
+
+  if (queue->count == 0)
+    {
+      learn_denied (queue, false);
+      return NULL;
+    }
+  next = find_next (queue, now);
+  on_time = que_can_be_on_time (&queue->items[next], now);
+  if (count_late (queue, now) > 0)
+    learn_denied (queue, on_time);
+  return take (queue, next);
+}
+
+clk_time
+que_expect_wait (const struct que *queue, const struct que_item *item,
+                 clk_time now)
+{
+  size_t ahead = que_ahead (queue, item, now);
+  clk_time wait = queue->pace * (clk_time)(ahead + 1);
+
+  return que_can_be_on_time (item, now + wait) ? wait : stretch (queue, wait);
 }
 
 void *
 que_expire (struct que *queue, clk_time now)
 {
+  clk_time wait = late_wait (queue, now);
+
   for (size_t i = 0; i < queue->count; i++)
-    if (now + queue->items[i].service > queue->items[i].deadline)
+    if (now > last_wait (&queue->items[i], wait))
       return take (queue, i);
   return NULL;
 }
@@ -96,24 +184,24 @@
   return ahead;
 }
 
-size_t
-que_late_count (const struct que *queue, clk_time now)
-{
-  size_t count = 0;
-
-  for (size_t i = 0; i < queue->count; i++)
-    if (!que_can_be_on_time (&queue->items[i], now))
-      count++;
-  return count;
-}
-
 clk_time
-que_wake (const struct que *queue)
+que_wake (const struct que *queue, clk_time now)
 {
-  clk_time wake = CLK_NEVER;
+  clk_time wait = late_wait (queue, now);
+  clk_time wake = CLK_NEVER - 1;
 
+  if (queue->count == 0)
+    return CLK_NEVER;
   for (size_t i = 0; i < queue->count; i++)
-    if (queue->items[i].deadline - queue->items[i].service < wake)
-      wake = queue->items[i].deadline - queue->items[i].service;
-  return wake;
+    {
+      const struct que_item *item = &queue->items[i];
+      clk_time last = last_wait (item, wait);
+
+      /* When a call turns late its wait changes.  */
+      if (que_can_be_on_time (item, now) && last_start (item) < last)
+        last = last_start (item);
+      if (last < wake)
+        wake = last;
+    }
+  return wake + 1;
 }
--- a/src/que/que.h
+++ b/src/que/que.h
@@ -6,7 +6,9 @@
    some seconds.  Calls that can still be on time go first, the more urgent
    before the others and within one priority the one whose time runs out first;
    calls that are late already take what is left.  Thus a burst makes the calls
-   late that are late in any case, instead of all of them a little.  */
+   late that are late in any case, instead of all of them a little.  While the
+   burst lasts, late calls get few slots or none; the queue measures how many,
+   and a call that would wait beyond its deadline is turned away at once.  */
 
 #ifndef MULBERRYSHIFT_QUE_QUE_H
 #define MULBERRYSHIFT_QUE_QUE_H
@@ -40,6 +42,8 @@
   {
     struct que_item items[QUE_MAX];
     size_t count;
+    clk_time pace; /* mean time between two calls that are taken, ns */
+    double denied; /* recent part of these that late calls did not get */
   };
 
   /* Adds a call.  Returns false when the queue is full.  */
@@ -48,8 +52,12 @@
   /* Removes and returns the next call to run, null when none waits.  */
   void *que_pop (struct que *queue, clk_time now);
 
-  /* Removes and returns a call that cannot end by its deadline any more, null
-     when there is none.  */
+  /* Returns the expected wait of a call that would be added now.  */
+  clk_time que_expect_wait (const struct que *queue,
+                            const struct que_item *item, clk_time now);
+
+  /* Removes and returns a call that is not expected to end by its deadline any
+     more, null when there is none.  */
   void *que_expire (struct que *queue, clk_time now);
 
   /* Removes a call.  Returns false when it does not wait.  */
@@ -59,15 +67,12 @@
   size_t que_ahead (const struct que *queue, const struct que_item *item,
                     clk_time now);
 
-  /* Returns how many waiting calls cannot be on time any more.  */
-  size_t que_late_count (const struct que *queue, clk_time now);
-
   /* Returns whether a call can still be on time.  */
   bool que_can_be_on_time (const struct que_item *item, clk_time now);
 
-  /* Returns when que_expire will next find a call, CLK_NEVER when none
-     waits.  */
-  clk_time que_wake (const struct que *queue);
+  /* Returns when que_expire may next find a call, CLK_NEVER when none waits.
+     NOW is the time at which que_expire has found none.  */
+  clk_time que_wake (const struct que *queue, clk_time now);
 
 #ifdef __cplusplus
 }
--- a/tests/que_test.cc
+++ b/tests/que_test.cc
@@ -33,6 +33,19 @@
   {
     return number (que_pop (queue.get (), now));
   }
+  /* Calls on time take every slot while a late one waits.  */
+  void
+  overload ()
+  {
+    queue->pace = 10 * ms;
+    for (int i = 0; i < 100; i++)
+      {
+        push (1, 1, 0, 5000 * ms);
+        push (2, 1, 4000 * ms, 5000 * ms);
+        EXPECT_EQ (pop (1 * ms), 2);
+        EXPECT_TRUE (que_remove (queue.get (), reinterpret_cast<void *> (1)));
+      }
+  }
   std::unique_ptr<struct que> queue{ new struct que () };
 };
 
@@ -70,10 +83,60 @@
 TEST_F (Waiting, CallsExpireWhileTheyCouldNotEndInTime)
 {
   push (1, 1, 50 * ms, 100 * ms, 30 * ms);
-  EXPECT_EQ (que_wake (queue.get ()), 70 * ms);
   EXPECT_EQ (que_expire (queue.get (), 70 * ms), nullptr);
-  EXPECT_EQ (number (que_expire (queue.get (), 71 * ms)), 1);
-  EXPECT_EQ (que_wake (queue.get ()), CLK_NEVER);
+  EXPECT_EQ (que_wake (queue.get (), 70 * ms), 70 * ms + 1);
+  EXPECT_EQ (number (que_expire (queue.get (), 70 * ms + 1)), 1);
+  EXPECT_EQ (que_wake (queue.get (), 71 * ms), CLK_NEVER);
+}
+
+/* Guards against late calls that wait to their deadline for slots that they do
+   not get while calls on time take all (garmi-mesh-grown trouble-3: refused
+   after 720 of 800 ms).  */
+TEST_F (Waiting, LateCallsThatWouldStarveExpireAtOnce)
+{
+  overload ();
+  push (3, 1, 100 * ms, 300 * ms, 20 * ms);
+  EXPECT_EQ (que_expire (queue.get (), 70 * ms), nullptr);
+  EXPECT_EQ (que_wake (queue.get (), 70 * ms), 75 * ms + 1);
+  EXPECT_EQ (number (que_expire (queue.get (), 75 * ms + 1)), 3);
+}
+
+/* Guards against late calls that are refused for good after an overload: slots
+   that nobody takes show that they would be served.  */
+TEST_F (Waiting, LateCallsAreServedAgainAfterAnOverload)
+{
+  overload ();
+  for (int i = 0; i < 50; i++)
+    EXPECT_EQ (que_pop (queue.get (), 0), nullptr);
+  push (3, 1, 100 * ms, 300 * ms, 20 * ms);
+  EXPECT_EQ (que_expire (queue.get (), 80 * ms), nullptr);
+}
+
+/* Guards against a wake-up that lies in the past, at which the owner would
+   look again and again.  */
+TEST_F (Waiting, WakesOnlyLater)
+{
+  struct rnd random;
+
+  rnd_init (&random, 7);
+  for (int round = 0; round < 2000; round++)
+    {
+      clk_time now = (clk_time)rnd_below (&random, 400) * ms;
+
+      queue->pace = (clk_time)rnd_below (&random, 30) * ms;
+      queue->denied = rnd_unit (&random);
+      for (uint32_t i = rnd_below (&random, 6); i > 0; i--)
+        push ((int)i, rnd_below (&random, 3),
+              (clk_time)rnd_below (&random, 500) * ms,
+              (clk_time)rnd_below (&random, 900) * ms,
+              (clk_time)(1 + rnd_below (&random, 90)) * ms);
+      while (que_expire (queue.get (), now) != nullptr)
+        {
+        }
+      EXPECT_GT (que_wake (queue.get (), now), now);
+      while (queue->count > 0)
+        que_pop (queue.get (), now);
+    }
 }
 
 /* Guards against a wrong estimate of the wait: only calls that run before
--- a/tests/support/load_sim.cc
+++ b/tests/support/load_sim.cc
@@ -222,13 +222,8 @@
   {
     if (gate.running < load.slots)
       return 0;
-    clk_time wait = gate.slot
-                    * (clk_time)(que_ahead (&gate.queue, &item, now) + 1)
-                    / load.slots;
-
-    if (que_can_be_on_time (&item, now + wait))
-      return wait;
-    return (clk_time)((double)wait / std::max (gate.late_share, 0.02));
+    gate.queue.pace = (gate.slot > 0 ? gate.slot : item.service) / load.slots;
+    return que_expect_wait (&gate.queue, &item, now);
   }
 
   void
@@ -284,16 +279,10 @@
     answer (item, index, true);
     while ((next = que_expire (&gate.queue, now)) != nullptr)
       {
-        answer (*static_cast<std::shared_ptr<call> *> (next), index, false);
+        result.refused++; /* as fwd does: it is not placed again */
         drop (next);
       }
-    size_t late = que_late_count (&gate.queue, now);
-
     next = que_pop (&gate.queue, now);
-    if (late > 0)
-      gate.late_share
-          += ((que_late_count (&gate.queue, now) < late) - gate.late_share)
-             / 16;
     if (next != nullptr)
       {
         run (*static_cast<std::shared_ptr<call> *> (next), index);
