--- a/src/plc/plc.c
+++ b/src/plc/plc.c
@@ -38,6 +38,9 @@
 /* What was heard of a wait counts half after this time.  */
 #define WAIT_HALF_LIFE (300 * CLK_MILLISECOND)
 
+/* A time in a slot that was told longer ago may have changed.  */
+#define NEWS_AGE CLK_SECOND
+
 /* Costs that differ by less than this part of the time in a slot are equal;
    the random choice among such servers keeps nodes from all choosing the same
    one.  */
@@ -50,10 +53,6 @@
    error.  */
 #define WAIT_STEPS 14
 
-/* Time in a slot assumed while nothing is known of any server, as part of the
-   target.  */
-#define ASSUMED_SERVICE 0.3
-
 /* A choice that is being made.  */
 struct search
 {
@@ -86,12 +85,23 @@
   return wait;
 }
 
+/* Returns the expected time in a slot.  The mean of other kinds of calls says
+   little of this one, and no call would be sent to learn better when it is
+   longer than the deadline.  */
 static clk_time
 service_of (const struct plc_load *load, const struct search *search)
 {
   if (load->service > 0)
     return load->service;
-  return load->slot > 0 ? load->slot : search->assumed;
+  return load->slot > 0 && load->slot < search->assumed ? load->slot
+                                                        : search->assumed;
+}
+
+/* Returns what a call takes in a slot as far as its target tells.  */
+static clk_time
+usual_service (const struct plc_call *call)
+{
+  return (clk_time)(PLC_ASSUMED_SERVICE * (double)call->target);
 }
 
 /* Returns the mean of what is known: a server that has told nothing is taken
@@ -109,8 +119,7 @@
         sum += candidates[i].load.service;
         known++;
       }
-  return known > 0 ? sum / known
-                   : (clk_time)(ASSUMED_SERVICE * (double)call->target);
+  return known > 0 ? sum / known : usual_service (call);
 }
 
 /* Returns how much longer than the call itself others would wait: a call that
@@ -187,14 +196,21 @@
   return (clk_time)low + WAIT_TOLERANCE;
 }
 
+/* Returns whether the call could be served.  What was told a while ago does
+   not keep a call from being tried: only an answer tells better.  */
 static bool
 is_eligible (const struct plc_candidate *candidate,
              const struct search *search)
 {
-  return candidate->usable && candidate->load.slots > 0
-         && candidate->round_trip
-                    + plc_expect_wait (&candidate->load, search->now)
-                    + service_of (&candidate->load, search)
+  const struct plc_load *load = &candidate->load;
+  clk_time service = service_of (load, search);
+  clk_time usual = usual_service (search->call);
+
+  if (search->now - load->heard > NEWS_AGE && service > usual)
+    service = usual;
+  return candidate->usable && load->slots > 0
+         && candidate->round_trip + plc_expect_wait (load, search->now)
+                    + service
                 <= search->call->deadline_left;
 }
 
--- a/src/plc/plc.h
+++ b/src/plc/plc.h
@@ -30,6 +30,10 @@
 /* Returned when no candidate can serve.  */
 #define PLC_NONE SIZE_MAX
 
+/* Time in a slot assumed while nothing is known, as part of the target
+   latency.  */
+#define PLC_ASSUMED_SERVICE 0.3
+
   enum plc_locality
   {
     PLC_SAME_DATA_CENTRE,
--- a/tests/plc_test.cc
+++ b/tests/plc_test.cc
@@ -108,6 +108,30 @@
   EXPECT_EQ (choose ().index, 0u);
 }
 
+/* Guards against calls that are refused for good because what was told of a
+   server, or its mean time with other kinds of calls, is longer than their
+   deadline: no call is sent that could show otherwise (incident inc-dc10 of
+   garmi-mesh: a node refused all calls of a kind for 20 s after all had lost
+   power).  */
+TEST (PlacementMemory, TriesAServerAgainThatWasTooSlow)
+{
+  struct rnd random;
+  struct plc_candidate server = {};
+  struct plc_call wanted = { 60 * ms, 60 * ms, 180 * ms, false };
+  clk_time now = 100 * CLK_SECOND;
+
+  rnd_init (&random, 1);
+  server.usable = true;
+  server.load.slots = 6;
+  server.load.slot = 280 * ms;
+  server.load.heard = now;
+  EXPECT_EQ (plc_choose (&server, 1, &wanted, now, &random).index, 0u);
+  server.load.service = 280 * ms;
+  EXPECT_EQ (plc_choose (&server, 1, &wanted, now, &random).index, PLC_NONE);
+  server.load.heard = now - 2 * CLK_SECOND;
+  EXPECT_EQ (plc_choose (&server, 1, &wanted, now, &random).index, 0u);
+}
+
 /* Guards against a new server that gets no calls because the others, which
    are known, seem faster.  */
 TEST_F (Placement, NewServersGetTheirShare)
