Use nodes again that took no calls, and forget calls without answers

Cause (fault soak seed 4: two of six nodes refused all calls of a service for good): a gate whose upstream takes no calls, or that shuts down, answers with no slots. Nodes remembered that until the next answer, and sent nothing that could bring one; a restart of the process did not clear it. Calls that were sent to a VM while it was frozen counted as work ahead for good in the same way.

Change: a node that took no calls is left alone for 250 ms, then its record counts again; a new start of its process clears what was known; the share of the wait that stands for calls without answers halves every 300 ms. A refusal logs how many nodes could have been asked.

Ruled out: the record (dir, the others used the node).

Tests: UseAnUpstreamAgainThatTookNoCalls fails before (restart of the upstream, and of the process); ForgetsCallsThatWereNeverAnswered.

--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -32,8 +32,9 @@
   uint32_t slots;
   clk_time slot; /* mean time of any call in a slot, ns; 0: unknown */
   double failed;
-  uint32_t sent;  /* calls sent there since the last answer */
-  clk_time heard; /* of the last answer; 0: none */
+  uint32_t sent;    /* calls sent there since the last answer */
+  clk_time sent_at; /* the last one of them */
+  clk_time heard;   /* of the last answer; 0: none */
   struct fwd_kind kinds[FWD_MAX_KINDS];
 };
 
@@ -61,6 +62,7 @@
   uint64_t link;        /* of the try under way */
   uint32_t kind;        /* hash of the route */
   unsigned bounces;     /* gates that were too busy */
+  unsigned usable;      /* nodes that take calls, when it was placed last */
   Mesh__Answer *answer; /* its body is not complete; owned by FRAME */
   Mesh__Frame *frame;
 };
--- a/src/fwd/fwd_log.c
+++ b/src/fwd/fwd_log.c
@@ -181,6 +181,7 @@
   log_text (&entry, "may_have_run", call->may_have_run ? "yes" : "no");
   log_number (&entry, "upstreams", call->runs);
   log_number (&entry, "bounces", call->bounces);
+  log_number (&entry, "usable", call->usable);
   log_number (&entry, "nodes",
               (int64_t)dir_alive_count (call->forwarder->parts.directory));
   if (retry_after > 0)
--- a/src/fwd/fwd_peer.c
+++ b/src/fwd/fwd_peer.c
@@ -5,6 +5,10 @@
 
 #include <string.h>
 
+/* How long a peer that took no calls is left alone, unless its record says
+   that its upstream leaves: only a call shows that it takes calls again.  */
+#define CLOSED_TIME (250 * CLK_MILLISECOND)
+
 struct fwd_peer *
 fwd_peer (struct fwd *forwarder, dir_handle peer)
 {
@@ -67,12 +71,15 @@
 {
   struct fwd_peer *known = fwd_peer (forwarder, peer);
   const struct fwd_kind *kind = find_kind (known, route, false);
-  struct plc_load load = { .slots = slots, .sent = known->sent };
+  struct plc_load load
+      = { .slots = slots, .sent = known->sent, .sent_at = known->sent_at };
 
   if (known->heard == 0)
     return load;
   load.running = known->running;
-  load.slots = known->slots;
+  if (known->slots > 0
+      || evl_now (forwarder->parts.loop) < known->heard + CLOSED_TIME)
+    load.slots = known->slots;
   load.slot = known->slot;
   load.failed = known->failed;
   if (known->slots > 0)
--- a/src/fwd/fwd_place.c
+++ b/src/fwd/fwd_place.c
@@ -94,6 +94,17 @@
     }
 }
 
+static unsigned
+count_usable (const struct field *field)
+{
+  unsigned count = 0;
+
+  for (size_t i = 0; i < field->count; i++)
+    if (field->candidates[i].usable && field->candidates[i].load.slots > 0)
+      count++;
+  return count;
+}
+
 /* Answers that the call was not run; RETRY is the time after which room is
    expected.  */
 static void
@@ -162,6 +173,7 @@
       struct plc_choice choice;
 
       collect (call, &field);
+      call->usable = count_usable (&field);
       choice = plc_choose (field.candidates, field.count, &wanted, now,
                            &forwarder->random);
       if (choice.index == PLC_NONE || call->tried_count == FWD_MAX_TRIED)
--- a/src/fwd/fwd_send.c
+++ b/src/fwd/fwd_send.c
@@ -108,6 +108,7 @@
   call->peer = peer;
   fwd_log_placed (call, peer, max_wait);
   fwd_peer (forwarder, peer)->sent++;
+  fwd_peer (forwarder, peer)->sent_at = now;
   if (message.more)
     send_parts (call, &id);
   return true;
--- a/src/plc/plc.c
+++ b/src/plc/plc.c
@@ -80,8 +80,10 @@
 
   if (load->slots == 0)
     return CLK_NEVER / 4;
+  /* Calls whose answers never came must not count for good.  */
   if (load->sent >= free)
-    wait += load->slot * (clk_time)(load->sent - free) / load->slots;
+    wait += fade (load->slot * (clk_time)(load->sent - free) / load->slots,
+                  now - load->sent_at);
   return wait;
 }
 
--- a/src/plc/plc.h
+++ b/src/plc/plc.h
@@ -53,6 +53,7 @@
     clk_time backlog; /* time in which all calls that wait would have run */
     clk_time heard;   /* when this was told; 0: never */
     uint32_t sent;    /* calls sent there since */
+    clk_time sent_at; /* when the last of them was */
     double failed;    /* recent share of calls that the upstream failed */
   };
 
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -237,7 +237,10 @@
       fwd_forget_peer (sidecar->forwarder, node);
     }
   else if (restarted)
-    hub_retry (sidecar->hub, node);
+    {
+      hub_retry (sidecar->hub, node);
+      fwd_forget_peer (sidecar->forwarder, node);
+    }
   syn_refresh (sidecar->sync);
   return true;
 }
--- /dev/null
+++ b/standins/lib/scf.h
@@ -0,0 +1,29 @@
+/* Stand-in of the operator's document on the users' platform.  */
+
+#ifndef MULBERRYSHIFT_STANDINS_SCF_H
+#define MULBERRYSHIFT_STANDINS_SCF_H
+
+#include <jansson.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+/* Host of all routes of the document.  */
+#define SCF_HOST "mesh.example"
+
+  /* Returns a document that sends /SERVICE/ to each of SERVICES and PATHS to
+     the first one, all of which may run again, and /once/ to the first one at
+     most once.  */
+  json_t *scf_document (uint64_t version, const char *const *services,
+                        size_t service_count, const char *const *paths,
+                        size_t path_count);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -77,6 +77,8 @@
     upstream->repeats++;
   if (upstream->done_count < MAX_RUNS)
     upstream->done[upstream->done_count++] = hash_id (id);
+  if (upstream->settings.on_run != NULL)
+    upstream->settings.on_run (id);
 }
 
 static void
@@ -245,7 +247,7 @@
   char address[NET_TEXT_SIZE];
   struct buf body = { 0 };
 
-  net_format (upstream->settings.address, address);
+  net_format (upstream->settings.announced, address);
   buf_printf (&body,
               "{\"" PFM_ADDRESS "\":\"%s\",\"" PFM_BORN "\":%" PRIu64
               ",\"" PFM_INFO "\":{\"" PFM_SERVICE "\":\"%s\",\"" PFM_ZONE
@@ -296,6 +298,8 @@
 
   upstream->loop = loop;
   upstream->settings = *settings;
+  if (settings->announced.port == 0)
+    upstream->settings.announced = settings->address;
   upstream->born = clk_wall_ms ();
   snprintf (upstream->name, NAME_SIZE, "%s", settings->name);
   snprintf (upstream->service, NAME_SIZE, "%s", settings->service);
--- a/standins/lib/sup.h
+++ b/standins/lib/sup.h
@@ -27,6 +27,10 @@
     uint32_t slots;
     clk_time work;      /* time of a request, ns */
     clk_time heartbeat; /* interval, ns */
+    /* Where others reach it, when that is not ADDRESS; port 0: the same.  */
+    struct net_address announced;
+    /* A request begins to run; may be null.  */
+    void (*on_run) (const char *id);
   };
 
   /* How an upstream misbehaves.  */
--- /dev/null
+++ b/standins/mesh_upstream.c
@@ -0,0 +1,117 @@
+/* Stand-in of an upstream on the users' platform, as a process.
+
+   Usage: standin-mesh_upstream LISTEN ANNOUNCED CONTROL NAME SERVICE
+                                DATA-CENTRE WORK-MS
+
+   Prints "run ID" when a request begins to run.  SIGTERM makes it say that it
+   leaves; it prints "acknowledged" once that was acknowledged, serves for
+   three more seconds, and ends.  SIGUSR1 makes it lose answers for a while. */
+
+#include "base/err.h"
+#include "sup.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define SLOTS 6
+#define HEARTBEAT (300 * CLK_MILLISECOND)
+
+/* After a departure: how long it is served, and how long an acknowledgement
+   may take.  */
+#define LINGER (3 * CLK_SECOND)
+#define PATIENCE (6 * CLK_SECOND)
+#define LOOK (50 * CLK_MILLISECOND)
+#define LOSING (2 * CLK_SECOND)
+
+static struct evl *loop;
+static struct sup *upstream;
+static struct evl_timer look;
+static struct evl_timer recovery;
+static clk_time end;
+static bool acknowledged;
+
+static void
+on_run (const char *id)
+{
+  printf ("run %s\n", id);
+  fflush (stdout);
+}
+
+static void
+on_look (void *context)
+{
+  clk_time now = evl_now (loop);
+
+  (void)context;
+  if (!acknowledged && sup_is_acknowledged (upstream))
+    {
+      acknowledged = true;
+      printf ("acknowledged\n");
+      fflush (stdout);
+      end = now + LINGER;
+    }
+  if (now >= end)
+    evl_stop (loop);
+  else
+    evl_timer_set (&look, now + LOOK);
+}
+
+static void
+on_terminate (void *context)
+{
+  (void)context;
+  end = evl_now (loop) + PATIENCE;
+  sup_drain (upstream);
+  on_look (NULL);
+}
+
+static void
+on_recovery (void *context)
+{
+  (void)context;
+  sup_set_fault (upstream, SUP_SOUND);
+}
+
+static void
+on_lose (void *context)
+{
+  (void)context;
+  sup_set_fault (upstream, SUP_LOSE);
+  evl_timer_set (&recovery, evl_now (loop) + LOSING);
+}
+
+int
+main (int count, char **arguments)
+{
+  struct sup_settings settings
+      = { .slots = SLOTS, .heartbeat = HEARTBEAT, .on_run = on_run };
+
+  if (count != 8 || !net_parse (arguments[1], &settings.address)
+      || !net_parse (arguments[2], &settings.announced)
+      || !net_parse (arguments[3], &settings.control))
+    {
+      fprintf (stderr, "usage: standin-mesh_upstream LISTEN ANNOUNCED CONTROL "
+                       "NAME SERVICE DATA-CENTRE WORK-MS\n");
+      return 2;
+    }
+  settings.name = arguments[4];
+  settings.service = arguments[5];
+  settings.data_centre = arguments[6];
+  settings.work = strtol (arguments[7], NULL, 10) * CLK_MILLISECOND;
+  signal (SIGPIPE, SIG_IGN);
+  loop = evl_create ();
+  evl_timer_init (&look, loop, on_look, NULL);
+  evl_timer_init (&recovery, loop, on_recovery, NULL);
+  upstream = sup_create (loop, &settings);
+  if (upstream == NULL)
+    {
+      fprintf (stderr, "%s\n", err_last ());
+      return 1;
+    }
+  evl_on_signal (loop, SIGTERM, on_terminate, NULL);
+  evl_on_signal (loop, SIGUSR1, on_lose, NULL);
+  evl_run (loop);
+  sup_destroy (upstream);
+  return 0;
+}
--- a/tests/plc_test.cc
+++ b/tests/plc_test.cc
@@ -16,7 +16,7 @@
   struct plc_candidate candidate = {};
 
   candidate.load
-      = { running, 6, 60 * ms, 60 * ms, wait, wait, CLK_SECOND, 0, 0. };
+      = { running, 6, 60 * ms, 60 * ms, wait, wait, CLK_SECOND, 0, 0, 0. };
   candidate.locality = locality;
   candidate.usable = true;
   candidate.round_trip = locality == PLC_OTHER_REGION ? 16 * ms : ms;
@@ -132,6 +132,28 @@
   EXPECT_EQ (plc_choose (&server, 1, &wanted, now, &random).index, 0u);
 }
 
+/* Guards against calls without answers that count as work ahead for good, so
+   that no call is sent there any more: those sent to a VM while it was
+   frozen.  */
+TEST (PlacementMemory, ForgetsCallsThatWereNeverAnswered)
+{
+  struct rnd random;
+  struct plc_candidate server = {};
+  struct plc_call wanted = { 60 * ms, 60 * ms, 180 * ms, false };
+  clk_time now = 100 * CLK_SECOND;
+
+  rnd_init (&random, 1);
+  server.usable = true;
+  server.load.slots = 6;
+  server.load.slot = 60 * ms;
+  server.load.heard = now - 3 * CLK_SECOND;
+  server.load.sent = 40;
+  server.load.sent_at = now;
+  EXPECT_EQ (plc_choose (&server, 1, &wanted, now, &random).index, PLC_NONE);
+  server.load.sent_at = now - 2 * CLK_SECOND;
+  EXPECT_EQ (plc_choose (&server, 1, &wanted, now, &random).index, 0u);
+}
+
 /* Guards against a new server that gets no calls because the others, which
    are known, seem faster.  */
 TEST_F (Placement, NewServersGetTheirShare)
@@ -153,7 +175,7 @@
 TEST_F (Placement, OldWaitsFade)
 {
   struct plc_load load
-      = { 6, 6, 60 * ms, 60 * ms, 400 * ms, 400 * ms, 0, 0, 0. };
+      = { 6, 6, 60 * ms, 60 * ms, 400 * ms, 400 * ms, 0, 0, 0, 0. };
 
   EXPECT_EQ (plc_expect_wait (&load, 0), 400 * ms);
   EXPECT_LT (plc_expect_wait (&load, 2 * CLK_SECOND), 10 * ms);
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -102,6 +102,34 @@
   EXPECT_LE (sst_call_count (store), 2 * count + 2 * 6);
 }
 
+/* Guards against a node that is never used again because it said once that its
+   upstream takes no calls: during a restart of the upstream, or at the end of
+   its own shutdown (soak seed 4: two of six nodes refused all calls of a
+   service for good).  */
+TEST_F (Sidecars, UseAnUpstreamAgainThatTookNoCalls)
+{
+  add_vm ("orders");
+  add_vm ("stock");
+  put_config (1);
+  ASSERT_TRUE (converges (1));
+  ASSERT_TRUE (run_until ([&] { return status_of (0, "/stock/") == 200; }));
+  kill_upstream (1);
+  EXPECT_NE (status_of (0, "/stock/"), 200);
+  EXPECT_EQ (status_of (0, "/stock/"), 503);
+  start_upstream (1);
+  EXPECT_TRUE (run_until ([&] { return status_of (0, "/stock/") == 200; }));
+  sdc_terminate (vms[1].sidecar);
+  ASSERT_TRUE (run_until (
+      [&] {
+        status_of (0, "/stock/");
+        return sdc_has_ended (vms[1].sidecar);
+      },
+      8000));
+  kill_sidecar (1);
+  start_sidecar (1);
+  EXPECT_TRUE (run_until ([&] { return status_of (0, "/stock/") == 200; }));
+}
+
 /* Guards against calls that wait until their deadline at a node whose VM has
    lost power or is frozen although they may run elsewhere (garmi-mesh-grown
    trouble-2: 135 calls in 2 s got no answer in time after 6 VMs had gone).  */
--- /dev/null
+++ b/tests/soak/mesh.py
@@ -0,0 +1,182 @@
+"""Real processes of a mesh: a store, and on each VM a sidecar and its upstream,
+with proxies between sidecar and store and between sidecar and upstream."""
+
+import asyncio
+import json
+import pathlib
+import signal
+import time
+
+from proxy import Proxy
+
+PORTS = {"calls": 8101, "links": 8102, "ready": 8103, "control": 8104,
+         "metrics": 8105, "upstream": 8106, "server": 8107, "store": 8108}
+STORE = ("127.77.9.1", 8300)
+GRACE_S = 6.0
+SETTINGS = """[node]
+name = "vm-{index}"
+data_centre = "{centre}"
+region = "{region}"
+service = "{service}"
+first_start = {first}
+[listen]
+calls = "{ip}:8101"
+links = "{ip}:8102"
+ready = "{ip}:8103"
+control = "{ip}:8104"
+metrics = "{ip}:8105"
+[upstream]
+address = "{ip}:8106"
+heartbeat_s = 0.3
+[platform]
+address = "{ip}:8108"
+[limits]
+grace_s = {grace}
+retry_ratio = 0.2
+retry_slack = 60
+"""
+
+
+class Program:
+    """A child process; its output lines go to `on_line` with their time."""
+
+    def __init__(self, arguments, log, on_line=None):
+        self.arguments = [str(argument) for argument in arguments]
+        self.log = log
+        self.on_line = on_line
+        self.child = None
+        self.frozen = False
+
+    async def start(self):
+        self.frozen = False
+        self.child = await asyncio.create_subprocess_exec(
+            *self.arguments, stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT,
+            limit=1 << 20)
+        self.reading = asyncio.create_task(self._read(self.child.stdout))
+
+    async def _read(self, output):
+        with open(self.log, "ab") as log:
+            while line := await output.readline():
+                log.write(line)
+                if self.on_line is not None:
+                    self.on_line(line.decode(errors="replace").strip(),
+                                 time.monotonic())
+
+    def runs(self):
+        return self.child is not None and self.child.returncode is None
+
+    def send(self, number):
+        if self.runs():
+            self.child.send_signal(number)
+            self.frozen = {signal.SIGSTOP: True,
+                           signal.SIGCONT: False}.get(number, self.frozen)
+
+    async def kill(self):
+        if self.runs():
+            self.child.kill()
+            await self.child.wait()
+
+
+class Vm:
+    """One VM and what the soak has seen of it."""
+
+    def __init__(self, index, build, directory, work_ms):
+        self.index = index
+        self.ip = f"127.77.0.{index + 1}"
+        self.centre = "abcd"[index % 4]
+        self.region = "near" if index % 4 < 2 else "far"
+        self.service = ["orders", "stock"][index // 2 % 2]
+        self.build = build
+        self.directory = directory
+        self.work_ms = work_ms
+        self.runs = {}          # id -> times at which it began to run
+        self.acknowledged = {}  # upstream's name -> time
+        self.disturbed = 0.0    # last fault on the sidecar or its proxies
+        self.harmed = 0.0       # last kill or freeze of the sidecar
+        self.starts = 0
+        self.version = 0        # highest version that this process served
+        self.store_proxy = Proxy((self.ip, PORTS["store"]), STORE)
+        self.server_proxy = Proxy((self.ip, PORTS["upstream"]),
+                                  (self.ip, PORTS["server"]))
+        self.settings = directory / f"vm-{index}.toml"
+        self.sidecar = Program(
+            [build / "mulberryshift", "sidecar", "--settings", self.settings],
+            directory / f"sidecar-{index}.log")
+        self.upstream = None
+
+    async def start(self):
+        await self.store_proxy.start()
+        await self.server_proxy.start()
+        await self.start_sidecar(first=True)
+        await self.start_upstream()
+
+    async def start_sidecar(self, first=False):
+        self.settings.write_text(SETTINGS.format(
+            index=self.index, centre=self.centre, region=self.region,
+            service=self.service, first=str(first).lower(), ip=self.ip,
+            grace=GRACE_S))
+        self.version = 0
+        await self.sidecar.start()
+
+    async def start_upstream(self):
+        self.starts += 1
+        self.upstream_name = f"i-{self.index}-{self.starts}"
+        name = self.upstream_name
+        self.upstream = Program(
+            [self.build / "standin-mesh_upstream",
+             f"{self.ip}:{PORTS['server']}", f"{self.ip}:{PORTS['upstream']}",
+             f"{self.ip}:{PORTS['control']}", name, self.service, self.centre,
+             self.work_ms],
+            self.directory / f"upstream-{self.index}.log",
+            lambda line, now: self._take_line(name, line, now))
+        await self.upstream.start()
+
+    def _take_line(self, name, line, now):
+        if line.startswith("run "):
+            self.runs.setdefault(line[4:], []).append((now, name))
+        elif line == "acknowledged":
+            self.acknowledged[name] = now
+
+
+class Mesh:
+    """The store, the VMs and the operator."""
+
+    def __init__(self, build, directory, size, work_ms):
+        self.build = pathlib.Path(build).resolve()
+        self.names = {}
+        self.version = 0
+        self.store = Program([self.build / "standin-mesh_store",
+                              f"{STORE[0]}:{STORE[1]}"],
+                             directory / "store.log", self._take_line)
+        self.vms = [Vm(index, self.build, directory, work_ms)
+                    for index in range(size)]
+
+    def _take_line(self, line, _now):
+        if line.startswith("{"):
+            self.names = json.loads(line)
+
+    async def start(self):
+        await self.store.start()
+        await self.put_config()
+        for vm in self.vms:
+            await vm.start()
+        while not self.names:
+            await asyncio.sleep(0.05)
+
+    async def put_config(self):
+        """Writes the next version, which adds the route /vVERSION/."""
+        self.version += 1
+        services = " ".join(sorted({vm.service for vm in self.vms}))
+        line = f"config {self.version} {services} / /v{self.version}/\n"
+        self.store.child.stdin.write(line.encode())
+        await self.store.child.stdin.drain()
+
+    async def stop(self):
+        for vm in self.vms:
+            await vm.sidecar.kill()
+            if vm.upstream is not None:
+                await vm.upstream.kill()
+            vm.store_proxy.stop()
+            vm.server_proxy.stop()
+        await self.store.kill()
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,287 @@
+"""Fault soak: real processes, faults from outside, promises checked.
+
+Usage: run.py BUILD [--seed N] [--seeds N] [--seconds S] [--vms N]
+
+Without --seed, tests/soak/seeds.txt is played.  Each seed draws a series of
+faults that may overlap: sidecars killed, stopped, frozen and started again;
+upstreams killed, drained, frozen, losing answers; connections to store and
+upstreams delayed, reset, cut one way or silenced; the store frozen; versions
+written.  Exit code 1 when a promise was broken; logs stay in the directory that
+is printed then.
+"""
+
+import argparse
+import asyncio
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+from callers import PROMISES, Callers
+from mesh import GRACE_S, Mesh, PORTS
+
+DRAIN_S = 2.0      # a departed upstream gets nothing after this time
+APPLY_S = 2.0      # a version is in effect after this time, without faults
+RECOVER_S = 15.0   # calls are served again after this time
+SETTLE_S = 3.0     # a fault excuses what follows within this time
+SERVED = 0.95      # part of the calls that is served after recovery
+SEEDS = pathlib.Path(__file__).with_name("seeds.txt")
+
+
+class Soak:
+    """One seed."""
+
+    def __init__(self, mesh, seed):
+        self.mesh = mesh
+        self.rnd = random.Random(seed)
+        self.broken = []
+        self.actions = []
+        self.pending = set()
+
+    def note(self, text):
+        self.actions.append((time.monotonic(), text))
+
+    def fail(self, text):
+        self.broken.append(text)
+
+    # Faults.  Each ends by itself.
+
+    async def kill_sidecar(self, vm):
+        vm.harmed = vm.disturbed = time.monotonic()
+        await vm.sidecar.kill()
+        await asyncio.sleep(self.rnd.uniform(0.1, 2))
+        await vm.start_sidecar()
+        vm.harmed = vm.disturbed = time.monotonic()
+
+    async def stop_sidecar(self, vm):
+        vm.disturbed = time.monotonic()
+        child = vm.sidecar.child
+        vm.sidecar.send(signal.SIGTERM)
+        frozen_before = vm.harmed
+        try:
+            code = await asyncio.wait_for(child.wait(), GRACE_S + 0.5)
+            if code != 0 and vm.harmed == frozen_before:
+                self.fail(f"vm-{vm.index}: exit code {code} after SIGTERM")
+        except asyncio.TimeoutError:
+            if vm.harmed == frozen_before:
+                self.fail(f"vm-{vm.index}: runs {GRACE_S} s after SIGTERM")
+            await vm.sidecar.kill()
+        await asyncio.sleep(self.rnd.uniform(0.1, 1))
+        await vm.start_sidecar()
+        vm.disturbed = time.monotonic()
+
+    async def freeze_sidecar(self, vm):
+        vm.harmed = vm.disturbed = time.monotonic()
+        vm.sidecar.send(signal.SIGSTOP)
+        await asyncio.sleep(self.rnd.uniform(0.2, 3))
+        vm.sidecar.send(signal.SIGCONT)
+        vm.harmed = vm.disturbed = time.monotonic()
+
+    async def kill_upstream(self, vm):
+        await vm.upstream.kill()
+        await asyncio.sleep(self.rnd.uniform(0.1, 2))
+        await vm.start_upstream()
+
+    async def drain_upstream(self, vm):
+        child = vm.upstream.child
+        vm.upstream.send(signal.SIGTERM)
+        await child.wait()
+        await vm.start_upstream()
+
+    async def freeze_upstream(self, vm):
+        vm.upstream.send(signal.SIGSTOP)
+        await asyncio.sleep(self.rnd.uniform(0.2, 2))
+        vm.upstream.send(signal.SIGCONT)
+
+    async def lose_answers(self, vm):
+        vm.upstream.send(signal.SIGUSR1)
+
+    async def spoil(self, proxy):
+        proxy.set(self.rnd.choice(["delay", "silence", "one-way", "reset"]),
+                  self.rnd.uniform(0.01, 0.3))
+        await asyncio.sleep(self.rnd.uniform(0.3, 3))
+        proxy.set("pass")
+
+    async def spoil_store(self, vm):
+        vm.disturbed = time.monotonic()
+        await self.spoil(vm.store_proxy)
+        vm.disturbed = time.monotonic()
+
+    async def spoil_upstream(self, vm):
+        vm.disturbed = time.monotonic()
+        await self.spoil(vm.server_proxy)
+        vm.disturbed = time.monotonic()
+
+    async def spoil_all_stores(self, _vm):
+        await asyncio.gather(*[self.spoil_store(vm) for vm in self.mesh.vms])
+
+    async def freeze_store(self, _vm):
+        self.mesh.store.send(signal.SIGSTOP)
+        await asyncio.sleep(self.rnd.uniform(0.3, 3))
+        self.mesh.store.send(signal.SIGCONT)
+
+    async def change(self, _vm):
+        await self.mesh.put_config()
+
+    async def one_at_a_time(self, key, action, vm):
+        """Two faults of one process or proxy must not end each other."""
+        try:
+            await action(vm)
+        finally:
+            self.pending.discard(key)
+
+    async def play(self, seconds):
+        kinds = [
+            (self.kill_sidecar, "sidecar"), (self.stop_sidecar, "sidecar"),
+            (self.freeze_sidecar, "sidecar"), (self.kill_upstream, "upstream"),
+            (self.drain_upstream, "upstream"),
+            (self.freeze_upstream, "upstream"),
+            (self.lose_answers, "upstream"),
+            (self.spoil_store, "store proxy"),
+            (self.spoil_upstream, "server proxy"),
+            (self.spoil_all_stores, "store proxies"),
+            (self.freeze_store, "store"), (self.change, None),
+            (self.change, None)]
+        tasks = []
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(self.rnd.uniform(0.05, 0.7))
+            vm = self.rnd.choice(self.mesh.vms)
+            action, target = self.rnd.choice(kinds)
+            key = (target, vm.index if target not in
+                   ("store", "store proxies") else None)
+            if target is not None and key in self.pending:
+                continue
+            self.pending.add(key)
+            self.note(f"{action.__name__} vm-{vm.index}")
+            tasks.append(asyncio.create_task(
+                self.one_at_a_time(key, action, vm)))
+        await asyncio.gather(*tasks)
+
+    # Promises.
+
+    def check_runs(self, outcomes):
+        runs = {}
+        for vm in self.mesh.vms:
+            for request, times in vm.runs.items():
+                runs.setdefault(request, []).extend(
+                    (now, vm, name) for now, name in times)
+        for outcome in outcomes:
+            count = len(runs.get(outcome.id, []))
+            where = f"{outcome.id} at vm-{outcome.vm.index}"
+            if outcome.wrong is not None:
+                self.fail(f"{where}: {outcome.wrong}")
+            if outcome.once and count > 1:
+                self.fail(f"{where}: ran {count} times")
+            if outcome.status in PROMISES and count > 0:
+                self.fail(f"{where}: status {outcome.status}, but it ran")
+            if outcome.status == 200 and count == 0:
+                self.fail(f"{where}: answered, but it never ran")
+            if (outcome.closed and count > 0
+                    and outcome.vm.harmed < outcome.sent - SETTLE_S):
+                self.fail(f"{where}: ran and was closed without an answer")
+        for started in runs.values():
+            for now, vm, name in started:
+                left = vm.acknowledged.get(name)
+                if (left is not None and now > left + DRAIN_S
+                        and vm.disturbed < left - SETTLE_S):
+                    self.fail(f"{name}: a request {now - left:.1f} s after its "
+                              "departure was acknowledged")
+
+    async def status(self, callers, vm, path):
+        try:
+            connection = await asyncio.wait_for(
+                asyncio.open_connection(vm.ip, PORTS["calls"]), 1)
+        except (OSError, asyncio.TimeoutError):
+            return None
+        await callers.call(vm, connection, path)
+        connection[1].close()
+        return callers.outcomes[-1].status if (
+            callers.outcomes[-1].vm is vm) else None
+
+    async def check_recovery(self, callers):
+        """All VMs serve the newest version, and nearly all calls succeed."""
+        end = time.monotonic() + RECOVER_S
+        path = f"/v{self.mesh.version}/"
+        missing = list(self.mesh.vms)
+        while missing and time.monotonic() < end:
+            await asyncio.sleep(0.2)
+            probe = Callers(self.mesh, self.rnd, 0)
+            missing = [vm for vm in missing
+                       if await self.status(probe, vm, path) != 200]
+        for vm in missing:
+            self.fail(f"vm-{vm.index}: does not serve {path} "
+                      f"{RECOVER_S} s after the faults")
+        first = len(callers.outcomes)
+        await asyncio.sleep(3)
+        recent = [o for o in callers.outcomes[first:] if o.ended is not None]
+        served = sum(o.status == 200 for o in recent)
+        if served < SERVED * len(recent):
+            self.fail(f"{served} of {len(recent)} calls served after recovery")
+
+    async def check_change(self):
+        """Without faults a version is in effect everywhere in time."""
+        await self.mesh.put_config()
+        await asyncio.sleep(APPLY_S)
+        probe = Callers(self.mesh, self.rnd, 0)
+        for vm in self.mesh.vms:
+            status = await self.status(probe, vm, f"/v{self.mesh.version}/")
+            if status == 404:
+                self.fail(f"vm-{vm.index}: version {self.mesh.version} is not "
+                          f"in effect after {APPLY_S} s")
+
+
+async def play_seed(options, seed):
+    directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    mesh = Mesh(options.build, directory, options.vms, work_ms=20)
+    soak = Soak(mesh, seed)
+    try:
+        await mesh.start()
+        await asyncio.sleep(2.5)
+        callers = Callers(mesh, soak.rnd, each=3)
+        await asyncio.sleep(1)
+        await soak.play(options.seconds)
+        await soak.check_recovery(callers)
+        await soak.check_change()
+        await callers.stop()
+        soak.check_runs([o for o in callers.outcomes if o.ended is not None])
+        served = sum(o.status == 200 for o in callers.outcomes)
+        print(f"seed {seed}: {len(soak.actions)} faults, "
+              f"{len(callers.outcomes)} calls, {served} served, "
+              f"{len(soak.broken)} promises broken", flush=True)
+    finally:
+        await mesh.stop()
+    if soak.broken:
+        (directory / "faults.txt").write_text("\n".join(
+            f"{when:.3f} {text}" for when, text in soak.actions))
+        for text in soak.broken[:10]:
+            print(f"  {text}")
+        print(f"  logs: {directory}", flush=True)
+    else:
+        shutil.rmtree(directory)
+    return not soak.broken
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("build")
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--vms", type=int, default=6)
+    options = parser.parse_args()
+    if options.seed is not None:
+        seeds = range(options.seed, options.seed + options.seeds)
+    else:
+        seeds = [int(line.split()[0]) for line in SEEDS.read_text().splitlines()
+                 if line and not line.startswith("#")]
+    results = [asyncio.run(play_seed(options, seed)) for seed in seeds]
+    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
+    sys.exit(0 if all(results) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/support/load_sim.cc
+++ b/tests/support/load_sim.cc
@@ -196,6 +196,7 @@
         return;
       }
     known[item->node * servers.size () + choice.index].sent++;
+    known[item->node * servers.size () + choice.index].sent_at = now;
     at (now + one_way[candidates[choice.index].locality],
         [this, item, choice] { admit (item, choice); });
   }
@@ -311,6 +312,7 @@
             gate.slot * (clk_time)gate.queue.count / load.slots,
             0,
             0,
+            0,
             0. };
 
     drop (entry.call);
--- a/tests/support/sidecar_mesh.cc
+++ b/tests/support/sidecar_mesh.cc
@@ -5,6 +5,7 @@
 #include "base/err.h"
 #include "pfm.h"
 #include "pfm_names.h"
+#include "scf.h"
 
 #include <algorithm>
 #include <csignal>
@@ -105,14 +106,16 @@
 {
   Vm &vm = vms[index];
   std::string name = "i-" + vm.name + "-" + std::to_string (++vm.starts);
-  struct sup_settings settings = { address_of (index, upstream_port),
-                                   address_of (index, control_port),
-                                   name.c_str (),
-                                   vm.service.c_str (),
-                                   vm.data_centre.c_str (),
-                                   slots,
-                                   work,
-                                   heartbeat };
+  struct sup_settings settings = {};
+
+  settings.address = address_of (index, upstream_port);
+  settings.control = address_of (index, control_port);
+  settings.name = name.c_str ();
+  settings.service = vm.service.c_str ();
+  settings.data_centre = vm.data_centre.c_str ();
+  settings.slots = slots;
+  settings.work = work;
+  settings.heartbeat = heartbeat;
 
   vm.upstream = sup_create (loop, &settings);
   ASSERT_NE (vm.upstream, nullptr);
@@ -126,49 +129,24 @@
   run_for (1);
 }
 
-static json_t *
-make_route (const std::string &path, const std::string &service, bool safe)
-{
-  return json_pack (
-      "{s:s, s:{s:s}, s:{s:s, s:s, s:s, s:f, s:f, s:i, s:i, s:s}}",
-      PFM_ENTRY_TYPE, PFM_ROUTES, PFM_METADATA, PFM_NAME, path.c_str (),
-      PFM_SPEC, PFM_HOST, "mesh.example", PFM_PATH_PREFIX, path.c_str (),
-      PFM_ROUTE_TYPE, safe ? PFM_ROUTE_SAFE : PFM_ROUTE_UNSAFE, PFM_TIMEOUT_S,
-      1.0, PFM_TARGET_LATENCY_S, 0.3, PFM_PRIORITY, 1, PFM_MAX_ATTEMPTS, 2,
-      PFM_SERVICE, service.c_str ());
-}
-
 void
 SidecarMesh::put_config (uint64_t version,
                          const std::vector<std::string> &more_paths)
 {
-  json_t *entries = json_array ();
-  std::set<std::string> services = { "orders" };
+  std::vector<const char *> services = { "orders" };
+  std::vector<const char *> paths;
+  std::set<std::string> others;
 
   for (const Vm &vm : vms)
-    services.insert (vm.service);
-  for (const std::string &service : services)
-    {
-      json_array_append_new (
-          entries, json_pack ("{s:s, s:{s:s}, s:{s:s, s:i}}", PFM_ENTRY_TYPE,
-                              PFM_SERVICES, PFM_METADATA, PFM_NAME,
-                              service.c_str (), PFM_SPEC, "HealthPath",
-                              "/health", PFM_MAX_CONNECTIONS, 100));
-      json_array_append_new (entries,
-                             make_route ("/" + service + "/", service, true));
-    }
+    if (vm.service != "orders")
+      others.insert (vm.service);
+  for (const std::string &service : others)
+    services.push_back (service.c_str ());
   for (const std::string &path : more_paths)
-    json_array_append_new (entries, make_route (path, "orders", true));
-  json_array_append_new (entries, make_route ("/once/", "orders", false));
-  json_array_append_new (
-      entries,
-      json_pack ("{s:s, s:{}, s:{s:i, s:i, s:f, s:f}}", PFM_ENTRY_TYPE,
-                 PFM_LIMITS, PFM_METADATA, PFM_SPEC, PFM_MAX_HEADER_BYTES,
-                 16384, PFM_MAX_BODY_BYTES, 1000000, PFM_HEADER_TIMEOUT_S, 3.,
-                 PFM_IDLE_TIMEOUT_S, 15.));
+    paths.push_back (path.c_str ());
   sst_put (store, PFM_CONFIG_KIND, PFM_CONFIG_NAME,
-           json_pack ("{s:I, s:o}", PFM_VERSION, (json_int_t)version,
-                      PFM_RESOURCES, entries));
+           scf_document (version, services.data (), services.size (),
+                         paths.data (), paths.size ()));
 }
 
 bool
