--- a/src/cfg/cfg_sidecar.h
+++ b/src/cfg/cfg_sidecar.h
@@ -32,7 +32,6 @@
     struct net_address upstream;
     clk_time heartbeat;
     struct net_address platform;
-    clk_time drain;
     clk_time grace;
     double retry_ratio;
     int64_t retry_slack;
