Let what was heard of failures fade

Cause: a node that had heard that an upstream fails calls avoided it until the next answer from there, which may not come for long.

Change: the share counts half after two seconds without news.

Test: AvoidsFailingServers expects the near server again after 20 s (the far one was chosen before).

--- a/src/fwd/fwd_peer.c
+++ b/src/fwd/fwd_peer.c
@@ -82,6 +82,7 @@
     load.slots = known->slots;
   load.slot = known->slot;
   load.failed = known->failed;
+  load.failed_heard = known->heard;
   if (known->slots > 0)
     load.backlog = known->slot * known->waiting / known->slots;
   load.heard = known->heard;
--- a/src/plc/plc.c
+++ b/src/plc/plc.c
@@ -38,6 +38,10 @@
 /* What was heard of a wait counts half after this time.  */
 #define WAIT_HALF_LIFE (300 * CLK_MILLISECOND)
 
+/* What was heard of failures counts half after this time: a server that fails
+   calls gets few, and only calls show that it has recovered.  */
+#define FAILED_HALF_LIFE (2 * CLK_SECOND)
+
 /* A time in a slot that was told longer ago may have changed.  */
 #define NEWS_AGE CLK_SECOND
 
@@ -151,17 +155,20 @@
   const struct plc_call *call = search->call;
   const struct plc_load *load = &candidate->load;
   double service = (double)service_of (load, search);
+  double failed = load->failed
+                  * exp2 (-(double)(search->now - load->failed_heard)
+                          / (double)FAILED_HALF_LIFE);
   double busy = (double)(load->running + load->sent) / load->slots;
   double end = (double)candidate->round_trip + wait + service;
   double spread = SPREAD * (wait + service) + (double)LEAST_SPREAD;
   double time = end + (double)displaced_time (load, search)
                 + LOAD_COST * service * (busy < 1 ? busy : 1)
-                + FAILED_TIMES * load->failed * end;
+                + FAILED_TIMES * failed * end;
 
   return LATE_COST * miss_probability (end, (double)call->target_left, spread)
          + MISSED_COST
                * miss_probability (end, (double)call->deadline_left, spread)
-         + TIME_COST * time / (double)call->target + FAILED_COST * load->failed
+         + TIME_COST * time / (double)call->target + FAILED_COST * failed
          + crossing_cost[candidate->locality];
 }
 
--- a/src/plc/plc.h
+++ b/src/plc/plc.h
@@ -55,6 +55,7 @@
     uint32_t sent;    /* calls sent there since */
     clk_time sent_at; /* when the last of them was */
     double failed;    /* recent share of calls that the upstream failed */
+    clk_time failed_heard; /* when that was told */
   };
 
   /* A node whose upstream may run the call.  */
--- a/tests/plc_test.cc
+++ b/tests/plc_test.cc
@@ -15,8 +15,8 @@
 {
   struct plc_candidate candidate = {};
 
-  candidate.load
-      = { running, 6, 60 * ms, 60 * ms, wait, wait, CLK_SECOND, 0, 0, 0. };
+  candidate.load = { running,    6, 60 * ms, 60 * ms, wait,      wait,
+                     CLK_SECOND, 0, 0,       0.,      CLK_SECOND };
   candidate.locality = locality;
   candidate.usable = true;
   candidate.round_trip = locality == PLC_OTHER_REGION ? 16 * ms : ms;
@@ -106,6 +106,10 @@
   EXPECT_EQ (choose ().index, 1u);
   candidates[1].load.failed = 0.5;
   EXPECT_EQ (choose ().index, 0u);
+  /* Guards against a server that is avoided long after it has recovered.  */
+  candidates[1].load.failed = 0;
+  candidates[0].load.failed_heard = -20 * CLK_SECOND;
+  EXPECT_EQ (choose ().index, 0u);
 }
 
 /* Guards against calls that are refused for good because what was told of a
@@ -175,7 +179,7 @@
 TEST_F (Placement, OldWaitsFade)
 {
   struct plc_load load
-      = { 6, 6, 60 * ms, 60 * ms, 400 * ms, 400 * ms, 0, 0, 0, 0. };
+      = { 6, 6, 60 * ms, 60 * ms, 400 * ms, 400 * ms, 0, 0, 0, 0., 0 };
 
   EXPECT_EQ (plc_expect_wait (&load, 0), 400 * ms);
   EXPECT_LT (plc_expect_wait (&load, 2 * CLK_SECOND), 10 * ms);
--- a/tests/support/load_sim.cc
+++ b/tests/support/load_sim.cc
@@ -313,7 +313,8 @@
             0,
             0,
             0,
-            0. };
+            0.,
+            0 };
 
     drop (entry.call);
     at (now + one_way[locality (item->node, index)],
