Go on watching after a doubt that an answer has ended

Cause (fault soak seed 8: no node heard of a version): the probe of the store found no answer and the watch was held back; the answer to the call under way then came and made the watch current, but no further call was made; when the probe succeeded, a watch that was current was taken to need nothing.

Change: the end of a doubt lets every watch proceed.

Ruled out: the store (it had written the version), the role (both watchers kept it).

Test: GoesOnAfterADoubtThatAnAnswerHasEnded fails before.

--- a/src/wch/wch.c
+++ b/src/wch/wch.c
@@ -250,11 +250,13 @@
 wch_renew (struct wch *watch)
 {
   watch->doubted = false;
-  if (!watch->started || watch->health != WCH_BLIND)
-    return;
-  sto_cancel (watch->call);
-  watch->call = NULL;
-  watch->after[0] = '\0';
+  if (watch->health == WCH_BLIND)
+    {
+      sto_cancel (watch->call);
+      watch->call = NULL;
+      watch->after[0] = '\0';
+    }
+  /* An answer may have come meanwhile, after which no call was made.  */
   evl_timer_stop (&watch->pause);
   proceed (watch);
 }
--- a/tests/soak/mesh.py
+++ b/tests/soak/mesh.py
@@ -11,7 +11,7 @@
 
 PORTS = {"calls": 8101, "links": 8102, "ready": 8103, "control": 8104,
          "metrics": 8105, "upstream": 8106, "server": 8107, "store": 8108}
-STORE = ("127.77.9.1", 8300)
+STORE_PORT = 8300
 GRACE_S = 6.0
 SETTINGS = """[node]
 name = "vm-{index}"
@@ -37,6 +37,10 @@
 """
 
 
+def store_address(network):
+    return f"127.{network}.9.1", STORE_PORT
+
+
 class Program:
     """A child process; its output lines go to `on_line` with their time."""
 
@@ -81,9 +85,9 @@
 class Vm:
     """One VM and what the soak has seen of it."""
 
-    def __init__(self, index, build, directory, work_ms):
+    def __init__(self, index, build, directory, work_ms, network):
         self.index = index
-        self.ip = f"127.77.0.{index + 1}"
+        self.ip = f"127.{network}.0.{index + 1}"
         self.centre = "abcd"[index % 4]
         self.region = "near" if index % 4 < 2 else "far"
         self.service = ["orders", "stock"][index // 2 % 2]
@@ -96,7 +100,8 @@
         self.harmed = 0.0       # last kill or freeze of the sidecar
         self.starts = 0
         self.version = 0        # highest version that this process served
-        self.store_proxy = Proxy((self.ip, PORTS["store"]), STORE)
+        self.store_proxy = Proxy((self.ip, PORTS["store"]),
+                                 store_address(network))
         self.server_proxy = Proxy((self.ip, PORTS["upstream"]),
                                   (self.ip, PORTS["server"]))
         self.settings = directory / f"vm-{index}.toml"
@@ -142,14 +147,14 @@
 class Mesh:
     """The store, the VMs and the operator."""
 
-    def __init__(self, build, directory, size, work_ms):
+    def __init__(self, build, directory, size, work_ms, network):
         self.build = pathlib.Path(build).resolve()
         self.names = {}
         self.version = 0
         self.store = Program([self.build / "standin-mesh_store",
-                              f"{STORE[0]}:{STORE[1]}"],
+                              "{}:{}".format(*store_address(network))],
                              directory / "store.log", self._take_line)
-        self.vms = [Vm(index, self.build, directory, work_ms)
+        self.vms = [Vm(index, self.build, directory, work_ms, network)
                     for index in range(size)]
 
     def _take_line(self, line, _now):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,6 +1,6 @@
 """Fault soak: real processes, faults from outside, promises checked.
 
-Usage: run.py BUILD [--seed N] [--seeds N] [--seconds S] [--vms N]
+Usage: run.py BUILD [--seed N] [--seeds N] [--seconds S] [--vms N] [--network N]
 
 Without --seed, tests/soak/seeds.txt is played.  Each seed draws a series of
 faults that may overlap: sidecars killed, stopped, frozen and started again;
@@ -236,7 +236,8 @@
 
 async def play_seed(options, seed):
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    mesh = Mesh(options.build, directory, options.vms, work_ms=20)
+    mesh = Mesh(options.build, directory, options.vms, work_ms=20,
+                network=options.network)
     soak = Soak(mesh, seed)
     try:
         await mesh.start()
@@ -272,6 +273,9 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--vms", type=int, default=6)
+    parser.add_argument("--network", type=int, default=77,
+                        help="second number of all addresses, for soaks that "
+                             "run side by side")
     options = parser.parse_args()
     if options.seed is not None:
         seeds = range(options.seed, options.seed + options.seeds)
--- a/tests/wch_test.cc
+++ b/tests/wch_test.cc
@@ -95,3 +95,18 @@
   sst_put (stand_in, "things", "two", json_object ());
   EXPECT_TRUE (run_until ([&] { return seen.size () == 2; }, 300));
 }
+
+/* Guards against a watch that makes no call any more though it seems current:
+   the answer to its last call came while the store was doubted (soak seed 8:
+   no node heard of a version).  */
+TEST_F (Watch, GoesOnAfterADoubtThatAnAnswerHasEnded)
+{
+  start (0);
+  wch_doubt (watch);
+  sst_put (stand_in, "things", "one", json_object ());
+  ASSERT_TRUE (run_until ([&] { return seen.size () == 1; }, 1000));
+  wch_renew (watch);
+  run_for (20);
+  sst_put (stand_in, "things", "two", json_object ());
+  EXPECT_TRUE (run_until ([&] { return seen.size () == 2; }, 1000));
+}
