--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -73,3 +73,12 @@
   EXPECT_TRUE (settings.first_start);
   EXPECT_DOUBLE_EQ (settings.cores, 1);
 }
+
+/* Guards against an example that the program refuses.  */
+TEST (Settings, ExampleIsValid)
+{
+  struct cfg_sidecar settings = parse (read_file ("examples/sidecar.toml"));
+
+  EXPECT_STREQ (settings.service, "price");
+  EXPECT_EQ (settings.retry_slack, 56);
+}
