Refuse a document without routes in check and apply

Cause: check accepted an empty document with a warning; applying it would have removed every route. Both commands now read the document in one place.

Test: ADocumentWithoutRoutesIsRefused (check ended with 0 before).

--- a/src/cli/cli_apply.c
+++ b/src/cli/cli_apply.c
@@ -1,10 +1,8 @@
 /* The command "apply".  */
 
-#include "base/err.h"
-#include "base/file.h"
 #include "cli/cli_args.h"
+#include "cli/cli_document.h"
 #include "cli/cli_write.h"
-#include "doc/doc.h"
 
 #include <stdio.h>
 
@@ -19,25 +17,18 @@
 apply_file (struct cli_session *session, struct cli_write write,
             const char *file)
 {
-  struct doc_document *document = NULL;
-  struct buf report = { 0 };
-  struct buf text = { 0 };
-  enum cli_exit exit = CLI_BAD_INPUT;
+  struct doc_document *document;
+  struct buf text;
+  enum cli_exit exit;
 
-  if (!file_read (file, &text))
-    fprintf (stderr, "%s; check the name of the document.\n", err_last ());
-  else if (doc_parse (file, buf_text (&text), text.length, &document, &report)
-           != DOC_OK)
-    fprintf (stderr, "%sNothing was written: correct the document first.\n",
-             buf_text (&report));
-  else
-    {
-      fputs (buf_text (&report), stderr);
-      write.document = &text;
-      exit = cli_write_document (session, &write);
-    }
+  if (!cli_read_document (file,
+                          "Nothing was written: correct the document "
+                          "first.\n",
+                          &document, &text))
+    return CLI_BAD_INPUT;
+  write.document = &text;
+  exit = cli_write_document (session, &write);
   doc_destroy (document);
-  buf_close (&report);
   buf_close (&text);
   return exit;
 }
--- a/src/cli/cli_check.c
+++ b/src/cli/cli_check.c
@@ -1,9 +1,7 @@
 /* The command "check".  */
 
-#include "base/err.h"
-#include "base/file.h"
 #include "cli/cli_args.h"
-#include "doc/doc.h"
+#include "cli/cli_document.h"
 
 #include <stdio.h>
 
@@ -15,28 +13,17 @@
 static enum cli_exit
 check_file (const char *file)
 {
-  struct doc_document *document = NULL;
-  struct buf report = { 0 };
-  struct buf text = { 0 };
-  enum cli_exit exit = CLI_BAD_INPUT;
+  struct doc_document *document;
+  struct buf text;
 
-  if (!file_read (file, &text))
-    fprintf (stderr, "%s; check the name of the document.\n", err_last ());
-  else if (doc_parse (file, buf_text (&text), text.length, &document, &report)
-           != DOC_OK)
-    fputs (buf_text (&report), stderr);
-  else
-    {
-      fputs (buf_text (&report), stderr);
-      printf ("%s is valid: %zu service%s, %zu route%s.\n", file,
-              document->service_count, document->service_count == 1 ? "" : "s",
-              document->route_count, document->route_count == 1 ? "" : "s");
-      exit = CLI_DONE;
-    }
+  if (!cli_read_document (file, "", &document, &text))
+    return CLI_BAD_INPUT;
+  printf ("%s is valid: %zu service%s, %zu route%s.\n", file,
+          document->service_count, document->service_count == 1 ? "" : "s",
+          document->route_count, document->route_count == 1 ? "" : "s");
   doc_destroy (document);
-  buf_close (&report);
   buf_close (&text);
-  return exit;
+  return CLI_DONE;
 }
 
 enum cli_exit
--- a/tests/cli_test.cc
+++ b/tests/cli_test.cc
@@ -309,6 +309,25 @@
     EXPECT_EQ (run ({ command, "--help" }), CLI_DONE) << command;
 }
 
+/* Guards against a document that would remove every route of an environment,
+   such as one that is empty by mistake.  */
+TEST (Commands, ADocumentWithoutRoutesIsRefused)
+{
+  std::string settings = temporary (
+      "settings.toml", "[platform]\nurl = \"http://127.0.0.1:1\"\n");
+
+  for (const char *text : { "", "# nothing yet\n" })
+    {
+      std::string document = temporary ("empty.toml", text);
+
+      EXPECT_EQ (run ({ "check", document }), CLI_BAD_INPUT);
+      EXPECT_EQ (run ({ "apply", "--settings", settings, "--environment",
+                        "trial", document }),
+                 CLI_BAD_INPUT);
+    }
+  EXPECT_EQ (run ({ "check", "examples/document.toml" }), CLI_DONE);
+}
+
 /* Guards against an explanation that mixes requests up, loses the calls made
    for one, or leaves out what its nodes learned meanwhile.  */
 TEST (Explain, PrintsOneRequestOverAllNodes)
