Publish each node's distance to the platform

Cause: a node that starts or joins wrote its record before the distance was known, and a record that differs in the distance alone is not written again.

Change: the distance is added whenever the list of nodes has been read, before the record is written.

Test: PublishTheirDistance fails before.

--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -91,7 +91,7 @@
 void sdc_join (struct sdc *sidecar);
 void sdc_check_join (struct sdc *sidecar, clk_time now);
 
-/* The store's list of nodes has been read during the join.  */
+/* The store's list of nodes has been read: publishes this node, and joins.  */
 void sdc_nodes_listed (struct sdc *sidecar);
 
 /* Takes the introduction of a node that opened a link.  */
--- a/src/sdc/sdc_join.c
+++ b/src/sdc/sdc_join.c
@@ -43,7 +43,8 @@
 }
 
 /* Adds the distance to the platform to this node's record once it is known.
-   Returns whether it is.  */
+   Returns whether it is.  Without it the others would take the node for the
+   nearest.  */
 static bool
 add_distance (struct sdc *sidecar)
 {
@@ -64,9 +65,10 @@
 void
 sdc_nodes_listed (struct sdc *sidecar)
 {
-  if (add_distance (sidecar))
-    pub_set (sidecar->publisher, &sidecar->record);
-  take_roles (sidecar);
+  add_distance (sidecar);
+  pub_set (sidecar->publisher, &sidecar->record);
+  if (!sidecar->joined)
+    take_roles (sidecar);
 }
 
 void
@@ -87,8 +89,7 @@
   sidecar->join_at = sidecar->publish_at + FIRST_PAUSE;
 }
 
-/* Publishes this node on a first start, with its distance to the platform,
-   without which the others would take it for the nearest.  */
+/* Publishes this node on a first start, with its distance to the platform.  */
 static void
 publish_first (struct sdc *sidecar, clk_time now)
 {
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -333,9 +333,7 @@
         && !hub_is_connected (sidecar->hub, i))
       sdc_bury_node (sidecar, i);
   sidecar->nodes_known = true;
-  pub_set (sidecar->publisher, &sidecar->record);
-  if (!sidecar->joined)
-    sdc_nodes_listed (sidecar);
+  sdc_nodes_listed (sidecar);
 }
 
 const struct wch_handlers sdc_node_handlers
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -166,6 +166,26 @@
   EXPECT_EQ (status_of (0, "/once/", next_id (), 600, "POST"), 200);
 }
 
+/* Guards against a record without the distance to the platform, which makes a
+   far node seem the nearest to all that read it.  */
+TEST_F (Sidecars, PublishTheirDistance)
+{
+  add_vm ("orders", "a", "near", true);
+  add_vm ("orders", "b", "far");
+  put_config (1);
+  ASSERT_TRUE (converges (1));
+  for (const char *name : { "vm-0", "vm-1" })
+    {
+      EXPECT_TRUE (run_until (
+          [&] { return sst_get (store, "mesh-nodes", name) != nullptr; }));
+      EXPECT_GT (
+          json_integer_value (json_object_get (
+              sst_get (store, "mesh-nodes", name), "platform_distance_ms")),
+          0)
+          << name;
+    }
+}
+
 /* Guards against calls to the store that grow with the number of nodes: after
    the start only the watchers call.  */
 TEST_F (Sidecars, CallTheStoreRarely)
