--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -33,10 +33,14 @@
         self.mesh = mesh
         self.rnd = rnd
         self.outcomes = []
+        self.stopped = False
         self.tasks = [asyncio.create_task(self._run(vm))
                       for vm in mesh.vms for _ in range(each)]
 
     async def stop(self):
+        # wait_for of Python before 3.12 may lose a cancellation that comes as
+        # its inner call ends, so the tasks look at `stopped` too.
+        self.stopped = True
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -47,7 +51,7 @@
 
     async def _run(self, vm):
         connection = None
-        while True:
+        while not self.stopped:
             await asyncio.sleep(self.rnd.uniform(0.01, 0.08))
             try:
                 if connection is None:
