Hold the platform's stand-in back until its handlers are set

Ruled out: the port taken by another test (the answer came from the stand-in), the deadline of the call (405 is an answer).

--- a/standins/platform.c
+++ b/standins/platform.c
@@ -19,6 +19,7 @@
 
 #include <civetweb.h>
 #include <signal.h>
+#include <stdatomic.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -395,11 +396,26 @@
   return respond_json (connection, root);
 }
 
+/* Whether all handlers are set: CivetWeb serves before they can be, and
+   answers 405 to writes then.  */
+static atomic_bool is_ready;
+
+/* Holds requests back until the handlers are set.  */
+static int
+await_handlers (struct mg_connection *connection)
+{
+  (void)connection;
+  while (!atomic_load (&is_ready))
+    usleep (1000);
+  return 0;
+}
+
 int
 main (int count, char **arguments)
 {
   static struct control controls[]
       = { { apply_faults }, { apply_budget }, { apply_restore } };
+  struct mg_callbacks callbacks = { .begin_request = await_handlers };
   struct mg_context *server;
   sigset_t signals;
   int number;
@@ -430,7 +446,7 @@
                             NULL };
 
   store_init ();
-  server = mg_start (NULL, NULL, options);
+  server = mg_start (&callbacks, NULL, options);
   if (server == NULL)
     {
       fprintf (stderr, "%s cannot be served.\n", arguments[1]);
@@ -442,6 +458,7 @@
   mg_set_request_handler (server, "/v1/budget$", serve_control, &controls[1]);
   mg_set_request_handler (server, "/v1/restore$", serve_control, &controls[2]);
   mg_set_request_handler (server, "/v1/counts$", serve_counts, NULL);
+  atomic_store (&is_ready, true);
   sigwait (&signals, &number);
   return 0;
 }
