Give up a call in one place

give_up and refuse_late decided alike between 502 and a refusal; one function with the time of return serves both. fwd_may_repeat is now fwd_claim_repeat: it takes a repeat from the budget.

--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -104,7 +104,7 @@
 /* Takes a repeat from the budget for a call whose try under way may still be
    answered.  Returns false when the call may not run twice, when no other node
    can take it, or when no repeat is left.  */
-bool fwd_may_repeat (struct fwd_call *call);
+bool fwd_claim_repeat (struct fwd_call *call);
 
 /* PEER's gate did not run the call.  */
 void fwd_take_refusal (struct fwd_call *call, dir_handle peer,
--- a/src/fwd/fwd_place.c
+++ b/src/fwd/fwd_place.c
@@ -132,26 +132,15 @@
   return shortest;
 }
 
-/* Refuses a call that waited until it was late, while late calls get no slots.
-   Its caller can come back once, so it had better come late, with time enough
-   left for the call.  */
+/* Gives up a call that is not sent to another upstream.  RETRY is the time
+   after which its caller may come back if it has not run.  */
 static void
-refuse_late (struct fwd_call *call, clk_time now)
+give_up (struct fwd_call *call, clk_time retry)
 {
   if (call->may_have_run)
     fwd_fail (call, 502, "the upstream's answer was lost", 0);
   else
-    refuse (call, (call->deadline - now) / LATE_RETRY_PART);
-}
-
-/* Gives up a call that cannot be sent to another upstream.  */
-static void
-give_up (struct fwd_call *call, const struct field *field, clk_time now)
-{
-  if (call->may_have_run)
-    fwd_fail (call, 502, "the upstream's answer was lost", 0);
-  else
-    refuse (call, shortest_wait (field, now));
+    refuse (call, retry);
 }
 
 void
@@ -178,7 +167,7 @@
                            &forwarder->random);
       if (choice.index == PLC_NONE || call->tried_count == FWD_MAX_TRIED)
         {
-          give_up (call, &field, now);
+          give_up (call, shortest_wait (&field, now));
           return;
         }
       if (fwd_send (call, field.peers[choice.index], choice.max_wait))
@@ -206,7 +195,7 @@
 }
 
 bool
-fwd_may_repeat (struct fwd_call *call)
+fwd_claim_repeat (struct fwd_call *call)
 {
   struct field field;
 
@@ -239,7 +228,7 @@
       return;
     }
   collect (call, &field);
-  give_up (call, &field, now);
+  give_up (call, shortest_wait (&field, now));
 }
 
 void
@@ -259,7 +248,10 @@
       fwd_repeat (call);
     }
   else if (refusal == GAT_TOO_LATE)
-    refuse_late (call, evl_now (call->forwarder->parts.loop));
+    /* Late calls get no slots now, and its caller can come back once: as late
+       as leaves time for the call.  */
+    give_up (call, (call->deadline - evl_now (call->forwarder->parts.loop))
+                       / LATE_RETRY_PART);
   else
     fwd_place (call);
 }
--- a/src/fwd/fwd_reply.c
+++ b/src/fwd/fwd_reply.c
@@ -131,7 +131,7 @@
 static void
 take_lateness (struct fwd_call *call)
 {
-  if (!fwd_may_repeat (call))
+  if (!fwd_claim_repeat (call))
     return;
   fwd_log_lost (call, call->peer, "its node does not answer");
   fwd_exclude (call, call->peer);
