Read a refused body to its end before the connection closes

Cause: the front answers 413 from the Content-Length and the HTTP library then closes the socket with unread data, which resets it. Ruled out: reading before the response, which would keep the caller waiting; a half-close, for which the library offers no call.

--- a/src/http/http_front.c
+++ b/src/http/http_front.c
@@ -20,6 +20,10 @@
 
 #define READ_PIECE 16384
 
+/* Limits on the rest of a refused body that is read.  */
+#define MAX_DISCARD_BYTES (64u * 1024u * 1024u)
+#define DISCARD_LIMIT (5 * CLK_SECOND)
+
 /* mg_stop ends requests in progress.  The front is stopped only when none was
    in progress for QUIET, and at the latest after STOP_LIMIT.  */
 #define QUIET (100 * CLK_MILLISECOND)
@@ -65,6 +69,26 @@
              : 0;
 }
 
+/* Reads and drops the rest of the body of a request that was refused.  The
+   library closes the connection right after the response; with unread bytes
+   that would reset it, and the caller would lose the response.  */
+static void
+discard_body (struct mg_connection *connection)
+{
+  clk_time deadline = clk_now () + DISCARD_LIMIT;
+  uint8_t piece[READ_PIECE];
+  size_t total = 0;
+  int count;
+
+  do
+    {
+      count = mg_read (connection, piece, sizeof piece);
+      if (count > 0)
+        total += (size_t)count;
+    }
+  while (count > 0 && total < MAX_DISCARD_BYTES && clk_now () < deadline);
+}
+
 /* Handles "Expect: 100-continue".  Returns whether the body will come.  */
 static bool
 accept_expectation (struct mg_connection *connection)
@@ -204,6 +228,10 @@
                         status == 413   ? "the request's body is too long"
                         : status == 417 ? "only 100-continue can be expected"
                                         : "the request's body is incomplete");
+  /* A caller that expects 100-continue does not send a body after a final
+     status.  */
+  if (status == 413 && mg_get_header (connection, "Expect") == NULL)
+    discard_body (connection);
   buf_close (&body);
 }
 
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -175,6 +175,32 @@
   EXPECT_EQ (calls, 0u);
 }
 
+/* Guards against a caller that loses the refusal of a long body: its
+   connection was reset while it was still sending, before it read the
+   response.  */
+TEST (Front, ReadsALongBodyToItsEndAfterTheRefusal)
+{
+  front_fixture fixture (
+      [] (fake_link &, const Mesh__Frame *) { return true; });
+  const size_t pieces = 20;
+  const std::string piece (50000, 'x');
+  int socket = fixture.connect_caller ();
+  std::string head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                     + std::to_string (pieces * piece.size ()) + "\r\n\r\n";
+
+  EXPECT_EQ (send (socket, head.data (), head.size (), MSG_NOSIGNAL),
+             (ssize_t)head.size ());
+  for (size_t i = 0; i < pieces; i++)
+    {
+      ASSERT_EQ (send (socket, piece.data (), piece.size (), MSG_NOSIGNAL),
+                 (ssize_t)piece.size ())
+          << "piece " << i << ": " << strerror (errno);
+      usleep (5000);
+    }
+  EXPECT_TRUE (contains (receive (socket), "HTTP/1.1 413"));
+  close (socket);
+}
+
 /* Guards against lost or added parts of a request and its response.  */
 TEST (Front, ForwardsMethodHeadersAndBodiesWhole)
 {
