Read the entries of the store beside one that cannot be parsed

Cause: platform/pfm_store.c parsed a whole reply at once. jansson refuses the whole text for an integer beyond 64 bits, a real beyond a double, or nesting beyond 2048, so one such entry of another writer made every list and watch of its kind fail with STO_INVALID: no node joined after a restart of all, and a watcher learned of no version. Ruled out: JSON_DECODE_INT_AS_REAL, which mends one of three cases; skipping the reply, which loses the changes beside the entry.

--- a/src/dir/dir_json.c
+++ b/src/dir/dir_json.c
@@ -35,6 +35,14 @@
   return true;
 }
 
+/* Largest values that are accepted.  A record beyond them was not written by a
+   node, and no later record of that node would count as newer.  The
+   incarnation is a time in ms since the epoch; this one is in the year 2100.
+   The sequence counts the changes of one process.  */
+#define MAX_INCARNATION ((json_int_t)4102444800000)
+#define MAX_SEQUENCE ((json_int_t)1 << 53)
+#define MAX_SLOTS 100000
+
 bool
 dir_from_json (const json_t *content, struct mbr_member *member)
 {
@@ -68,9 +76,10 @@
       || !copy_name (region, false, member->region)
       || !copy_name (service, true, member->service)
       || !copy_name (upstream, true, member->upstream)
-      || !net_parse (address, &member->address) || incarnation < 0
-      || sequence < 0 || start_ms < 0 || slots < 0 || rtt_ms < 0
-      || capacity < 0)
+      || !net_parse (address, &member->address) || member->address.port == 0
+      || incarnation < 0 || incarnation > MAX_INCARNATION || sequence < 0
+      || sequence > MAX_SEQUENCE || start_ms < 0 || slots < 0
+      || slots > MAX_SLOTS || rtt_ms < 0 || capacity < 0)
     {
       err_set ("a field of the node record is missing or invalid");
       return false;
--- a/src/mulberryshift.h
+++ b/src/mulberryshift.h
@@ -47,6 +47,7 @@
 #include "cfg/cfg.h"
 #include "doc/doc.h"
 #include "doc/doc_diff.h"
+#include "jsn/jsn.h"
 #include "toml/toml.h"
 #include "toml/toml_report.h"
 
--- a/src/pub/pub.c
+++ b/src/pub/pub.c
@@ -84,8 +84,10 @@
 }
 
 /* Handles a write rejected because the object has another revision: notes the
-   stored record, so that the next write replaces it.  */
-static void
+   stored record, so that the next write replaces it.  Returns false when the
+   reply does not show the object, so that a write at once would be rejected
+   again.  */
+static bool
 handle_conflict (struct pub *publisher, const struct sto_reply *reply)
 {
   struct mbr_member record;
@@ -94,7 +96,7 @@
     {
       publisher->revision = 0;
       publisher->has_stored = false;
-      return;
+      return false;
     }
   publisher->revision = reply->objects[0].revision;
   publisher->has_stored = false;
@@ -104,11 +106,12 @@
                  "the stored record of this node is invalid and will be "
                  "replaced: %s",
                  err_last ());
-      return;
+      return true;
     }
   set_stored (publisher, &reply->objects[0], &record);
   if (publisher->has_desired && !is_equivalent (&record, &publisher->desired))
     publisher->handlers->record_found (publisher->context, &record);
+  return true;
 }
 
 static void
@@ -125,8 +128,10 @@
       publisher->handlers->record_stored (publisher->context,
                                           publisher->in_flight.sequence);
     }
-  else if (reply->status == STO_CONFLICT)
-    handle_conflict (publisher, reply);
+  else if (reply->status == STO_CONFLICT && handle_conflict (publisher, reply))
+    {
+      /* The next write replaces what was found.  */
+    }
   else if (reply->status == STO_ABSENT)
     {
       publisher->revision = 0;
@@ -189,7 +194,7 @@
 {
   struct sto_request request = { .operation = STO_REMOVE,
                                  .kind = PUB_KIND,
-                                 .name = publisher->stored.name,
+                                 .name = publisher->desired.name,
                                  .revision = publisher->revision };
 
   publisher->call = sto_start (publisher->store, &request,
@@ -245,6 +250,16 @@
   start_next_call (publisher);
 }
 
+void
+pub_note_invalid (struct pub *publisher, uint64_t revision)
+{
+  if (publisher->call != NULL || revision <= publisher->revision)
+    return;
+  publisher->revision = revision;
+  publisher->has_stored = false;
+  start_next_call (publisher);
+}
+
 void
 pub_set_record (struct pub *publisher, const struct mbr_member *record)
 {
--- a/src/pub/pub.h
+++ b/src/pub/pub.h
@@ -42,6 +42,10 @@
   void pub_note_stored (struct pub *publisher, const struct sto_object *object,
                         const struct mbr_member *record);
 
+  /* Notes that the store holds an object of this node's name at REVISION that
+     is not a valid record; it is replaced.  */
+  void pub_note_invalid (struct pub *publisher, uint64_t revision);
+
   /* Sets the record to publish and writes it, with retries until it is stored.
      A record that differs from the stored one in incarnation, sequence, state
      or round trip time only is not written.  */
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "base/mem.h"
 #include "dlt/dlt.h"
+#include "met/met.h"
 #include "sdc/sdc_internal.h"
 
 #include <inttypes.h>
@@ -272,18 +273,44 @@
   return false;
 }
 
+/* Reads the record of the node that OBJECT is named after.  */
+static bool
+read_record (const struct sto_object *object, struct mbr_member *record)
+{
+  if (!dir_from_json (object->content, record))
+    return false;
+  if (strcmp (record->name, object->name) == 0)
+    return true;
+  err_set ("it is the record of another node");
+  return false;
+}
+
+/* Handles an object that is not a valid record.  It says nothing of the node
+   of that name, so a node that is known stays known.  */
+static void
+handle_invalid_record (struct sdc *sidecar, const struct sto_object *object)
+{
+  dir_handle known = dir_find (sidecar->directory, object->name);
+
+  met_add (met_counter ("store_records_invalid_total", ""), 1);
+  log_write (LOG_WARNING, "sdc",
+             "ignored the invalid record of node %s in the store: %s",
+             object->name, err_last ());
+  if (known == sidecar->self)
+    pub_note_invalid (sidecar->publisher, object->revision);
+  else if (known != DIR_NONE)
+    mark_listed (sidecar, known);
+}
+
 static void
 on_node_updated (void *context, const struct sto_object *object)
 {
   struct sdc *sidecar = context;
   struct mbr_member record;
 
-  if (!dir_from_json (object->content, &record)
-      || strcmp (record.name, object->name) != 0)
+  if (!read_record (object, &record))
     {
-      log_write (LOG_WARNING, "sdc",
-                 "ignored the invalid record of node %s in the store",
-                 object->name);
+      handle_invalid_record (sidecar, object);
       return;
     }
   if (strcmp (record.name, sidecar->record.name) != 0
--- a/src/sto/sto_request.h
+++ b/src/sto/sto_request.h
@@ -61,7 +61,8 @@
     char name[STO_NAME_SIZE];
     uint64_t revision;
     bool removed;          /* the object is removed or being removed */
-    const json_t *content; /* owned by the reply */
+    const json_t *content; /* owned by the reply; null: missing or unreadable
+                            */
   };
 
   struct sto_reply
@@ -69,9 +70,12 @@
     enum sto_status status;
     struct sto_object *objects;
     size_t object_count;
-    bool more;         /* STO_LIST: further pages follow */
-    uint64_t revision; /* of the store, for the next watch; 0 if missing */
-    json_t *root;      /* owns the contents of the objects */
+    size_t skipped;        /* entries that name no object */
+    bool more;             /* STO_LIST: further pages follow */
+    const char *last_name; /* STO_LIST: name after which the next page starts,
+                              owned by ROOT; null: unknown */
+    uint64_t revision;     /* of the store, for the next watch; 0 if missing */
+    json_t *root;          /* owns the contents of the objects */
   };
 
   /* Frees the content of a reply.  */
--- a/src/wch/wch.c
+++ b/src/wch/wch.c
@@ -34,7 +34,8 @@
   bool suspended;     /* the store is known not to answer */
   bool list_complete; /* a watch can start at REVISION */
   uint64_t revision;
-  char after_name[STO_NAME_SIZE]; /* last name of the previous page, or "" */
+  char *after_name; /* last name of the previous page; null: list from the
+                       start */
   struct sto_call *call;
   struct evl_timer next_call_timer;
   unsigned failures; /* in a row */
@@ -46,6 +47,14 @@
 static void on_watch_reply (void *context, const struct sto_request *request,
                             const struct sto_reply *reply);
 
+/* Sets the name after which the next page starts, null for the first page.  */
+static void
+set_after_name (struct wch *watch, const char *name)
+{
+  free (watch->after_name);
+  watch->after_name = name != NULL ? mem_copy_string (name) : NULL;
+}
+
 static void
 set_health (struct wch *watch, enum wch_health health)
 {
@@ -60,7 +69,7 @@
 {
   struct sto_request request = { .operation = STO_LIST, .kind = watch->kind };
 
-  if (watch->after_name[0] != '\0')
+  if (watch->after_name != NULL)
     request.after = watch->after_name;
   else
     watch->handlers->list_started (watch->context);
@@ -137,25 +146,21 @@
   watch->call = NULL;
   if (reply->status != STO_OK)
     {
-      watch->after_name[0] = '\0';
+      set_after_name (watch, NULL);
       back_off (watch, reply);
       return;
     }
   watch->failures = 0;
   /* The watch starts at the revision of the first page, so that it returns
      changes made while further pages are read.  */
-  if (watch->after_name[0] == '\0')
+  if (watch->after_name == NULL)
     watch->revision = reply->revision;
   report_objects (watch, reply);
-  if (reply->more && reply->object_count > 0)
-    {
-      const char *last = reply->objects[reply->object_count - 1].name;
-
-      memcpy (watch->after_name, last, strlen (last) + 1);
-    }
+  if (reply->more && reply->last_name != NULL)
+    set_after_name (watch, reply->last_name);
   else
     {
-      watch->after_name[0] = '\0';
+      set_after_name (watch, NULL);
       watch->list_complete = true;
       watch->handlers->list_finished (watch->context);
       if (watch->started)
@@ -234,7 +239,7 @@
 {
   watch->started = false;
   watch->suspended = false;
-  watch->after_name[0] = '\0';
+  set_after_name (watch, NULL);
   evl_timer_stop (&watch->next_call_timer);
   if (watch->call != NULL)
     sto_cancel (watch->call);
@@ -259,7 +264,7 @@
     {
       sto_cancel (watch->call);
       watch->call = NULL;
-      watch->after_name[0] = '\0';
+      set_after_name (watch, NULL);
     }
   /* A reply may have arrived while the watch was suspended; no call followed
      it.  */
--- a/standins/lib/sst.c
+++ b/standins/lib/sst.c
@@ -18,6 +18,10 @@
 #define MAX_EVENTS 1024
 #define MAX_FAULTS 64
 #define NAME_SIZE 128
+#define MAX_TEXTS 16
+
+/* Stands for the text with this number in a dumped reply.  */
+#define TEXT_MARK "\"@text %zu@\""
 #define LATE_WRITE CLK_SECOND
 
 /* One object; a removed one keeps its place as an event.  */
@@ -73,6 +77,11 @@
   clk_time delay;
   struct lst waiting;
   uint64_t calls;
+  size_t page_size;       /* 0: all objects in one page */
+  char *texts[MAX_TEXTS]; /* contents that are sent as they stand */
+  size_t text_count;
+  char entry_kind[NAME_SIZE]; /* of ENTRY_MARK; "": none */
+  size_t entry_text;
 };
 
 static void perform (struct sst *store, struct srv_connection *connection,
@@ -98,18 +107,41 @@
   return NULL;
 }
 
+/* Appends TEXT to OUTPUT with each mark replaced by its text.  */
 static void
-answer (struct srv_connection *connection, unsigned status, json_t *body)
+replace_marks (const struct sst *store, const char *text, struct buf *output)
+{
+  while (*text != '\0')
+    {
+      const char *mark = strstr (text, "\"@text ");
+      size_t number;
+
+      if (mark == NULL || sscanf (mark, TEXT_MARK, &number) != 1)
+        break;
+      buf_append (output, text, (size_t)(mark - text));
+      buf_append (output, store->texts[number], strlen (store->texts[number]));
+      text = strchr (mark + 1, '"') + 1;
+    }
+  buf_append (output, text, strlen (text));
+}
+
+static void
+answer (const struct sst *store, struct srv_connection *connection,
+        unsigned status, json_t *body)
 {
   char *text = body != NULL ? json_dumps (body, JSON_COMPACT) : NULL;
+  struct buf content = { 0 };
   struct buf *output;
 
   if (connection != NULL)
     {
       output = srv_start_response (connection, status);
       htp_put_header (output, "Content-Type", "application/json");
-      srv_finish_response (connection, text, text != NULL ? strlen (text) : 0);
+      if (text != NULL)
+        replace_marks (store, text, &content);
+      srv_finish_response (connection, content.data, content.length);
     }
+  buf_close (&content);
   json_decref (body);
   free (text);
 }
@@ -147,7 +179,7 @@
       json_decref (events);
       return false;
     }
-  answer (connection, 200,
+  answer (store, connection, 200,
           json_pack ("{s:o, s:I}", PFM_EVENTS, events, PFM_AS_OF,
                      (json_int_t)store->revision));
   return true;
@@ -266,21 +298,71 @@
              : 0;
 }
 
+/* Returns the first object of KIND by name after AFTER, null when there is
+   none.  */
+static const struct object *
+next_object (const struct sst *store, const char *kind, const char *after)
+{
+  const struct object *next = NULL;
+
+  for (size_t i = 0; i < store->object_count; i++)
+    {
+      const struct object *object = &store->objects[i];
+
+      if (strcmp (object->kind, kind) == 0 && strcmp (object->name, after) > 0
+          && (next == NULL || strcmp (object->name, next->name) < 0))
+        next = object;
+    }
+  return next;
+}
+
+static json_t *
+text_mark (size_t number)
+{
+  return json_sprintf ("@text %zu@", number);
+}
+
+/* Replaces the escapes of a query value by their characters.  */
+static void
+decode_escapes (char *value)
+{
+  char *to = value;
+  unsigned byte;
+
+  for (const char *from = value; *from != '\0'; from++)
+    if (*from == '%' && sscanf (from + 1, "%2x", &byte) == 1)
+      {
+        *to++ = (char)byte;
+        from += 2;
+      }
+    else
+      *to++ = *from;
+  *to = '\0';
+}
+
 static void
 list (struct sst *store, struct srv_connection *connection, const char *kind,
       const char *target)
 {
   json_t *items = json_array ();
-  char after[NAME_SIZE] = "";
-
-  read_query (target, PFM_AFTER, after, sizeof after);
-  for (size_t i = 0; i < store->object_count; i++)
-    if (strcmp (store->objects[i].kind, kind) == 0
-        && strcmp (store->objects[i].name, after) > 0)
-      json_array_append_new (items, object_json (&store->objects[i]));
-  answer (connection, 200,
-          json_pack ("{s:o, s:b, s:I}", PFM_ITEMS, items, PFM_MORE, 0,
-                     PFM_AS_OF, (json_int_t)store->revision));
+  char after[3 * NAME_SIZE] = "";
+  const struct object *object;
+
+  if (read_query (target, PFM_AFTER, after, sizeof after))
+    decode_escapes (after);
+  else if (strcmp (store->entry_kind, kind) == 0)
+    json_array_append_new (items, text_mark (store->entry_text));
+  object = next_object (store, kind, after);
+  for (size_t i = 0;
+       object != NULL && (store->page_size == 0 || i < store->page_size); i++)
+    {
+      json_array_append_new (items, object_json (object));
+      object = next_object (store, kind, object->name);
+    }
+  answer (store, connection, 200,
+          json_pack ("{s:o, s:b, s:I}", PFM_ITEMS, items, PFM_MORE,
+                     object != NULL ? 1 : 0, PFM_AS_OF,
+                     (json_int_t)store->revision));
 }
 
 /* The longest wait of a watch, the delay of a call, or the time of a late
@@ -328,7 +410,7 @@
   struct waiting *entry;
 
   if (revision < store->oldest)
-    answer (connection, 410, NULL);
+    answer (store, connection, 410, NULL);
   else if (!answer_watch (store, connection, kind, revision, false))
     {
       entry = add_waiting (store, connection,
@@ -343,12 +425,12 @@
 
 /* Answers a write whose condition does not hold.  Returns whether it did.  */
 static bool
-refuse_condition (struct srv_connection *connection,
+refuse_condition (const struct sst *store, struct srv_connection *connection,
                   const struct object *object, uint64_t revision)
 {
   if (revision == 0 || object->revision == revision)
     return false;
-  answer (connection, 409, object_json (object));
+  answer (store, connection, 409, object_json (object));
   return true;
 }
 
@@ -370,13 +452,13 @@
     name = json_string_value (json_object_get (metadata, PFM_NAME));
   object = name != NULL ? find_object (store, kind, name) : NULL;
   if (name == NULL || spec == NULL)
-    answer (connection, 400, NULL);
+    answer (store, connection, 400, NULL);
   else if (create && object != NULL)
-    answer (connection, 409, object_json (object));
+    answer (store, connection, 409, object_json (object));
   else if (!create && object == NULL)
-    answer (connection, 404, NULL);
-  else if (create || !refuse_condition (connection, object, revision))
-    answer (connection, 200,
+    answer (store, connection, 404, NULL);
+  else if (create || !refuse_condition (store, connection, object, revision))
+    answer (store, connection, 200,
             object_json (put_object (store, kind, name, json_incref (spec))));
   json_decref (root);
 }
@@ -386,12 +468,12 @@
              struct object *object, const char *target)
 {
   if (object == NULL)
-    answer (connection, 404, NULL);
-  else if (!refuse_condition (connection, object,
+    answer (store, connection, 404, NULL);
+  else if (!refuse_condition (store, connection, object,
                               read_number (target, PFM_REVISION)))
     {
       remove_object (store, object);
-      answer (connection, 200, json_object ());
+      answer (store, connection, 200, json_object ());
     }
 }
 
@@ -407,14 +489,17 @@
 
   if (strncmp (target, PFM_OBJECTS_PATH, prefix) != 0)
     {
-      answer (connection, 404, NULL);
+      answer (store, connection, 404, NULL);
       return;
     }
   snprintf (path, sizeof path, "%.*s", (int)strcspn (target + prefix, "?"),
             target + prefix);
   name = strchr (path, '/');
   if (name != NULL)
-    *name++ = '\0';
+    {
+      *name++ = '\0';
+      decode_escapes (name);
+    }
   if (message->method == HTTP_POST || message->method == HTTP_PUT)
     write_object (store, connection, path, name, message);
   else if (message->method == HTTP_DELETE && name != NULL)
@@ -423,7 +508,7 @@
     {
       struct object *object = find_object (store, path, name);
 
-      answer (connection, object != NULL ? 200 : 404,
+      answer (store, connection, object != NULL ? 200 : 404,
               object != NULL ? object_json (object) : NULL);
     }
   else if (strstr (target, PFM_WATCH "=") != NULL)
@@ -488,7 +573,7 @@
     case SST_NO_RESPONSE:
       return;
     case SST_BUSY:
-      answer (connection, 503, NULL);
+      answer (store, connection, 503, NULL);
       return;
     case SST_RESET:
       srv_abort (connection);
@@ -561,6 +646,8 @@
     json_decref (store->objects[i].spec);
   for (size_t i = 0; i < store->change_count; i++)
     json_decref (store->changes[i].event);
+  for (size_t i = 0; i < store->text_count; i++)
+    free (store->texts[i]);
   free (store);
 }
 
@@ -640,6 +727,36 @@
   put_object (store, kind, name, spec);
 }
 
+/* Keeps a copy of TEXT and returns its number.  */
+static size_t
+add_text (struct sst *store, const char *text)
+{
+  if (store->text_count == MAX_TEXTS)
+    abort ();
+  store->texts[store->text_count] = mem_copy_string (text);
+  return store->text_count++;
+}
+
+void
+sst_put_text (struct sst *store, const char *kind, const char *name,
+              const char *text)
+{
+  put_object (store, kind, name, text_mark (add_text (store, text)));
+}
+
+void
+sst_add_entry (struct sst *store, const char *kind, const char *text)
+{
+  snprintf (store->entry_kind, sizeof store->entry_kind, "%s", kind);
+  store->entry_text = add_text (store, text);
+}
+
+void
+sst_set_page_size (struct sst *store, size_t count)
+{
+  store->page_size = count;
+}
+
 void
 sst_remove (struct sst *store, const char *kind, const char *name)
 {
--- a/standins/lib/sst.h
+++ b/standins/lib/sst.h
@@ -58,6 +58,18 @@
   void sst_put (struct sst *store, const char *kind, const char *name,
                 json_t *spec);
 
+  /* Writes an object of another writer, whose content is TEXT as it stands,
+     even if it is not valid JSON or beyond what a parser reads.  */
+  void sst_put_text (struct sst *store, const char *kind, const char *name,
+                     const char *text);
+
+  /* Adds TEXT as it stands to the entries of each list of KIND, as the first
+     one.  */
+  void sst_add_entry (struct sst *store, const char *kind, const char *text);
+
+  /* Sets the largest number of objects in one page of a list.  */
+  void sst_set_page_size (struct sst *store, size_t count);
+
   /* Removes an object, at once and whatever the fault.  */
   void sst_remove (struct sst *store, const char *kind, const char *name);
 
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -29,6 +29,15 @@
              && status_of (3, "/orders/") == 200;
     }));
   }
+
+  void
+  restart_all_sidecars ()
+  {
+    for (size_t i = 0; i < vms.size (); i++)
+      kill_sidecar (i);
+    for (size_t i = 0; i < vms.size (); i++)
+      start_sidecar (i);
+  }
 };
 
 /* Guards against a request, a response or a header field that is lost between
@@ -47,6 +56,122 @@
   EXPECT_EQ (status_of (0, "/stock"), 404);
 }
 
+/* Returns TEXT with its single quotes replaced by double ones.  */
+static std::string
+json_of (std::string text)
+{
+  std::replace (text.begin (), text.end (), '\'', '"');
+  return text;
+}
+
+/* Content of entries that another writer may leave among the records.  */
+static std::vector<std::pair<const char *, std::string> >
+odd_contents ()
+{
+  const std::string record
+      = "{'node':'odd','data_centre':'a','region':'near','service':'orders',"
+        "'upstream':'i-odd','sequence':1,'slots':4,'upstream_born':1,"
+        "'upstream_leaving':false,'platform_distance_ms':1,'capacity':100,";
+
+  return {
+    { "deep", std::string (5000, '[') + std::string (5000, ']') },
+    { "integer", json_of ("{'incarnation':99999999999999999999999}") },
+    { "real", json_of ("{'incarnation':1e999}") },
+    { "port",
+      json_of (record + "'address':'127.0.0.9:70000','incarnation':1}") },
+    { "zero-port",
+      json_of (record + "'address':'127.0.0.9:0','incarnation':1}") },
+    { "future", json_of (record
+                         + "'address':'127.0.0.9:7000',"
+                           "'incarnation':9223372036854775807}") },
+    { "type", json_of ("{'node':7,'address':[]}") },
+    { "text", json_of ("'orders'") },
+    { "null", "null" },
+    { "huge", json_of ("'" + std::string (900000, 'x') + "'") },
+  };
+}
+
+/* Guards against one odd entry of another writer that hides all other entries,
+   so that no node joins when all processes start again.  */
+TEST_F (Sidecars, SkipOddEntriesOfAnotherWriter)
+{
+  start_mesh ();
+  for (const auto &[name, content] : odd_contents ())
+    {
+      SCOPED_TRACE (name);
+      sst_put_text (store, "mesh-nodes", name, content.c_str ());
+      restart_all_sidecars ();
+      EXPECT_TRUE (run_until_converged (1));
+      EXPECT_TRUE (
+          run_until ([&] { return status_of (0, "/stock/") == 200; }));
+      sst_remove (store, "mesh-nodes", name);
+    }
+}
+
+/* Guards against changes that a watcher misses because an odd entry comes with
+   them.  */
+TEST_F (Sidecars, FollowChangesBesideOddEntries)
+{
+  start_mesh ();
+  for (const auto &[name, content] : odd_contents ())
+    sst_put_text (store, "mesh-nodes", name, content.c_str ());
+  sst_put_text (store, PFM_CONFIG_KIND, "odd", "[1e999]");
+  put_config (2);
+  ASSERT_TRUE (run_until_converged (2));
+  add_vm ("orders", "a", "near");
+  EXPECT_TRUE (run_until_converged (2));
+}
+
+/* Guards against a list that ends, or begins anew for good, at an entry
+   without a usable name or revision.  */
+TEST_F (Sidecars, ReadAllPagesOfAListBesideOddEntries)
+{
+  start_mesh ();
+  sst_set_page_size (store, 1);
+  sst_put_text (store, "mesh-nodes", "a b&c?d", "1e999");
+  const std::string entries[]
+      = { "null",
+          "{}",
+          "'text'",
+          "{'Metadata':{'Name':'" + std::string (100000, 'n')
+              + "','Revision':1},'Spec':{}}",
+          "{'Metadata':{'Name':'','Revision':1}}",
+          "{'Metadata':{'Name':'z','Revision':-1}}",
+          "{'Metadata':{'Name':'z','Revision':1e999}}" };
+
+  for (const std::string &entry : entries)
+    {
+      SCOPED_TRACE (entry.substr (0, 60));
+      sst_add_entry (store, "mesh-nodes", json_of (entry).c_str ());
+      restart_all_sidecars ();
+      EXPECT_TRUE (run_until_converged (1));
+    }
+}
+
+/* Guards against a node that writes to the store again and again, or is never
+   published, because an odd entry has its name; and against its being taken
+   for dead meanwhile.  */
+TEST_F (Sidecars, ReplaceAnOddEntryOfTheirOwnName)
+{
+  start_mesh ();
+  for (const auto &[name, content] : odd_contents ())
+    {
+      uint64_t calls = sst_call_count (store);
+
+      SCOPED_TRACE (name);
+      sst_put_text (store, "mesh-nodes", "vm-0", content.c_str ());
+      kill_sidecar (0);
+      start_sidecar (0);
+      EXPECT_TRUE (run_until_converged (1));
+      EXPECT_TRUE (run_until ([&] {
+        return json_is_integer (
+            json_object_get (sst_get (store, "mesh-nodes", "vm-0"), "slots"));
+      }));
+      run_for (300);
+      EXPECT_LT (sst_call_count (store) - calls, 30u);
+    }
+}
+
 /* Guards against a node that answers 404 or is ready before it has a
    configuration.  */
 TEST_F (Sidecars, AreNotReadyWithoutAConfiguration)
