Look at the seeds again only after a delay while none can be asked

Cause: dst_join_wake returned the start of the join, a time in the past, as long as no peer had been asked; a node without seeds (or whose only seed is itself) whose platform does not answer was due again at once. Ruled out: the other parts of dst_next_wake; dst_test runs 30 s with 0 to 3 silent seeds and a silent platform and finds no other time in the past.

--- a/src/dst/dst_join.c
+++ b/src/dst/dst_join.c
@@ -9,6 +9,8 @@
 #define START_SPREAD (200 * CLK_MILLISECOND)
 #define DIRECTORY_DELAY CLK_SECOND
 #define MEMBERS_RETRY (400 * CLK_MILLISECOND)
+/* Without a seed that can be asked, seeds are looked at again after this.  */
+#define ASK_RETRY (400 * CLK_MILLISECOND)
 /* After the join a relay usually brings the version; only then each node
    reads the platform itself, spread over this time.  */
 #define READ_DELAY (2 * CLK_SECOND)
@@ -23,6 +25,7 @@
   dst->joined = false;
   dst->roles_generation = 0;
   join->start = now + (clk_time)(rnd_unit (&dst->random) * START_SPREAD);
+  join->ask_due = join->start;
   join->directory_due = join->start + DIRECTORY_DELAY;
   join->members_due = CLK_NEVER;
   join->deadline = join->start + DST_JOIN_DEADLINE;
@@ -174,9 +177,12 @@
     cold_tick (dst, now, actions);
   if (dst->joined || now < join->start)
     return;
-  if (join->asked_count == 0)
-    ask (dst, dst->settings.seeds, dst->settings.seed_count, DST_JOIN_PEERS,
-         now, actions);
+  if (join->asked_count == 0 && now >= join->ask_due)
+    {
+      join->ask_due = now + ASK_RETRY;
+      ask (dst, dst->settings.seeds, dst->settings.seed_count, DST_JOIN_PEERS,
+           now, actions);
+    }
   enough = join->asked_count > 0 && join->response_count >= majority (join);
   if (now >= join->directory_due)
     {
@@ -202,8 +208,8 @@
   if (dst->joined)
     return dst->roles_from < dst->resync_due ? dst->roles_from
                                              : dst->resync_due;
-  if (join->asked_count == 0 && join->start < wake)
-    wake = join->start;
+  if (join->asked_count == 0 && join->ask_due < wake)
+    wake = join->ask_due;
   if (join->directory_due < wake)
     wake = join->directory_due;
   return join->members_due < wake ? join->members_due : wake;
--- a/src/dst/dst_state.h
+++ b/src/dst/dst_state.h
@@ -123,6 +123,7 @@
   bool got_members;
   bool directory_read;
   clk_time start;
+  clk_time ask_due; /* seeds are asked then while no peer was asked */
   clk_time directory_due;
   clk_time members_due;
   clk_time deadline;
