Accept requests during a shutdown as long as callers come

Cause: check_shutdown stopped accepting 2.3 s after SIGTERM as soon as the own gate was empty, and at half of the grace period at the latest. Change: stp decides the steps of a shutdown, pure. The node ends early only when no request has come for 0.5 s; otherwise it accepts until 0.6 s before the end of the grace period. From half of the grace period on a request that may last longer than the process is refused at once as not run, so that none is broken off. Its own gate is drained as before. Ruled out: accepting all requests until the end, which breaks off slow ones; counting missed probes, which say nothing where they do not count.

--- a/src/fwd/fwd.c
+++ b/src/fwd/fwd.c
@@ -28,6 +28,10 @@
    after this time.  */
 #define UNREADY_RETRY (250 * CLK_MILLISECOND)
 
+/* Callers that are refused during a shutdown may come back after this time, to
+   another node or to the process that follows.  */
+#define STOPPING_RETRY (250 * CLK_MILLISECOND)
+
 struct fwd *
 fwd_create (const struct fwd_options *parts)
 {
@@ -37,6 +41,7 @@
   forwarder->budget = bud_create ();
   forwarder->next_number = 1;
   forwarder->latest = CLK_NEVER;
+  forwarder->screen_at = CLK_NEVER;
   forwarder->started_by = evl_now (parts->loop) + START_TIME;
   rnd_init (&forwarder->random, rnd_system_seed ());
   return forwarder;
@@ -175,10 +180,12 @@
   return call;
 }
 
-/* Limits the call to the time that its route allows.  */
-static void
+/* Limits the call to the time that its route allows.  Returns false when it
+   comes too late in a shutdown: it might be broken off.  */
+static bool
 apply_route (struct fwd_call *call)
 {
+  struct fwd *forwarder = call->forwarder;
   const struct doc_route *route = call->route;
   clk_time limit
       = call->arrival + (clk_time)route->deadline_ms * CLK_MILLISECOND;
@@ -187,12 +194,16 @@
 
   if (limit < call->deadline)
     call->deadline = limit;
-  if (call->forwarder->latest < call->deadline)
-    call->deadline = call->forwarder->latest;
+  if (forwarder->latest < call->deadline
+      && call->arrival >= forwarder->screen_at)
+    return false;
+  if (forwarder->latest < call->deadline)
+    call->deadline = forwarder->latest;
   call->target = call->deadline;
   if (route->target_latency_ms > 0 && target < call->target)
     call->target = target;
   evl_timer_set (&call->timer, call->deadline);
+  return true;
 }
 
 /* Finds the call's route in the configuration in effect and sends it.  */
@@ -207,7 +218,11 @@
       fwd_fail (call, 404, "no route", 0);
       return;
     }
-  apply_route (call);
+  if (!apply_route (call))
+    {
+      fwd_fail (call, 503, "not run: the node is stopping", STOPPING_RETRY);
+      return;
+    }
   bud_count_request (forwarder->budget, call->service,
                      &forwarder->parts.budget, call->arrival);
   fwd_place (call);
@@ -288,9 +303,11 @@
 }
 
 void
-fwd_set_drain_deadline (struct fwd *forwarder, clk_time deadline)
+fwd_set_drain_deadline (struct fwd *forwarder, clk_time deadline,
+                        clk_time screen_at)
 {
   forwarder->latest = deadline;
+  forwarder->screen_at = screen_at;
 }
 
 void
--- a/src/fwd/fwd.h
+++ b/src/fwd/fwd.h
@@ -64,9 +64,11 @@
   void fwd_handle_ping_overdue (struct fwd *forwarder, dir_handle peer,
                                 uint64_t link);
 
-  /* Makes every request that comes from now on end by DEADLINE, at which the
-     process stops.  */
-  void fwd_set_drain_deadline (struct fwd *forwarder, clk_time deadline);
+  /* Makes every request that comes from now on end by DEADLINE, shortly before
+     the process stops.  From SCREEN_AT on, requests that may take longer are
+     refused, so that none is broken off.  */
+  void fwd_set_drain_deadline (struct fwd *forwarder, clk_time deadline,
+                               clk_time screen_at);
 
   /* Answers all requests that have none yet: as not run, or as unknown when
      they may have run.  */
--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -80,6 +80,7 @@
   struct rnd random;
   clk_time started_by; /* until then a first configuration may be on its way */
   clk_time latest;     /* end of every request; CLK_NEVER: not limited */
+  clk_time screen_at;  /* see fwd_set_drain_deadline; CLK_NEVER: never */
   double *share_points; /* of each route with shares; see fwd_route.c */
 };
 
--- a/src/sdc/sdc_control.c
+++ b/src/sdc/sdc_control.c
@@ -194,7 +194,7 @@
 bool
 sdc_is_ready (const struct sdc *sidecar)
 {
-  return sidecar->snapshot != NULL && sidecar->stop_at == 0;
+  return sidecar->snapshot != NULL && !sidecar->stopping;
 }
 
 static void
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -15,6 +15,7 @@
 #include "snp/snp.h"
 #include "srv/srv.h"
 #include "sto/sto.h"
+#include "stp/stp.h"
 #include "syn/syn.h"
 #include "wch/wch.h"
 
@@ -66,13 +67,9 @@
   /* Highest sequence of this node's record that a parent acknowledged.  */
   uint64_t acknowledged_sequence;
   struct sdc_pending_ack *pending_acks;
-  struct evl_timer tick; /* periodic check of the sidecar's deadlines */
-  /* Shutdown: latest end, or 0 when none was started; time at which this node
-     starts draining its upstream; latest time at which it stops accepting
-     requests of callers.  */
-  clk_time stop_at;
-  clk_time drain_at;
-  clk_time stop_accepting_at;
+  struct evl_timer tick;     /* periodic check of the sidecar's deadlines */
+  bool stopping;             /* a shutdown was started */
+  struct stp shutdown;       /* valid while STOPPING */
   bool stopped;              /* the shutdown is complete */
   bool owns_loop;            /* the loop is stopped with the sidecar */
   int64_t settings_mtime_ns; /* of the settings file, since the epoch */
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -22,19 +22,6 @@
    nodes start, so calls wait longer and changes are read in batches.  */
 static const struct wch_timing nodes_timing = { 10000, CLK_SECOND };
 
-/* Delay between the start of a shutdown and draining of the gate.  Callers
-   learn of the shutdown from the readiness probe, which is sent every second
-   and takes effect with its second failure.  */
-#define DRAIN_DELAY (2300 * CLK_MILLISECOND)
-
-/* The process ends this long before the end of the grace period, at which it
-   is killed.  */
-#define KILL_MARGIN (400 * CLK_MILLISECOND)
-
-/* Requests end this long before the process, so that their responses can be
-   sent.  */
-#define RESPONSE_MARGIN (200 * CLK_MILLISECOND)
-
 /* Missed heartbeats after which an upstream counts as unreachable; a heartbeat
    may be seconds late.  */
 #define MAX_MISSED_HEARTBEATS 4
@@ -280,16 +267,14 @@
 void
 sdc_terminate (struct sdc *sidecar)
 {
-  clk_time now = evl_now (sidecar->loop);
-
-  if (sidecar->stop_at != 0)
+  if (sidecar->stopping)
     return;
   log_write (LOG_INFO, "sdc", "shutting down");
-  sidecar->drain_at = now + DRAIN_DELAY;
-  sidecar->stop_at = now + sidecar->settings.grace_period - KILL_MARGIN;
-  sidecar->stop_accepting_at = now + sidecar->settings.grace_period / 2;
-  fwd_set_drain_deadline (sidecar->forwarder,
-                          sidecar->stop_at - RESPONSE_MARGIN);
+  sidecar->stopping = true;
+  sidecar->shutdown
+      = stp_begin (evl_now (sidecar->loop), sidecar->settings.grace_period);
+  fwd_set_drain_deadline (sidecar->forwarder, sidecar->shutdown.answer_by,
+                          sidecar->shutdown.screen_at);
   srv_drain (sidecar->caller_server);
 }
 
@@ -334,14 +319,6 @@
   buf_close (&diagnostics);
 }
 
-static bool
-is_idle (const struct sdc *sidecar)
-{
-  return !srv_is_accepting (sidecar->caller_server)
-         && srv_request_count (sidecar->caller_server) == 0
-         && gat_in_progress (sidecar->gate) == 0;
-}
-
 /* Drains the gate and publishes that this node leaves.  Until then the
    upstream still receives calls, because it is reachable only through this
    node.  */
@@ -363,24 +340,26 @@
 static void
 check_shutdown (struct sdc *sidecar, clk_time now)
 {
-  if (sidecar->stop_at == 0)
+  struct stp_state state
+      = { .now = now,
+          .last_request_at = srv_last_request_time (sidecar->caller_server),
+          .request_count = srv_request_count (sidecar->caller_server),
+          .call_count = gat_in_progress (sidecar->gate) };
+  struct stp_steps steps;
+
+  if (!sidecar->stopping)
     return;
-  if (now >= sidecar->drain_at)
+  steps = stp_check (&sidecar->shutdown, &state);
+  if (steps.drain)
     leave_mesh (sidecar);
-  /* Calls that still run at the upstream may make calls of their own, so
-     requests of callers are accepted until those calls have ended.  */
-  if (now >= sidecar->stop_accepting_at
-      || (now >= sidecar->drain_at && gat_in_progress (sidecar->gate) == 0))
+  if (steps.stop_accepting)
     srv_stop_accepting (sidecar->caller_server);
-  if (now >= sidecar->stop_at)
-    fwd_fail_all (sidecar->forwarder);
-  if (now >= sidecar->stop_at
-      || (now >= sidecar->drain_at && is_idle (sidecar)))
-    {
-      sidecar->stopped = true;
-      if (sidecar->owns_loop)
-        evl_stop (sidecar->loop);
-    }
+  if (!steps.stop)
+    return;
+  fwd_fail_all (sidecar->forwarder);
+  sidecar->stopped = true;
+  if (sidecar->owns_loop)
+    evl_stop (sidecar->loop);
 }
 
 static void
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -149,7 +149,7 @@
 static void
 handle_own_record (struct sdc *sidecar, const struct mbr_member *record)
 {
-  if (sidecar->stop_at != 0)
+  if (sidecar->stopping)
     return;
   /* The incarnation is the start time of the process.  When the clock was set
      back, it must still be higher than that of the earlier process.  */
@@ -355,7 +355,7 @@
 
   if (strcmp (name, sidecar->record.name) != 0)
     sdc_declare_dead (sidecar, dir_find (sidecar->directory, name));
-  else if (sidecar->stop_at == 0)
+  else if (!sidecar->stopping)
     pub_note_removed (sidecar->publisher);
 }
 
--- a/src/srv/srv.c
+++ b/src/srv/srv.c
@@ -152,6 +152,12 @@
   return server->request_count;
 }
 
+clk_time
+srv_last_request_time (const struct srv *server)
+{
+  return server->last_request_time;
+}
+
 size_t
 srv_connection_count (const struct srv *server)
 {
--- a/src/srv/srv.h
+++ b/src/srv/srv.h
@@ -93,6 +93,9 @@
   /* Returns the number of requests without a response yet.  */
   size_t srv_request_count (const struct srv *server);
 
+  /* Returns when the last complete request arrived, 0 when none did.  */
+  clk_time srv_last_request_time (const struct srv *server);
+
   /* Returns the number of open connections.  */
   size_t srv_connection_count (const struct srv *server);
 
--- a/src/srv/srv_connection.c
+++ b/src/srv/srv_connection.c
@@ -214,6 +214,7 @@
   connection->is_head = message.method == HTTP_HEAD;
   evl_timer_stop (&connection->timer);
   server->request_count++;
+  server->last_request_time = loop_now (connection);
   server->handlers->request (server->context, connection, &message);
   htp_message_close (&message);
 }
--- a/src/srv/srv_internal.h
+++ b/src/srv/srv_internal.h
@@ -47,6 +47,7 @@
   struct srv_connection *connections;
   size_t connection_count;
   size_t request_count;
+  clk_time last_request_time;    /* 0: none yet */
   struct srv_connection *closed; /* to be freed by free_task; list by next */
   struct evl_task free_task;     /* runs srv_free_closed */
   bool draining;
--- /dev/null
+++ b/tests/stp_test.cc
@@ -0,0 +1,76 @@
+/* Tests the steps of a planned shutdown.  */
+
+#include "stp/stp.h"
+
+#include <gtest/gtest.h>
+
+static const clk_time start = 100 * CLK_SECOND;
+static const clk_time grace = 6 * CLK_SECOND;
+
+class Shutdown : public testing::Test
+{
+protected:
+  /* Returns the steps at MS after the start.  */
+  struct stp_steps
+  at (int ms, int last_request_ms, size_t requests = 0, size_t calls = 0) const
+  {
+    struct stp_state state
+        = { start + ms * CLK_MILLISECOND,
+            start + last_request_ms * CLK_MILLISECOND, requests, calls };
+
+    return stp_check (&shutdown, &state);
+  }
+
+  struct stp shutdown = stp_begin (start, grace);
+};
+
+/* Guards against a node that drains its upstream, or ends, before its callers
+   know of the shutdown.  */
+TEST_F (Shutdown, DoesNothingUntilCallersKnow)
+{
+  struct stp_steps steps = at (2000, -5000);
+
+  EXPECT_FALSE (steps.drain);
+  EXPECT_FALSE (steps.stop_accepting);
+  EXPECT_FALSE (steps.stop);
+}
+
+/* Guards against a stop that is longer than necessary.  */
+TEST_F (Shutdown, EndsWhenCallersHaveLeft)
+{
+  EXPECT_TRUE (at (2400, 1800).stop);
+  EXPECT_TRUE (at (3000, 2400).stop);
+}
+
+/* Guards against callers that find no node: those that come although the
+   readiness probe fails.  */
+TEST_F (Shutdown, GoesOnWhileCallersCome)
+{
+  for (int ms = 2400; ms < 5300; ms += 100)
+    {
+      struct stp_steps steps = at (ms, ms - 100);
+
+      EXPECT_TRUE (steps.drain);
+      EXPECT_FALSE (steps.stop_accepting) << ms;
+      EXPECT_FALSE (steps.stop) << ms;
+    }
+}
+
+/* Guards against requests in progress, or calls that still run at the upstream
+   and may make calls of their own, that are cut off by an early end.  */
+TEST_F (Shutdown, WaitsForWhatIsInProgress)
+{
+  EXPECT_FALSE (at (4000, 1000, 1, 0).stop_accepting);
+  EXPECT_FALSE (at (4000, 1000, 0, 1).stop_accepting);
+  EXPECT_FALSE (at (5500, 5300, 1, 0).stop);
+}
+
+/* Guards against a process that is still there when it is killed, and against
+   requests that are accepted so late that they are cut off.  */
+TEST_F (Shutdown, EndsBeforeTheGracePeriod)
+{
+  EXPECT_TRUE (at (5450, 5440, 1, 1).stop_accepting);
+  EXPECT_TRUE (at (5600, 5590, 1, 1).stop);
+  EXPECT_LT (shutdown.answer_by, shutdown.stop_at);
+  EXPECT_LT (shutdown.stop_at, start + grace);
+}
