Bound responses and requests that do not end

Cause: a response body could take 64 MiB a slot, more in all slots than a VM of 160 MB has; bytes that belong to no header field and no body (a line of a chunk size, a reason phrase, empty lines, interim responses) were not counted and were read until the call's deadline, or from a caller up to 64 MiB a line. Change: the reader counts the bytes since the last byte of a body and ends with HTP_HEADER_TOO_LARGE beyond the header limit; the gate divides a sixth of the memory among the slots; parts of a body between nodes are bounded. Ruled out: heads and header fields without end, which were bounded before. Tests: EndResponsesThatDoNotEnd, RejectRequestsThatDoNotEnd fail before and pass after. The stand-in of the upstream learns to answer without end.

--- a/src/fwd/fwd_reply.c
+++ b/src/fwd/fwd_reply.c
@@ -47,6 +47,12 @@
 
   if (answer == NULL)
     return;
+  if (answer->body.len + part->data.len > FRM_MAX_BODY_LENGTH)
+    {
+      call->number = 0;
+      take_unknown (call, call->peer, "the answer is too long");
+      return;
+    }
   answer->body.data
       = mem_resize (answer->body.data, answer->body.len + part->data.len, 1);
   if (part->data.len > 0)
--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -22,7 +22,8 @@
 
 struct gat *
 gat_create (struct evl *loop, const struct ptf_platform *platform,
-            const struct reg *registration, const struct gat_hooks *hooks)
+            const struct reg *registration, const struct gat_hooks *hooks,
+            size_t response_memory)
 {
   struct gat *gate = mem_alloc (1, sizeof *gate);
 
@@ -30,6 +31,7 @@
   gate->platform = platform;
   gate->registration = registration;
   gate->hooks = *hooks;
+  gate->response_memory = response_memory;
   gate->keep_time = DEFAULT_KEEP_TIME;
   evl_timer_init (&gate->expiry, loop, on_expiry, gate);
   return gate;
@@ -319,6 +321,12 @@
   if (call == NULL || call->state != GAT_RECEIVING)
     return;
   message = call->frame->call;
+  if (message->body.len + part->data.len > FRM_MAX_BODY_LENGTH)
+    {
+      log_write (LOG_WARNING, "gat", "refused a call with too long a body");
+      gat_refuse (call, GAT_BUSY);
+      return;
+    }
   message->body.data
       = mem_resize (message->body.data, message->body.len + part->data.len, 1);
   if (part->data.len > 0)
--- a/src/gat/gat.h
+++ b/src/gat/gat.h
@@ -47,11 +47,14 @@
     uint64_t (*config_version) (void *context);
   };
 
-  /* Creates a gate to the upstream of REGISTRATION, which must outlive it.  */
+  /* Creates a gate to the upstream of REGISTRATION, which must outlive it. The
+     bodies of all responses that are read at the same time take up to
+     RESPONSE_MEMORY bytes.  */
   struct gat *gat_create (struct evl *loop,
                           const struct ptf_platform *platform,
                           const struct reg *registration,
-                          const struct gat_hooks *hooks);
+                          const struct gat_hooks *hooks,
+                          size_t response_memory);
 
   /* Drops all calls without answers.  Null is allowed.  */
   void gat_destroy (struct gat *gate);
--- a/src/gat/gat_run.c
+++ b/src/gat/gat_run.c
@@ -15,9 +15,11 @@
 #define SLOT_WEIGHT 32
 #define FAILED_WEIGHT 16.
 
-/* Largest response accepted, in bytes.  */
-static const struct htp_limits response_limits
-    = { 64u * 1024u, 64u * 1024u * 1024u };
+/* Longest header of a response accepted, and shortest and longest limit of its
+   body, in bytes.  */
+#define MAX_HEADER_BYTES (64u * 1024u)
+#define MIN_BODY_LIMIT (256u * 1024u)
+#define MAX_BODY_LIMIT FRM_MAX_BODY_LENGTH
 
 /* Longest part of a body in one frame, in bytes.  */
 #define PART_SIZE (128u * 1024u)
@@ -298,11 +300,28 @@
 
 static const struct cnx_handlers handlers = { on_response, on_failed };
 
+/* Returns the limits of one response.  Each slot gets an equal part of the
+   memory, so that an upstream that sends bytes without end in all of them
+   cannot exhaust it.  */
+static struct htp_limits
+response_limits (const struct gat *gate)
+{
+  uint32_t slots = gate->registration->upstream.slots;
+  size_t limit = gate->response_memory / (slots > 0 ? slots : 1);
+
+  if (limit < MIN_BODY_LIMIT)
+    limit = MIN_BODY_LIMIT;
+  if (limit > MAX_BODY_LIMIT)
+    limit = MAX_BODY_LIMIT;
+  return (struct htp_limits){ MAX_HEADER_BYTES, limit };
+}
+
 /* Returns a kept connection that the upstream will not close soon, or a new
    one.  */
 static struct cnx *
 take_connection (struct gat *gate)
 {
+  struct htp_limits limits = response_limits (gate);
   clk_time oldest = evl_now (gate->loop)
                     - gate->keep_time * KEEP_NUMERATOR / KEEP_DENOMINATOR;
 
@@ -312,7 +331,7 @@
   if (gate->idle_count > 0)
     return gate->idle[--gate->idle_count].connection;
   return cnx_open (gate->loop, gate->registration->upstream.address, &handlers,
-                   gate, &response_limits);
+                   gate, &limits);
 }
 
 static void
--- a/src/htp/htp.h
+++ b/src/htp/htp.h
@@ -82,6 +82,7 @@
     struct htp_limits limits;
     struct htp_message message;
     size_t header_bytes;     /* read of the current message */
+    size_t idle_bytes;       /* read since the last byte of a body */
     enum htp_status failure; /* HTP_INCOMPLETE: none */
     bool in_value;           /* the last bytes of the header were of a value */
     bool started;            /* bytes of the current message were read */
@@ -103,7 +104,8 @@
   /* Reads up to LENGTH bytes and sets *USED to the number of those that belong
      to the current message; bytes after its end are not read.  After
      HTP_COMPLETE call htp_reader_reset or htp_take_message before the next
-     message.  Interim responses (1xx) are skipped.  */
+     message.  Interim responses (1xx) are skipped.  Bytes without end that
+     bring no body, wherever they stand, end with HTP_HEADER_TOO_LARGE.  */
   enum htp_status htp_read (struct htp_reader *reader, const void *data,
                             size_t length, size_t *used);
 
--- a/src/htp/htp_reader.c
+++ b/src/htp/htp_reader.c
@@ -10,6 +10,10 @@
 /* Number of header fields that are allocated at first.  */
 #define INITIAL_HEADER_CAPACITY 12
 
+/* Bytes of a header that its limit does not count: the first line and the
+   separators of its fields.  */
+#define MAX_SEPARATOR_BYTES (4u * HTP_MAX_HEADERS + 256u)
+
 /* Header limit of http_parser, in bytes.  It is set higher than any limit of a
    reader, which counts the bytes itself.  */
 #define PARSER_MAX_HEADER_BYTES (64u * 1024u * 1024u)
@@ -224,6 +228,7 @@
                                          : HTTP_RESPONSE);
   reader->parser.data = reader;
   reader->header_bytes = 0;
+  reader->idle_bytes = 0;
   reader->failure = HTP_INCOMPLETE;
   reader->in_value = false;
   reader->started = false;
@@ -261,15 +266,32 @@
 skip_interim_response (struct htp_reader *reader)
 {
   bool without_body = reader->without_body;
+  size_t idle_bytes = reader->idle_bytes;
 
   if (reader->kind != HTP_RESPONSE || reader->message.status < 100
       || reader->message.status >= 200)
     return false;
   htp_reader_reset (reader);
   reader->without_body = without_body;
+  reader->idle_bytes = idle_bytes;
   return true;
 }
 
+/* Counts LENGTH bytes after a run of the parser that has added BODY_GROWTH
+   bytes to the body.  Bytes that bring no body are limited wherever they
+   stand: in a reason phrase, a chunk size, trailers, interim responses, or
+   between messages.  Returns false when there are too many.  */
+static bool
+count_idle_bytes (struct htp_reader *reader, size_t length, size_t body_growth)
+{
+  if (body_growth > 0)
+    reader->idle_bytes = 0;
+  else
+    reader->idle_bytes += length;
+  return reader->idle_bytes
+         <= reader->limits.max_header_bytes + MAX_SEPARATOR_BYTES;
+}
+
 /* Returns the status of the reader after a run of the parser.  */
 static enum htp_status
 parser_status (struct htp_reader *reader)
@@ -292,12 +314,20 @@
   *used = 0;
   while (status == HTP_INCOMPLETE && *used < length)
     {
-      *used
-          += http_parser_execute (&reader->parser, &callbacks,
-                                  (const char *)data + *used, length - *used);
+      size_t body_length = reader->message.body.length;
+      size_t parsed
+          = http_parser_execute (&reader->parser, &callbacks,
+                                 (const char *)data + *used, length - *used);
+
+      *used += parsed;
       status = parser_status (reader);
+      if (status == HTP_INCOMPLETE || status == HTP_COMPLETE)
+        body_length = reader->message.body.length - body_length;
       if (status == HTP_COMPLETE && skip_interim_response (reader))
         status = HTP_INCOMPLETE;
+      if (status == HTP_INCOMPLETE
+          && !count_idle_bytes (reader, parsed, body_length))
+        status = reader->failure = HTP_HEADER_TOO_LARGE;
     }
   return status;
 }
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -30,6 +30,10 @@
    are still in transit arrive within seconds.  */
 #define DEAD_RECORD_LIFETIME (120 * CLK_SECOND)
 
+/* The responses of the upstream may take the sidecar's memory divided by this.
+   Each is in memory twice while it is passed on.  */
+#define RESPONSE_MEMORY_DIVISOR 6
+
 /* Number of malloc arenas; only one thread allocates much memory.  */
 #define MAX_ARENAS 1
 
@@ -211,8 +215,9 @@
                               sidecar->self, &sync_hooks);
   sidecar->store
       = sto_create (loop, settings->platform_address, sidecar->platform);
-  sidecar->gate = gat_create (loop, sidecar->platform, &sidecar->registration,
-                              &gate_hooks);
+  sidecar->gate = gat_create (
+      loop, sidecar->platform, &sidecar->registration, &gate_hooks,
+      (size_t)settings->memory_mb * 1024 * 1024 / RESPONSE_MEMORY_DIVISOR);
   options.hub = sidecar->hub;
   sidecar->forwarder = fwd_create (&options);
   sidecar->publisher
--- a/src/wire/frm.h
+++ b/src/wire/frm.h
@@ -21,6 +21,10 @@
 /* Longest payload of a frame, in bytes; the length field does not count.  */
 #define FRM_MAX_LENGTH (256u * 1024u)
 
+/* Longest body of a call or an answer that is sent in several frames, in
+   bytes.  */
+#define FRM_MAX_BODY_LENGTH (64u * 1024u * 1024u)
+
 /* Size of the length field, in bytes.  */
 #define FRM_HEADER_LENGTH 4u
 
--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -17,6 +17,7 @@
 
 #define NAME_SIZE 64
 #define MAX_RUNS 65536
+#define FLOOD_BLOCK 16384
 
 /* A request that takes a slot.  */
 struct run
@@ -26,6 +27,8 @@
   char id[NAME_SIZE];
   struct evl_timer timer;
   struct lst_entry list;
+  bool is_flood; /* it is answered without end */
+  uint64_t flood_sent;
 };
 
 struct sup
@@ -37,6 +40,10 @@
   char data_centre[NAME_SIZE];
   struct srv *server;
   enum sup_fault fault;
+  bool flood_with_head;
+  const char *flood_start;
+  const char *flood_filler; /* null: answers end */
+  uint64_t flood_bytes;
   struct lst runs;
   uint32_t running;
   uint64_t done[MAX_RUNS]; /* hashes of the ids of what ran */
@@ -58,6 +65,32 @@
   return XXH3_64bits (id, strlen (id));
 }
 
+void
+sup_set_flood (struct sup *upstream, bool with_head, const char *start,
+               const char *filler)
+{
+  upstream->flood_with_head = with_head;
+  upstream->flood_start = start;
+  upstream->flood_filler = filler;
+}
+
+uint64_t
+sup_flood_bytes (const struct sup *upstream)
+{
+  return upstream->flood_bytes;
+}
+
+size_t
+sup_flood_count (const struct sup *upstream)
+{
+  size_t count = 0;
+
+  for (struct lst_entry *at = upstream->runs.first; at != NULL; at = at->next)
+    if (LST_ITEM (at, struct run, list)->is_flood)
+      count++;
+  return count;
+}
+
 unsigned
 sup_runs_of (const struct sup *upstream, const char *id)
 {
@@ -111,6 +144,49 @@
   return output;
 }
 
+/* Sends as much of the filler as the connection takes, and goes on later.  */
+static void
+on_flood (void *context)
+{
+  struct run *run = context;
+  struct sup *upstream = run->upstream;
+  size_t length = strlen (upstream->flood_filler);
+  char block[FLOOD_BLOCK];
+  ssize_t count;
+
+  do
+    {
+      for (size_t i = 0; i < sizeof block; i++)
+        block[i] = upstream->flood_filler[(run->flood_sent + i) % length];
+      count = send (srv_descriptor (run->connection), block, sizeof block,
+                    MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (count > 0)
+        {
+          run->flood_sent += (uint64_t)count;
+          upstream->flood_bytes += (uint64_t)count;
+        }
+    }
+  while (count == (ssize_t)sizeof block);
+  evl_timer_set (&run->timer, evl_now (upstream->loop) + CLK_MILLISECOND);
+}
+
+static void
+start_flood (struct run *run)
+{
+  struct sup *upstream = run->upstream;
+
+  if (upstream->flood_with_head)
+    {
+      send_raw (run->connection, "HTTP/1.1 200 OK\r\n" PFM_REQUEST_ID ": ");
+      send_raw (run->connection, run->id);
+      send_raw (run->connection, "\r\n" PFM_SIGNATURE ": standin\r\n");
+    }
+  send_raw (run->connection, upstream->flood_start);
+  run->is_flood = true;
+  run->timer.callback = on_flood;
+  on_flood (run);
+}
+
 static void
 answer (struct sup *upstream, struct srv_connection *connection,
         const char *id)
@@ -147,6 +223,11 @@
   struct srv_connection *connection = run->connection;
   char id[NAME_SIZE];
 
+  if (upstream->flood_filler != NULL)
+    {
+      start_flood (run);
+      return;
+    }
   memcpy (id, run->id, sizeof id);
   free_run (run);
   answer (upstream, connection, id);
--- a/standins/lib/sup.h
+++ b/standins/lib/sup.h
@@ -57,6 +57,18 @@
   /* Sets the fault of the requests that follow.  */
   void sup_set_fault (struct sup *upstream, enum sup_fault fault);
 
+  /* Answers the requests that follow with START and then FILLER again and
+     again, until the caller closes.  WITH_HEAD: a status line, the request's
+     id and a signature come first.  Ends with FILLER null.  The texts must
+     outlive the upstream.  */
+  void sup_set_flood (struct sup *upstream, bool with_head, const char *start,
+                      const char *filler);
+
+  /* Returns the bytes of FILLER sent so far, and the connections that get
+     them.  */
+  uint64_t sup_flood_bytes (const struct sup *upstream);
+  size_t sup_flood_count (const struct sup *upstream);
+
   /* Sets the time of the requests that follow, in ns.  */
   void sup_set_service_time (struct sup *upstream, clk_time work);
 
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -592,6 +592,108 @@
              sup_run_count (vms[1].upstream));
 }
 
+/* Guards against an upstream that sends bytes without end: in a head, a body
+   or a part of its framing.  Memory and time are bounded, the caller learns
+   that its request may have run, the connection is closed, and other calls go
+   to another upstream.  */
+TEST_F (Sidecars, EndResponsesThatDoNotEnd)
+{
+  static const char chunked[] = "Transfer-Encoding: chunked\r\n\r\n";
+  static const std::string chunk
+      = "400\r\n" + std::string (1024, 'x') + "\r\n";
+  static const std::string chunk_line = std::string (chunked) + "1;";
+  static const std::string trailer = std::string (chunked) + "0\r\n";
+  static const struct
+  {
+    bool with_head;
+    const char *start;
+    const char *filler;
+  } floods[] = {
+    { true, "X: ", "x" },
+    { true, "", "x: y\r\n" },
+    { false, "HTTP/1.1 200 ", "x" },
+    { false, "", "\r\n" },
+    { false, "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { true, chunked, chunk.c_str () },
+    { true, chunk_line.c_str (), "x" },
+    { true, trailer.c_str (), "x: y\r\n" },
+    { true, "\r\n", "x" },
+    { true, "Content-Length: 1000000000000\r\n\r\n", "x" },
+  };
+  /* A sixth of the memory, shared by the slots, and what the sockets hold.  */
+  const uint64_t most_bytes = (256u / 6 / slots + 8) * 1024u * 1024u;
+
+  add_vm ("orders");
+  add_vm ("stock");
+  put_config (1);
+  ASSERT_TRUE (run_until_converged (1));
+  ASSERT_TRUE (run_until ([&] { return status_of (1, "/orders/") == 200; }));
+  for (const auto &flood : floods)
+    {
+      uint64_t before = sup_flood_bytes (vms[0].upstream);
+
+      SCOPED_TRACE (std::string (flood.start) + "..."
+                    + std::string (flood.filler).substr (0, 30));
+      sup_set_flood (vms[0].upstream, flood.with_head, flood.start,
+                     flood.filler);
+      EXPECT_EQ (status_of (1, "/once/", "", 900, "POST"), 502);
+      EXPECT_TRUE (
+          run_until ([&] { return sup_flood_count (vms[0].upstream) == 0; }));
+      EXPECT_LT (sup_flood_bytes (vms[0].upstream) - before, most_bytes);
+      {
+        Peer peer = send_call (1, "/once/", "", 900, "POST");
+
+        run_until ([&] { return sup_flood_count (vms[0].upstream) > 0; }, 50);
+      }
+      EXPECT_TRUE (
+          run_until ([&] { return sup_flood_count (vms[0].upstream) == 0; }));
+      sup_set_flood (vms[0].upstream, false, "", nullptr);
+      EXPECT_TRUE (
+          run_until ([&] { return status_of (1, "/orders/") == 200; }, 10000));
+    }
+}
+
+/* Guards against callers that send bytes without end, in a head or a body, or
+   in the framing of one.  */
+TEST_F (Sidecars, RejectRequestsThatDoNotEnd)
+{
+  static const std::string chunked
+      = "POST /orders/ HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  static const std::pair<std::string, std::string> floods[]
+      = { { "GET /", "x" },
+          { "GET / HTTP/1.1\r\n", "x: y\r\n" },
+          { "", "\r\n" },
+          { chunked + "1;", "x" },
+          { chunked + "0\r\n", "x: y\r\n" },
+          { chunked, "400\r\n" + std::string (1024, 'x') + "\r\n" } };
+
+  add_vm ("orders");
+  put_config (1);
+  ASSERT_TRUE (run_until_converged (1));
+  for (const auto &[start, filler] : floods)
+    {
+      Peer peer = Peer::connect (address_of (0, calls_port));
+      std::string block;
+      size_t sent = 0;
+
+      while (block.size () < 100000)
+        block += filler;
+      SCOPED_TRACE (start + "..." + filler.substr (0, 30));
+      peer.send (start);
+      for (; response_status (peer) == 0 && sent < 100u * 1024u * 1024u;
+           sent += block.size ())
+        {
+          peer.send (block);
+          run_for (1);
+          if (!peer.receive ())
+            break;
+        }
+      EXPECT_EQ (response_status (peer) / 100, 4);
+      EXPECT_LT (sent, 40u * 1024u * 1024u);
+    }
+  EXPECT_TRUE (run_until ([&] { return status_of (0, "/orders/") == 200; }));
+}
+
 /* Guards against confusing a node with the one that had its address before:
    the former node then seems alive, and calls to it fail.  */
 TEST_F (Sidecars, HandleANewNodeAtAnAddress)
