Consider every upstream of a service

Cause: placement looked at the first 256 nodes with an upstream of the service; those beyond never got a call, and with the first 256 gone all calls of the service were refused. The candidates are now in memory of the forwarder that grows with the service.

--- a/src/fwd/fwd.c
+++ b/src/fwd/fwd.c
@@ -77,6 +77,8 @@
   snp_release (forwarder->snapshot);
   bud_destroy (forwarder->budget);
   free (forwarder->share_points);
+  free (forwarder->field.candidates);
+  free (forwarder->field.peers);
   free (forwarder->peers);
   free (forwarder);
 }
--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -67,6 +67,15 @@
   Mesh__Frame *frame;
 };
 
+/* The nodes that may run a call; the memory is used again.  */
+struct fwd_field
+{
+  struct plc_candidate *candidates;
+  dir_handle *peers; /* of the candidates */
+  size_t count;
+  size_t capacity;
+};
+
 struct fwd
 {
   struct fwd_options parts;
@@ -81,7 +90,8 @@
   clk_time started_by; /* until then a first configuration may be on its way */
   clk_time latest;     /* end of every request; CLK_NEVER: not limited */
   clk_time screen_at;  /* see fwd_set_drain_deadline; CLK_NEVER: never */
-  double *share_points; /* of each route with shares; see fwd_route.c */
+  struct fwd_field field; /* of the call that is being placed */
+  double *share_points;   /* of each route with shares; see fwd_route.c */
 };
 
 /* Returns the call of a place in the list of calls, null after the last.  */
--- a/src/fwd/fwd_place.c
+++ b/src/fwd/fwd_place.c
@@ -1,5 +1,6 @@
 /* Placement of a call on a node with an upstream of its service.  */
 
+#include "base/mem.h"
 #include "fwd/fwd_log.h"
 
 #include <string.h>
@@ -8,8 +9,8 @@
 static const clk_time assumed_round_trip[PLC_LOCALITY_COUNT]
     = { CLK_MILLISECOND, 4 * CLK_MILLISECOND, 20 * CLK_MILLISECOND };
 
-/* Nodes considered for one call.  */
-#define MAX_CANDIDATES 256
+/* Candidates for which memory is taken at first.  */
+#define INITIAL_CANDIDATES 32
 
 /* Gates that may send a call on because they are busy; the next one keeps it
    as long as it can still be served.  */
@@ -24,14 +25,6 @@
    it was late; callers wait for a third of their time at most.  */
 #define LATE_RETRY_PART 3
 
-/* The nodes that may run a call.  */
-struct field
-{
-  struct plc_candidate candidates[MAX_CANDIDATES];
-  dir_handle peers[MAX_CANDIDATES];
-  size_t count;
-};
-
 void
 fwd_exclude (struct fwd_call *call, dir_handle peer)
 {
@@ -57,14 +50,30 @@
                                                     : PLC_OTHER_REGION;
 }
 
+/* Makes room for one more candidate.  */
+static void
+reserve_candidate (struct fwd_field *field)
+{
+  if (field->count < field->capacity)
+    return;
+  field->capacity
+      = field->capacity == 0 ? INITIAL_CANDIDATES : 2 * field->capacity;
+  field->candidates = mem_resize (field->candidates, field->capacity,
+                                  sizeof *field->candidates);
+  field->peers
+      = mem_resize (field->peers, field->capacity, sizeof *field->peers);
+}
+
 static void
 add_candidate (const struct fwd_call *call, const struct mbr_member *self,
                dir_handle peer, const struct mbr_member *member,
-               struct field *field)
+               struct fwd_field *field)
 {
   struct fwd *forwarder = call->forwarder;
-  struct plc_candidate *candidate = &field->candidates[field->count];
+  struct plc_candidate *candidate;
 
+  reserve_candidate (field);
+  candidate = &field->candidates[field->count];
   field->peers[field->count++] = peer;
   candidate->load = fwd_peer_load (forwarder, peer, call->kind, member->slots);
   candidate->locality = (uint8_t)locality_of (self, member);
@@ -77,26 +86,29 @@
     candidate->round_trip = assumed_round_trip[candidate->locality];
 }
 
-/* Collects the nodes with an upstream of the call's service.  */
-static void
-collect (const struct fwd_call *call, struct field *field)
+/* Collects the nodes with an upstream of the call's service.  The result is
+   valid until the next call of this function.  */
+static const struct fwd_field *
+collect (const struct fwd_call *call)
 {
   const struct fwd_options *parts = &call->forwarder->parts;
+  struct fwd_field *field = &call->forwarder->field;
   const struct mbr_member *self = dir_get (parts->directory, parts->self);
   dir_handle end = dir_handle_limit (parts->directory);
 
   field->count = 0;
-  for (dir_handle i = 0; i < end && field->count < MAX_CANDIDATES; i++)
+  for (dir_handle i = 0; i < end; i++)
     {
       const struct mbr_member *member = dir_get (parts->directory, i);
 
       if (member != NULL && strcmp (member->service, call->service) == 0)
         add_candidate (call, self, i, member, field);
     }
+  return field;
 }
 
 static unsigned
-count_usable (const struct field *field)
+count_usable (const struct fwd_field *field)
 {
   unsigned count = 0;
 
@@ -119,7 +131,7 @@
 
 /* Returns the shortest wait that is expected at a usable node.  */
 static clk_time
-shortest_wait (const struct field *field, clk_time now)
+shortest_wait (const struct fwd_field *field, clk_time now)
 {
   clk_time shortest = LONGEST_RETRY;
 
@@ -157,24 +169,24 @@
           .time_to_target = call->target - now,
           .time_to_deadline = call->deadline - now,
           .accept_any_wait = call->bounces >= MAX_BOUNCES };
-  struct field field;
 
   for (;;)
     {
-      struct plc_choice choice;
+      const struct fwd_field *field = collect (call);
+      struct plc_choice choice = plc_choose_candidate (
+          field->candidates, field->count, &wanted, now, &forwarder->random);
+      dir_handle peer;
 
-      collect (call, &field);
-      call->usable = count_usable (&field);
-      choice = plc_choose_candidate (field.candidates, field.count, &wanted,
-                                     now, &forwarder->random);
+      call->usable = count_usable (field);
       if (choice.index == PLC_NONE || call->tried_count == FWD_MAX_TRIED)
         {
-          give_up (call, shortest_wait (&field, now));
+          give_up (call, shortest_wait (field, now));
           return;
         }
-      if (fwd_send (call, field.peers[choice.index], choice.max_wait))
+      peer = field->peers[choice.index];
+      if (fwd_send (call, peer, choice.max_wait))
         return;
-      fwd_exclude (call, field.peers[choice.index]);
+      fwd_exclude (call, peer);
     }
 }
 
@@ -201,14 +213,14 @@
 bool
 fwd_claim_repeat (struct fwd_call *call)
 {
-  struct field field;
+  const struct fwd_field *field;
 
   if (call->route->call_class != DOC_IDEMPOTENT
       || call->runs + 1 >= max_runs (call))
     return false;
-  collect (call, &field);
-  for (size_t i = 0; i < field.count; i++)
-    if (field.candidates[i].usable && field.peers[i] != call->peer)
+  field = collect (call);
+  for (size_t i = 0; i < field->count; i++)
+    if (field->candidates[i].usable && field->peers[i] != call->peer)
       return take_repeat (call);
   return false;
 }
@@ -217,7 +229,6 @@
 fwd_repeat (struct fwd_call *call)
 {
   clk_time now = evl_now (call->forwarder->parts.loop);
-  struct field field;
 
   if (call->may_have_run && call->route->call_class != DOC_IDEMPOTENT)
     fwd_log_denied (call, FWD_KIND);
@@ -231,8 +242,7 @@
       fwd_place (call);
       return;
     }
-  collect (call, &field);
-  give_up (call, shortest_wait (&field, now));
+  give_up (call, shortest_wait (collect (call), now));
 }
 
 void
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -694,6 +694,36 @@
   EXPECT_TRUE (run_until ([&] { return status_of (0, "/orders/") == 200; }));
 }
 
+/* Guards against upstreams that never get a call because their service has
+   many: those beyond the 256th were not considered, and when the first 256
+   were gone all calls were refused.  */
+TEST_F (Sidecars, UseEveryUpstreamOfALargeService)
+{
+  const int count = 300;
+
+  for (int i = 0; i < count; i++)
+    {
+      std::string name = "a-" + std::to_string (1000 + i);
+
+      sst_put (store, "mesh-nodes", name.c_str (),
+               json_pack (
+                   "{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i, "
+                   "s:b, s:i, s:i}",
+                   "node", name.c_str (), "data_centre", "a", "region", "r",
+                   "address",
+                   ("127.0.2." + std::to_string (i % 250 + 1) + ":9").c_str (),
+                   "service", "orders", "upstream", name.c_str (),
+                   "incarnation", 1, "sequence", 1, "slots", 4,
+                   "upstream_born", 1, "upstream_leaving", 1,
+                   "platform_distance_ms", 100, "capacity", 1));
+    }
+  add_vm ("stock");
+  add_vm ("orders");
+  put_config (1);
+  EXPECT_TRUE (
+      run_until ([&] { return status_of (0, "/orders/") == 200; }, 5000));
+}
+
 /* Guards against confusing a node with the one that had its address before:
    the former node then seems alive, and calls to it fail.  */
 TEST_F (Sidecars, HandleANewNodeAtAnAddress)
