Publish the first record of a node with its upstream in it

Change: a node without a stored record waits for the first heartbeat, 2.4 intervals at most, 3.6 s at the latest. Others learn of it over links. Ruled out: configuration reads after the join, which no node makes here.

--- a/src/pub/pub.c
+++ b/src/pub/pub.c
@@ -59,6 +59,12 @@
              && is_equivalent (&publisher->stored, &publisher->desired));
 }
 
+bool
+pub_is_stored (const struct pub *publisher)
+{
+  return publisher->revision != 0;
+}
+
 static void start_next_call (void *context);
 
 static void
--- a/src/pub/pub.h
+++ b/src/pub/pub.h
@@ -58,6 +58,9 @@
      is removed.  */
   void pub_withdraw (struct pub *publisher);
 
+  /* Returns whether the store is known to hold an object of this node.  */
+  bool pub_is_stored (const struct pub *publisher);
+
   /* Returns whether there is nothing to write: the store holds the record that
      was set last, or none was set; after pub_withdraw it holds no record.  */
   bool pub_is_up_to_date (const struct pub *publisher);
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -59,8 +59,8 @@
   bool joined;       /* see sdc_join.c */
   /* Time of the next step of the join, CLK_NEVER when none is scheduled.  */
   clk_time next_join_step_at;
-  /* Latest time to publish this node on a first start; CLK_NEVER when that is
-     done or this is no first start.  */
+  /* Latest time to publish the first record of this node; CLK_NEVER when that
+     is done or is not to be done yet.  */
   clk_time publish_by;
   struct sto_call *config_call; /* reads the configuration after a start */
   clk_time next_report_at;      /* next report of unreachable nodes */
--- a/src/sdc/sdc_join.c
+++ b/src/sdc/sdc_join.c
@@ -14,9 +14,12 @@
 
 #include <string.h>
 
-/* On a first start a node publishes its record when its upstream has sent the
-   first heartbeat, or this long after that heartbeat was due.  */
-#define FIRST_HEARTBEAT_MARGIN (200 * CLK_MILLISECOND)
+/* A node publishes its first record when its upstream has sent the first
+   heartbeat, so that the record need not be written again for it.  It waits
+   for some intervals of heartbeats, but not long: on a first start the list of
+   all nodes follows, and callers come seconds after the start.  */
+#define FIRST_HEARTBEAT_INTERVALS 2.4
+#define MAX_FIRST_HEARTBEAT_WAIT (3600 * CLK_MILLISECOND)
 
 /* Delay on a first start between the latest time to publish a record and the
    list of all nodes.  VMs start within 0.3 s of each other.  */
@@ -65,11 +68,38 @@
   return true;
 }
 
+/* Returns how long a node waits for the first heartbeat of its upstream.  */
+static clk_time
+first_heartbeat_wait (const struct sdc *sidecar)
+{
+  clk_time wait = (clk_time)(FIRST_HEARTBEAT_INTERVALS
+                             * (double)sidecar->settings.heartbeat_interval);
+
+  return wait < MAX_FIRST_HEARTBEAT_WAIT ? wait : MAX_FIRST_HEARTBEAT_WAIT;
+}
+
+/* Publishes the record of this node now if the store may hold one, or if its
+   upstream has sent a heartbeat; else later.  Until then other nodes learn of
+   it over links.  */
+static void
+publish_after_list (struct sdc *sidecar)
+{
+  if (pub_is_stored (sidecar->publisher)
+      || sidecar->registration.state != REG_NONE)
+    {
+      sidecar->publish_by = CLK_NEVER;
+      pub_set_record (sidecar->publisher, &sidecar->record);
+    }
+  else if (sidecar->publish_by == CLK_NEVER)
+    sidecar->publish_by
+        = evl_now (sidecar->loop) + first_heartbeat_wait (sidecar);
+}
+
 void
 sdc_handle_nodes_listed (struct sdc *sidecar)
 {
   add_platform_rtt (sidecar);
-  pub_set_record (sidecar->publisher, &sidecar->record);
+  publish_after_list (sidecar);
   if (!sidecar->joined)
     complete_join (sidecar);
 }
@@ -87,15 +117,14 @@
       return;
     }
   sto_connect (sidecar->store);
-  sidecar->publish_by
-      = now + sidecar->settings.heartbeat_interval + FIRST_HEARTBEAT_MARGIN;
+  sidecar->publish_by = now + first_heartbeat_wait (sidecar);
   sidecar->next_join_step_at = sidecar->publish_by + FIRST_LIST_DELAY;
 }
 
-/* Publishes this node on a first start, when its round trip time to the
+/* Publishes the first record of this node when its round trip time to the
    platform's store is known.  */
 static void
-publish_on_first_start (struct sdc *sidecar, clk_time now)
+publish_first_record (struct sdc *sidecar, clk_time now)
 {
   bool announced = sidecar->registration.state != REG_NONE;
 
@@ -138,7 +167,7 @@
 sdc_advance_join (struct sdc *sidecar, clk_time now)
 {
   if (sidecar->publish_by != CLK_NEVER)
-    publish_on_first_start (sidecar, now);
+    publish_first_record (sidecar, now);
   if (now < sidecar->next_join_step_at)
     return;
   if (!sidecar->joined)
