List the nodes of a first start by a stale read

Change: such a list may be out of date, which the store serves at a tenth; one that holds no other node is read again as it is now, and nodes missing in it are not declared dead. Lists of later starts stay as they were: a node takes the state of its own upstream from them, and one that left must stay out. Tests: FindEachOtherByAListThatIsOutOfDate and ...IsEmpty show that nodes find each other without further writes; they pass without the two guards as well, since parents and watchers make up for a missing entry.

--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -55,8 +55,9 @@
   struct snp_snapshot *snapshot;
   bool *listed; /* nodes seen since the list started, by handle */
   size_t listed_count;
-  bool nodes_listed; /* a list of all nodes was read from the store */
-  bool joined;       /* see sdc_join.c */
+  bool nodes_listed;  /* a list of all nodes was read from the store */
+  bool list_is_stale; /* the list being read may be out of date */
+  bool joined;        /* see sdc_join.c */
   /* Time of the next step of the join, CLK_NEVER when none is scheduled.  */
   clk_time next_join_step_at;
   /* Latest time to publish the first record of this node; CLK_NEVER when that
--- a/src/sdc/sdc_join.c
+++ b/src/sdc/sdc_join.c
@@ -4,7 +4,10 @@
    On a first start of the whole mesh the store holds no records.  Each node
    then publishes its record first, with its upstream in it, and lists the
    nodes some time later, so that all nodes compute the same roles from the
-   start.  This takes two calls to the store per node.  A node that starts
+   start.  This takes two calls to the store per node.  The list may be out of
+   date, which costs the store little: nodes that are missing in it are known
+   to their parents and arrive over links.  When it holds no other node, it is
+   read again as it is now.  A node that starts
    while the store is unreachable learns of the other nodes from those that
    open links to it.  */
 
@@ -99,6 +102,14 @@
 sdc_handle_nodes_listed (struct sdc *sidecar)
 {
   add_platform_rtt (sidecar);
+  if (sidecar->list_is_stale && dir_alive_count (sidecar->directory) <= 1)
+    {
+      sidecar->list_is_stale = false;
+      wch_stop (sidecar->node_watch);
+      wch_start (sidecar->node_watch);
+      return;
+    }
+  sidecar->list_is_stale = false;
   publish_after_list (sidecar);
   if (!sidecar->joined)
     complete_join (sidecar);
@@ -177,7 +188,8 @@
       if (!wch_is_started (sidecar->node_watch))
         {
           sidecar->next_join_step_at = now + LIST_TIMEOUT;
-          wch_start (sidecar->node_watch);
+          sidecar->list_is_stale = true;
+          wch_start_stale (sidecar->node_watch);
         }
       else if (dir_alive_count (sidecar->directory) > 1)
         complete_join (sidecar);
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -374,8 +374,10 @@
   struct sdc *sidecar = context;
 
   /* A connected node that is not in the list is alive and will publish its
-     record.  */
-  for (dir_handle i = 0; i < dir_handle_limit (sidecar->directory); i++)
+     record.  A list that is out of date says nothing of missing nodes.  */
+  for (dir_handle i = 0;
+       !sidecar->list_is_stale && i < dir_handle_limit (sidecar->directory);
+       i++)
     if ((i >= sidecar->listed_count || !sidecar->listed[i])
         && !hub_is_connected (sidecar->hub, i))
       sdc_declare_dead (sidecar, i);
--- a/src/wch/wch.c
+++ b/src/wch/wch.c
@@ -32,6 +32,7 @@
   enum wch_health health;
   bool started;
   bool suspended;     /* the store is known not to answer */
+  bool stale_list;    /* the next list may be out of date */
   bool list_complete; /* a watch can start at REVISION */
   uint64_t revision;
   char *after_name; /* last name of the previous page; null: list from the
@@ -67,7 +68,9 @@
 static void
 start_list (struct wch *watch)
 {
-  struct sto_request request = { .operation = STO_LIST, .kind = watch->kind };
+  struct sto_request request = { .operation = STO_LIST,
+                                 .kind = watch->kind,
+                                 .allow_stale = watch->stale_list };
 
   if (watch->after_name != NULL)
     request.after = watch->after_name;
@@ -162,6 +165,7 @@
     {
       set_after_name (watch, NULL);
       watch->list_complete = true;
+      watch->stale_list = false;
       watch->handlers->list_finished (watch->context);
       if (watch->started)
         set_health (watch, WCH_CURRENT);
@@ -234,11 +238,19 @@
   start_next_call (watch);
 }
 
+void
+wch_start_stale (struct wch *watch)
+{
+  watch->stale_list = true;
+  wch_start (watch);
+}
+
 void
 wch_stop (struct wch *watch)
 {
   watch->started = false;
   watch->suspended = false;
+  watch->stale_list = false;
   set_after_name (watch, NULL);
   evl_timer_stop (&watch->next_call_timer);
   if (watch->call != NULL)
--- a/src/wch/wch.h
+++ b/src/wch/wch.h
@@ -60,6 +60,10 @@
      nothing when it is started.  */
   void wch_start (struct wch *watch);
 
+  /* Like wch_start, but the list may be seconds out of date.  Such a call
+     costs the store little; objects may be missing or removed meanwhile.  */
+  void wch_start_stale (struct wch *watch);
+
   /* Stops the watch and cancels the call in progress.  */
   void wch_stop (struct wch *watch);
 
--- a/standins/lib/sst.c
+++ b/standins/lib/sst.c
@@ -77,7 +77,10 @@
   clk_time delay;
   struct lst waiting;
   uint64_t calls;
-  size_t page_size;       /* 0: all objects in one page */
+  uint64_t writes;
+  size_t page_size; /* 0: all objects in one page */
+  bool stale_lists_limited;
+  size_t stale_count;     /* objects of a stale list */
   char *texts[MAX_TEXTS]; /* contents that are sent as they stand */
   size_t text_count;
   char entry_kind[NAME_SIZE]; /* of ENTRY_MARK; "": none */
@@ -346,18 +349,24 @@
 {
   json_t *items = json_array ();
   char after[3 * NAME_SIZE] = "";
+  bool is_stale = store->stale_lists_limited
+                  && strstr (target, PFM_ALLOW_STALE "=1") != NULL;
   const struct object *object;
 
   if (read_query (target, PFM_AFTER, after, sizeof after))
     decode_escapes (after);
   else if (strcmp (store->entry_kind, kind) == 0)
     json_array_append_new (items, text_mark (store->entry_text));
-  object = next_object (store, kind, after);
+  object = is_stale && store->stale_count == 0
+               ? NULL
+               : next_object (store, kind, after);
   for (size_t i = 0;
        object != NULL && (store->page_size == 0 || i < store->page_size); i++)
     {
       json_array_append_new (items, object_json (object));
       object = next_object (store, kind, object->name);
+      if (is_stale && i + 1 >= store->stale_count)
+        object = NULL;
     }
   answer (store, connection, 200,
           json_pack ("{s:o, s:b, s:I}", PFM_ITEMS, items, PFM_MORE,
@@ -568,6 +577,8 @@
   struct waiting *entry;
 
   store->calls++;
+  if (!is_read)
+    store->writes++;
   switch (fault_of (store, called_ip (connection)))
     {
     case SST_NO_RESPONSE:
@@ -751,6 +762,13 @@
   store->entry_text = add_text (store, text);
 }
 
+void
+sst_limit_stale_lists (struct sst *store, size_t count)
+{
+  store->stale_lists_limited = true;
+  store->stale_count = count;
+}
+
 void
 sst_set_page_size (struct sst *store, size_t count)
 {
@@ -797,6 +815,12 @@
   return entry != NULL;
 }
 
+uint64_t
+sst_write_count (const struct sst *store)
+{
+  return store->writes;
+}
+
 uint64_t
 sst_call_count (const struct sst *store)
 {
--- a/standins/lib/sst.h
+++ b/standins/lib/sst.h
@@ -70,6 +70,9 @@
   /* Sets the largest number of objects in one page of a list.  */
   void sst_set_page_size (struct sst *store, size_t count);
 
+  /* Makes lists that may be out of date hold the first COUNT objects only.  */
+  void sst_limit_stale_lists (struct sst *store, size_t count);
+
   /* Removes an object, at once and whatever the fault.  */
   void sst_remove (struct sst *store, const char *kind, const char *name);
 
@@ -84,8 +87,9 @@
      changes.  */
   bool sst_is_watched_by (const struct sst *store, uint32_t ip);
 
-  /* Returns the calls received so far.  */
+  /* Returns the calls received so far, and those of them that write.  */
   uint64_t sst_call_count (const struct sst *store);
+  uint64_t sst_write_count (const struct sst *store);
 
 #ifdef __cplusplus
 }
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -229,6 +229,49 @@
   EXPECT_LE (sst_call_count (store), 2 * count + 2 * 6);
 }
 
+/* Guards against nodes that do not find each other, or are taken for dead,
+   because the list of a first start is out of date and holds some of the
+   records.  */
+TEST_F (Sidecars, FindEachOtherByAListThatIsOutOfDate)
+{
+  const size_t stale_count = 2;
+
+  sst_limit_stale_lists (store, stale_count);
+  start_mesh ();
+  run_for (1500);
+  EXPECT_EQ (sst_count (store, "mesh-nodes"), vms.size ());
+  EXPECT_EQ (sst_write_count (store), vms.size ());
+  for (const Vm &vm : vms)
+    EXPECT_EQ (sdc_node_count (vm.sidecar), vms.size ());
+}
+
+/* The same with a list that holds no record.  */
+TEST_F (Sidecars, FindEachOtherByAListThatIsEmpty)
+{
+  sst_limit_stale_lists (store, 0);
+  start_mesh ();
+  run_for (1500);
+  EXPECT_EQ (sst_count (store, "mesh-nodes"), vms.size ());
+  EXPECT_EQ (sst_write_count (store), vms.size ());
+  for (const Vm &vm : vms)
+    EXPECT_EQ (sdc_node_count (vm.sidecar), vms.size ());
+}
+
+/* Guards against a record that is written twice when the upstream's first
+   heartbeat comes some time after the start of its node.  */
+TEST_F (Sidecars, WriteTheFirstRecordOnce)
+{
+  heartbeat = 400 * CLK_MILLISECOND;
+  for (int i = 0; i < 3; i++)
+    add_vm ("orders", "a", "near", true, false);
+  run_for (700);
+  for (size_t i = 0; i < vms.size (); i++)
+    start_upstream (i);
+  put_config (1);
+  ASSERT_TRUE (run_until_converged (1));
+  EXPECT_EQ (sst_write_count (store), vms.size ());
+}
+
 /* Guards against a node that is never used again after it has rejected a call:
    during a restart of its upstream, or at the end of its own shutdown.  Two of
    six nodes then rejected all calls of a service for good.  */
--- a/tests/support/sidecar_mesh.cc
+++ b/tests/support/sidecar_mesh.cc
@@ -43,7 +43,7 @@
 size_t
 SidecarMesh::add_vm (const std::string &service,
                      const std::string &data_centre, const std::string &region,
-                     bool first_start)
+                     bool first_start, bool with_upstream)
 {
   Vm vm;
 
@@ -54,7 +54,8 @@
   vm.ip = 0x7f000101 + (uint32_t)vms.size ();
   vms.push_back (vm);
   start_sidecar (vms.size () - 1, first_start);
-  start_upstream (vms.size () - 1);
+  if (with_upstream)
+    start_upstream (vms.size () - 1);
   return vms.size () - 1;
 }
 
--- a/tests/support/sidecar_mesh.h
+++ b/tests/support/sidecar_mesh.h
@@ -33,10 +33,12 @@
   SidecarMesh ();
   ~SidecarMesh () override;
 
-  /* Adds a VM and starts its sidecar and upstream.  Returns its index.  */
+  /* Adds a VM and starts its sidecar and, unless WITH_UPSTREAM is false, its
+     upstream.  Returns its index.  */
   size_t add_vm (const std::string &service,
                  const std::string &data_centre = "a",
-                 const std::string &region = "r", bool first_start = false);
+                 const std::string &region = "r", bool first_start = false,
+                 bool with_upstream = true);
 
   void start_sidecar (size_t vm, bool first_start = false);
   void kill_sidecar (size_t vm);
