Test late copies of answers and upstreams that go silent

For two reports: a second copy of an answer that comes late on a connection that is in use again, and servers that never answer what they cannot queue. Neither can happen to a caller here; the first test fails when the id of a response is not compared with that of the request, the second was not run without its mechanism (the connection is closed at the call's deadline).

--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -40,6 +40,8 @@
   char data_centre[NAME_SIZE];
   struct srv *server;
   enum sup_fault fault;
+  bool sends_late_copies;
+  char last_id[NAME_SIZE]; /* of the request answered last */
   bool flood_with_head;
   const char *flood_start;
   const char *flood_filler; /* null: answers end */
@@ -65,6 +67,12 @@
   return XXH3_64bits (id, strlen (id));
 }
 
+void
+sup_set_late_copies (struct sup *upstream, bool on)
+{
+  upstream->sends_late_copies = on;
+}
+
 void
 sup_set_flood (struct sup *upstream, bool with_head, const char *start,
                const char *filler)
@@ -215,6 +223,18 @@
   srv_finish_response (connection, id, strlen (id));
 }
 
+static void
+send_copy (struct srv_connection *connection, const char *id)
+{
+  char text[256];
+
+  snprintf (text, sizeof text,
+            "HTTP/1.1 200 OK\r\n" PFM_REQUEST_ID ": %s\r\n" PFM_SIGNATURE
+            ": standin\r\nContent-Length: %zu\r\n\r\n%s",
+            id, strlen (id), id);
+  send_raw (connection, text);
+}
+
 static void
 on_done (void *context)
 {
@@ -229,6 +249,7 @@
       return;
     }
   memcpy (id, run->id, sizeof id);
+  memcpy (upstream->last_id, id, sizeof id);
   free_run (run);
   answer (upstream, connection, id);
 }
@@ -257,11 +278,15 @@
     refuse (connection, 400, "");
   else if (target != NULL && strcmp (target, upstream->name) != 0)
     refuse (connection, 421, id);
+  else if (upstream->fault == SUP_SILENT)
+    return;
   else if (upstream->fault == SUP_SHED
            || upstream->running >= upstream->settings.slots)
     refuse (connection, 503, id);
   else
     {
+      if (upstream->sends_late_copies && upstream->last_id[0] != '\0')
+        send_copy (connection, upstream->last_id);
       if (upstream->fault == SUP_EXTRA_RESPONSE)
         send_raw (connection, "HTTP/1.1 200 OK\r\n" PFM_SIGNATURE
                               ": other\r\nContent-Length: 5\r\n\r\nextra");
--- a/standins/lib/sup.h
+++ b/standins/lib/sup.h
@@ -43,7 +43,9 @@
     SUP_UNSIGNED,       /* leaves out its signature */
     SUP_LOSE_RESPONSE,  /* runs requests and resets their connections */
     SUP_SHED,           /* refuses requests as not run */
-    SUP_FAIL            /* answers 500 */
+    SUP_FAIL,           /* answers 500 */
+    SUP_SILENT          /* never answers, nor anything more on that connection
+                         */
   };
 
   /* Opens the upstream and starts its heartbeats.  Returns null with err_set
@@ -57,6 +59,10 @@
   /* Sets the fault of the requests that follow.  */
   void sup_set_fault (struct sup *upstream, enum sup_fault fault);
 
+  /* Sends a whole copy of the answer before, with its id, when the next
+     request on a connection begins to run.  */
+  void sup_set_late_copies (struct sup *upstream, bool on);
+
   /* Answers the requests that follow with START and then FILLER again and
      again, until the caller closes.  WITH_HEAD: a status line, the request's
      id and a signature come first.  Ends with FILLER null.  The texts must
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -767,6 +767,58 @@
       run_until ([&] { return status_of (0, "/orders/") == 200; }, 5000));
 }
 
+/* Guards against an upstream that never answers what it cannot queue, nor
+   anything more on that connection: the connection must not be used again, an
+   at-most-once call must end as unknown by its deadline, and the upstream must
+   not count as gone.  */
+TEST_F (Sidecars, LeaveAConnectionThatHasGoneSilent)
+{
+  const size_t silent_calls = 3;
+  std::vector<Peer> peers;
+
+  add_vm ("stock");
+  add_vm ("orders");
+  put_config (1);
+  ASSERT_TRUE (run_until_converged (1));
+  ASSERT_TRUE (run_until ([&] { return status_of (0, "/orders/") == 200; }));
+  sup_set_fault (vms[1].upstream, SUP_SILENT);
+  for (size_t i = 0; i < silent_calls; i++)
+    peers.push_back (send_call (0, "/once/", "", 400, "POST"));
+  run_for (100);
+  sup_set_fault (vms[1].upstream, SUP_HEALTHY);
+  EXPECT_EQ (status_of (0, "/orders/"), 200);
+  for (Peer &peer : peers)
+    {
+      EXPECT_TRUE (run_until_received (peer, "\r\n\r\n"));
+      EXPECT_EQ (response_status (peer), 504);
+    }
+  for (uint32_t i = 0; i < 2 * slots; i++)
+    EXPECT_EQ (status_of (0, "/orders/"), 200);
+  EXPECT_EQ (sup_duplicate_count (vms[1].upstream), 0u);
+}
+
+/* Guards against a second copy of an answer that comes late, on a connection
+   that is in use again: the next caller got an answer that was not its own. */
+TEST_F (Sidecars, DropASecondCopyOfAnEarlierAnswer)
+{
+  add_vm ("stock");
+  add_vm ("orders");
+  put_config (1);
+  ASSERT_TRUE (run_until_converged (1));
+  ASSERT_TRUE (run_until ([&] { return status_of (0, "/orders/") == 200; }));
+  sup_set_late_copies (vms[1].upstream, true);
+  for (int i = 0; i < 20; i++)
+    {
+      std::string id = next_request_id ();
+      Peer peer = send_call (0, "/orders/", id);
+
+      EXPECT_TRUE (run_until_received (peer, "\r\n\r\n" + id));
+      EXPECT_EQ (response_status (peer), 200);
+      EXPECT_NE (peer.received.find (PFM_REQUEST_ID ": " + id),
+                 std::string::npos);
+    }
+}
+
 /* Guards against confusing a node with the one that had its address before:
    the former node then seems alive, and calls to it fail.  */
 TEST_F (Sidecars, HandleANewNodeAtAnAddress)
