--- a/src/jsn/jsn.c
+++ b/src/jsn/jsn.c
@@ -72,11 +72,12 @@
 static const char *
 enter (struct jsn_text value, char open)
 {
-  const char *end = value.start + value.length;
+  const char *end;
   const char *at;
 
   if (value.start == NULL)
     return NULL;
+  end = value.start + value.length;
   at = skip_space (value.start, end);
   return at < end && *at == open ? skip_space (at + 1, end) : NULL;
 }
@@ -94,9 +95,9 @@
 jsn_find_member (struct jsn_text object, const char *key,
                  struct jsn_text *value)
 {
-  const char *end = object.start + object.length;
   const char *at = enter (object, '{');
   size_t length = strlen (key);
+  const char *end = at != NULL ? object.start + object.length : NULL;
 
   while (at != NULL && at < end && *at == '"')
     {
@@ -127,10 +128,13 @@
 bool
 jsn_next_element (struct jsn_text array, struct jsn_text *element)
 {
-  const char *end = array.start + array.length;
+  const char *end;
   const char *start;
   const char *at;
 
+  if (array.start == NULL)
+    return false;
+  end = array.start + array.length;
   if (element->start == NULL)
     start = enter (array, '[');
   else
@@ -145,12 +149,13 @@
 bool
 jsn_is_array (struct jsn_text array)
 {
-  const char *end = array.start + array.length;
   const char *at = enter (array, '[');
   struct jsn_text element = { 0 };
+  const char *end;
 
   if (at == NULL)
     return false;
+  end = array.start + array.length;
   while (jsn_next_element (array, &element))
     at = skip_space (element.start + element.length, end);
   return at < end && *at == ']';
--- a/src/pub/pub.c
+++ b/src/pub/pub.c
@@ -120,40 +120,46 @@
   return true;
 }
 
+/* Notes the result of a write.  Returns false when the next write must wait.
+ */
+static bool
+handle_write_reply (struct pub *publisher, const struct sto_reply *reply)
+{
+  if (reply->status == STO_CONFLICT)
+    return handle_conflict (publisher, reply);
+  if (reply->status == STO_ABSENT)
+    {
+      publisher->revision = 0;
+      publisher->has_stored = false;
+      return true;
+    }
+  if (reply->status != STO_OK || reply->object_count == 0)
+    return false;
+  publisher->failures = 0;
+  set_stored (publisher, &reply->objects[0], &publisher->in_flight);
+  publisher->handlers->record_stored (publisher->context,
+                                      publisher->in_flight.sequence);
+  return true;
+}
+
 static void
 on_written (void *context, const struct sto_request *request,
             const struct sto_reply *reply)
 {
   struct pub *publisher = context;
 
+  (void)request;
   publisher->call = NULL;
-  if (reply->status == STO_OK && reply->object_count > 0)
+  if (handle_write_reply (publisher, reply))
     {
-      publisher->failures = 0;
-      set_stored (publisher, &reply->objects[0], &publisher->in_flight);
-      publisher->handlers->record_stored (publisher->context,
-                                          publisher->in_flight.sequence);
-    }
-  else if (reply->status == STO_CONFLICT && handle_conflict (publisher, reply))
-    {
-      /* The next write replaces what was found.  */
-    }
-  else if (reply->status == STO_ABSENT)
-    {
-      publisher->revision = 0;
-      publisher->has_stored = false;
-    }
-  else
-    {
-      log_write (LOG_WARNING, "pub",
-                 "writing this node's record to the store failed (%s); "
-                 "retrying with backoff",
-                 sto_status_name (reply->status));
-      back_off (publisher);
+      start_next_call (publisher);
       return;
     }
-  (void)request;
-  start_next_call (publisher);
+  log_write (LOG_WARNING, "pub",
+             "writing this node's record to the store failed (%s); retrying "
+             "with backoff",
+             sto_status_name (reply->status));
+  back_off (publisher);
 }
 
 static void
