Answer what arrives at the end of accepting in a shutdown

Cause, found in a reading of the diff: the step that stops accepting also ended the process, so requests that srv_stop_accepting reads at that moment were failed at once. The process now ends only when it no longer accepts and nothing is in progress.

--- a/src/sdc/sdc_join.c
+++ b/src/sdc/sdc_join.c
@@ -42,6 +42,7 @@
 complete_join (struct sdc *sidecar)
 {
   sidecar->joined = true;
+  sidecar->list_is_stale = false;
   sidecar->next_join_step_at
       = evl_now (sidecar->loop) + CONFIG_TIMEOUT
         + (clk_time)(rel_hash_name (sidecar->record.name) % CONFIG_TIMEOUT);
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -342,23 +342,35 @@
     pub_withdraw (sidecar->publisher);
 }
 
-static void
-check_shutdown (struct sdc *sidecar, clk_time now)
+static struct stp_steps
+find_shutdown_steps (const struct sdc *sidecar, clk_time now)
 {
   struct stp_state state
       = { .now = now,
           .last_request_at = srv_last_request_time (sidecar->caller_server),
+          .is_accepting = srv_is_accepting (sidecar->caller_server),
           .request_count = srv_request_count (sidecar->caller_server),
           .call_count = gat_in_progress (sidecar->gate) };
+
+  return stp_check (&sidecar->shutdown, &state);
+}
+
+static void
+check_shutdown (struct sdc *sidecar, clk_time now)
+{
   struct stp_steps steps;
 
   if (!sidecar->stopping)
     return;
-  steps = stp_check (&sidecar->shutdown, &state);
+  steps = find_shutdown_steps (sidecar, now);
   if (steps.drain)
     leave_mesh (sidecar);
-  if (steps.stop_accepting)
-    srv_stop_accepting (sidecar->caller_server);
+  if (steps.stop_accepting && srv_is_accepting (sidecar->caller_server))
+    {
+      /* Reads the requests that have arrived meanwhile.  */
+      srv_stop_accepting (sidecar->caller_server);
+      steps = find_shutdown_steps (sidecar, now);
+    }
   if (!steps.stop)
     return;
   fwd_fail_all (sidecar->forwarder);
--- a/src/stp/stp.c
+++ b/src/stp/stp.c
@@ -29,13 +29,18 @@
   return shutdown;
 }
 
-/* Returns whether nothing is left to do.  Calls that still run at the upstream
-   may make calls of their own, which come as requests.  */
+/* Returns whether nothing is in progress.  Calls that still run at the
+   upstream may make calls of their own, which come as requests.  */
 static bool
-is_done (const struct stp_state *state)
+is_idle (const struct stp_state *state)
 {
-  return state->request_count == 0 && state->call_count == 0
-         && state->now - state->last_request_at >= QUIET_TIME;
+  return state->request_count == 0 && state->call_count == 0;
+}
+
+static bool
+have_callers_left (const struct stp_state *state)
+{
+  return is_idle (state) && state->now - state->last_request_at >= QUIET_TIME;
 }
 
 struct stp_steps
@@ -43,10 +48,10 @@
 {
   struct stp_steps steps = { .drain = state->now >= shutdown->drain_at };
 
-  steps.stop_accepting
-      = state->now >= shutdown->answer_by || (steps.drain && is_done (state));
+  steps.stop_accepting = state->now >= shutdown->answer_by
+                         || (steps.drain && have_callers_left (state));
+  /* Requests that arrive with the end of accepting are answered first.  */
   steps.stop = state->now >= shutdown->stop_at
-               || (steps.stop_accepting && state->request_count == 0
-                   && state->call_count == 0);
+               || (!state->is_accepting && is_idle (state));
   return steps;
 }
