--- a/tests/dst_test.cc
+++ b/tests/dst_test.cc
@@ -47,6 +47,7 @@
       dst_tick (dst, now, &actions);
       dst_actions_clear (&actions);
     }
+  dst_actions_close (&actions);
   dst_destroy (dst);
   return most;
 }
