--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -12,19 +12,19 @@
 /* Nodes that have refused a call at most.  */
 #define FWD_MAX_TRIED 16
 
-/* Kinds of calls of which a node remembers what a peer has told.  */
+/* Kinds of calls of which a node keeps the load reported by a peer.  */
 #define FWD_MAX_KINDS 8
 
-/* What a peer has told of one kind of call.  */
+/* Load of one kind of call as reported by a peer.  */
 struct fwd_kind
 {
   uint32_t route;   /* hash; 0: the place is free */
   clk_time service; /* mean time in a slot, ns; 0: unknown */
   clk_time wait;    /* expected wait, ns */
-  clk_time heard;
+  clk_time reported_at;
 };
 
-/* What answers have told of a peer's upstream.  */
+/* Load of a peer's upstream as reported in its answers.  */
 struct fwd_peer
 {
   uint32_t running;
@@ -32,9 +32,9 @@
   uint32_t slots;
   clk_time slot; /* mean time of any call in a slot, ns; 0: unknown */
   double failed;
-  uint32_t sent;    /* calls sent there since the last answer */
-  clk_time sent_at; /* the last one of them */
-  clk_time heard;   /* of the last answer; 0: none */
+  uint32_t sent;        /* calls sent there since the last answer */
+  clk_time sent_at;     /* the last one of them */
+  clk_time reported_at; /* of the last answer; 0: none */
   struct fwd_kind kinds[FWD_MAX_KINDS];
 };
 
@@ -100,7 +100,7 @@
 /* Returns what is known of PEER.  */
 struct fwd_peer *fwd_peer (struct fwd *forwarder, dir_handle peer);
 
-/* Takes what PEER has told of its load, as calls of this kind meet it.  */
+/* Takes the load that PEER reports, as calls of this kind meet it.  */
 void fwd_take_load (struct fwd *forwarder, dir_handle peer, uint32_t route,
                     const Mesh__Load *load);
 
--- a/src/fwd/fwd_peer.c
+++ b/src/fwd/fwd_peer.c
@@ -33,9 +33,9 @@
 
   for (size_t i = 0; i < FWD_MAX_KINDS; i++)
     {
-      if (peer->kinds[i].route == route && peer->kinds[i].heard != 0)
+      if (peer->kinds[i].route == route && peer->kinds[i].reported_at != 0)
         return &peer->kinds[i];
-      if (peer->kinds[i].heard < oldest->heard)
+      if (peer->kinds[i].reported_at < oldest->reported_at)
         oldest = &peer->kinds[i];
     }
   if (!add)
@@ -57,12 +57,12 @@
   known->slots = load->slots;
   known->slot = (clk_time)load->slot_us * CLK_MICROSECOND;
   known->failed = load->failed_permille / 1000.;
-  known->heard = now;
+  known->reported_at = now;
   known->sent = 0;
   kind = find_kind (known, route, true);
   kind->service = (clk_time)load->service_us * CLK_MICROSECOND;
   kind->wait = (clk_time)load->wait_us * CLK_MICROSECOND;
-  kind->heard = now;
+  kind->reported_at = now;
 }
 
 struct plc_load
@@ -75,23 +75,23 @@
                            .sent_since_report = known->sent,
                            .last_sent_at = known->sent_at };
 
-  if (known->heard == 0)
+  if (known->reported_at == 0)
     return load;
   load.running = known->running;
   if (known->slots > 0
-      || evl_now (forwarder->parts.loop) < known->heard + CLOSED_TIME)
+      || evl_now (forwarder->parts.loop) < known->reported_at + CLOSED_TIME)
     load.slots = known->slots;
   load.mean_slot_time = known->slot;
   load.failure_ratio = known->failed;
-  load.failure_reported_at = known->heard;
+  load.failure_reported_at = known->reported_at;
   if (known->slots > 0)
     load.backlog_time = known->slot * known->waiting / known->slots;
-  load.reported_at = known->heard;
+  load.reported_at = known->reported_at;
   if (kind != NULL)
     {
       load.service_time = kind->service;
       load.expected_wait = kind->wait;
-      load.reported_at = kind->heard;
+      load.reported_at = kind->reported_at;
     }
   return load;
 }
--- a/src/plc/plc.c
+++ b/src/plc/plc.c
@@ -35,15 +35,15 @@
 #define FAILED_COST 0.5
 #define FAILED_TIMES 6.
 
-/* What was heard of a wait counts half after this time.  */
+/* A reported wait counts half after this time.  */
 #define WAIT_HALF_LIFE (300 * CLK_MILLISECOND)
 
-/* What was heard of failures counts half after this time: a server that fails
+/* Reported failures count half after this time: a server that fails
    calls gets few, and only calls show that it has recovered.  */
 #define FAILED_HALF_LIFE (2 * CLK_SECOND)
 
-/* A time in a slot that was told longer ago may have changed.  */
-#define NEWS_AGE CLK_SECOND
+/* A time in a slot that was reported longer ago may have changed.  */
+#define MAX_REPORT_AGE CLK_SECOND
 
 /* Costs that differ by less than this part of the time in a slot are equal;
    the random choice among such servers keeps nodes from all choosing the same
@@ -62,17 +62,17 @@
 {
   const struct plc_call *call;
   clk_time now;
-  clk_time assumed; /* time in a slot of servers that have told none */
+  clk_time assumed; /* time in a slot of servers that have reported none */
   struct rnd *random;
 };
 
-/* Returns what is left of a time that was heard a while ago.  */
+/* Returns the remaining weight of a time that was reported AGE ago.  */
 static clk_time
-fade (clk_time heard, clk_time age)
+fade (clk_time time, clk_time age)
 {
-  for (; age >= WAIT_HALF_LIFE && heard > 0; age -= WAIT_HALF_LIFE)
-    heard /= 2;
-  return heard;
+  for (; age >= WAIT_HALF_LIFE && time > 0; age -= WAIT_HALF_LIFE)
+    time /= 2;
+  return time;
 }
 
 clk_time
@@ -114,8 +114,8 @@
                     * (double)call->target_latency);
 }
 
-/* Returns the mean of what is known: a server that has told nothing is taken
-   to be like the others, so that new ones get their share.  */
+/* Returns the mean of what is known: a server that has reported nothing is
+   taken to be like the others, so that new ones get their share.  */
 static clk_time
 assume_service (const struct plc_candidate *candidates, size_t count,
                 const struct plc_call *call)
@@ -212,8 +212,8 @@
   return (clk_time)low + WAIT_TOLERANCE;
 }
 
-/* Returns whether the call could be served.  What was told a while ago does
-   not keep a call from being tried: only an answer tells better.  */
+/* Returns whether the call could be served.  An old report does
+   not keep a call from being tried: only an answer brings a newer one.  */
 static bool
 is_eligible (const struct plc_candidate *candidate,
              const struct search *search)
@@ -222,7 +222,7 @@
   clk_time service = service_of (load, search);
   clk_time usual = usual_service (search->call);
 
-  if (search->now - load->reported_at > NEWS_AGE && service > usual)
+  if (search->now - load->reported_at > MAX_REPORT_AGE && service > usual)
     service = usual;
   return candidate->usable && load->slots > 0
          && candidate->round_trip + plc_estimate_wait (load, search->now)
--- a/src/plc/plc.h
+++ b/src/plc/plc.h
@@ -52,11 +52,11 @@
     clk_time expected_wait;  /* expected wait of a call of this kind */
     clk_time
         backlog_time; /* time in which all calls that wait would have run */
-    clk_time reported_at;       /* when this was told; 0: never */
+    clk_time reported_at;       /* time of the report; 0: never */
     uint32_t sent_since_report; /* calls sent there since */
     clk_time last_sent_at;      /* when the last of them was */
     double failure_ratio; /* recent share of calls that the upstream failed */
-    clk_time failure_reported_at; /* when that was told */
+    clk_time failure_reported_at; /* time of that report */
   };
 
   /* A node whose upstream may run the call.  */
--- a/src/rel/rel.c
+++ b/src/rel/rel.c
@@ -137,15 +137,15 @@
   return at;
 }
 
-/* Returns how many of the first END relays have this sight.  */
+/* Returns how many of the first END relays have this platform status.  */
 static size_t
-count_sight (const struct rel_node *nodes, const struct relay *relays,
-             size_t end, enum rel_platform_status sight)
+count_status (const struct rel_node *nodes, const struct relay *relays,
+              size_t end, enum rel_platform_status status)
 {
   size_t count = 0;
 
   for (size_t i = 0; i < end; i++)
-    if (nodes[relays[i].node].platform_status == sight)
+    if (nodes[relays[i].node].platform_status == status)
       count++;
   return count;
 }
@@ -155,18 +155,19 @@
 should_watch (const struct rel_node *nodes, const struct relay *relays,
               size_t at)
 {
-  size_t blind = count_sight (nodes, relays, at, REL_PLATFORM_UNREACHABLE);
+  size_t unreachable
+      = count_status (nodes, relays, at, REL_PLATFORM_UNREACHABLE);
   size_t wanted = REL_WATCHER_COUNT;
 
-  if (count_sight (nodes, relays, at, REL_PLATFORM_REACHABLE)
+  if (count_status (nodes, relays, at, REL_PLATFORM_REACHABLE)
       >= REL_WATCHER_COUNT)
     return false;
   if (nodes[relays[at].node].platform_status == REL_PLATFORM_REACHABLE)
     return true;
   /* Relays that try one after the other would take too long.  */
-  if (blind >= REL_WATCHER_COUNT)
-    wanted += blind;
-  return at - blind < wanted && blind < REL_MAX_FAILED_WATCHERS;
+  if (unreachable >= REL_WATCHER_COUNT)
+    wanted += unreachable;
+  return at - unreachable < wanted && unreachable < REL_MAX_FAILED_WATCHERS;
 }
 
 /* Adds NODE to a list of SIZE places when there is room.  */
@@ -181,19 +182,19 @@
       }
 }
 
-/* Adds the relays with this sight as parents.  */
+/* Adds the relays with this status as parents.  */
 static void
 add_parents (const struct rel_node *nodes, size_t self,
              const struct relay *relays, size_t relay_count,
-             enum rel_platform_status sight, struct rel_roles *plan)
+             enum rel_platform_status status, struct rel_roles *plan)
 {
   for (size_t i = 0; i < relay_count; i++)
     if (relays[i].node != self
-        && nodes[relays[i].node].platform_status == sight)
+        && nodes[relays[i].node].platform_status == status)
       add_node (plan->parents, REL_MAX_PARENTS, relays[i].node);
 }
 
-/* A relay hears from the first relays that the platform answers.  */
+/* The parents of a relay are the first relays that reach the platform.  */
 static void
 plan_relay (const struct rel_node *nodes, size_t self,
             const struct relay *relays, size_t relay_count,
@@ -203,7 +204,7 @@
 
   plan->is_watcher = should_watch (nodes, relays, at);
   if (plan->is_watcher
-      || count_sight (nodes, relays, at, REL_PLATFORM_UNREACHABLE) > 0)
+      || count_status (nodes, relays, at, REL_PLATFORM_UNREACHABLE) > 0)
     for (size_t i = 0; i < at; i++)
       add_node (plan->status_peers, REL_MAX_STATUS_PEERS, relays[i].node);
   add_parents (nodes, self, relays, relay_count, REL_PLATFORM_REACHABLE, plan);
--- a/src/rel/rel.h
+++ b/src/rel/rel.h
@@ -1,18 +1,18 @@
-/* Relays: which nodes hear of changes from the platform themselves, and from
-   whom the others hear.  Pure; each node works it out from what it knows, and
-   nobody grants or leases a role.  A role only offers news, and a node takes
-   only what is newer, so two nodes in one role do no harm.
+/* Relays: which nodes watch the platform, and who passes
+   changes on to the others.  Pure; each node works it out from what it knows,
+   and nobody grants or leases a role.  A role only offers changes, and a node
+   takes only what is newer, so two nodes in one role do no harm.
 
    In each data centre the largest VMs, and among equals the first by
    rendezvous hashing, are its relays.
    The first relays, those near the platform before others, watch the platform;
-   the other relays hear from them, and all other nodes from the relays of
+   the other relays subscribe to them, and all other nodes to the relays of
    their data centre.  Calls to the platform therefore do not grow with the
    mesh, and the link between regions carries each change a few times.
 
    The platform may turn some nodes away and serve others.  When the first
-   relays are blind, several of the next ones try at once, and one that sees
-   the platform goes on until enough of those before it say that they see it
+   relays cannot reach it, several of the next ones try at once, and one that
+   reaches it goes on until enough of those before it report that they reach it
    too.  */
 
 #ifndef MULBERRYSHIFT_REL_REL_H
@@ -36,11 +36,11 @@
    these it is taken to be down for all.  */
 #define REL_MAX_FAILED_WATCHERS 8
 
-/* Nodes that one node hears from.  */
+/* Nodes to which one node subscribes.  */
 #define REL_MAX_PARENTS 2
 
-/* Relays before this one whose sight it keeps asking for while it watches, or
-   while one of them is blind.  */
+/* Relays before this one whose platform status it polls while it watches, or
+   while one of them cannot reach the platform.  */
 #define REL_MAX_STATUS_PEERS 8
 
 /* Not a node.  */
@@ -49,8 +49,8 @@
   /* What is known of a node's view of the platform.  */
   enum rel_platform_status
   {
-    REL_PLATFORM_UNKNOWN,    /* it has not said */
-    REL_PLATFORM_REACHABLE,  /* it hears of changes at once */
+    REL_PLATFORM_UNKNOWN,    /* not reported */
+    REL_PLATFORM_REACHABLE,  /* it receives changes at once */
     REL_PLATFORM_UNREACHABLE /* it tried and the platform does not answer it */
   };
 
@@ -66,11 +66,11 @@
 
   struct rel_roles
   {
-    bool is_watcher; /* this node watches the platform */
-    bool is_relay;   /* it is a relay of its data centre */
-    size_t
-        parents[REL_MAX_PARENTS]; /* whom it hears from; REL_NONE at the end */
-    size_t status_peers[REL_MAX_STATUS_PEERS]; /* whose sight it needs;
+    bool is_watcher;                 /* this node watches the platform */
+    bool is_relay;                   /* it is a relay of its data centre */
+    size_t parents[REL_MAX_PARENTS]; /* to whom it subscribes; REL_NONE at the
+                                        end */
+    size_t status_peers[REL_MAX_STATUS_PEERS]; /* whose status it polls;
                                                   REL_NONE at the end */
   };
 
--- a/tests/rel_test.cc
+++ b/tests/rel_test.cc
@@ -44,27 +44,27 @@
         result.push_back (i);
     return result;
   }
-  /* Returns whether every living node hears from a node that sees the
-     platform, over any number of parents.  */
+  /* Returns whether every living node gets changes from a node that reaches
+     the platform, over any number of parents.  */
   bool
   all_hear () const
   {
-    std::vector<bool> hears (nodes.size ());
+    std::vector<bool> receives (nodes.size ());
     bool changed = true;
 
     for (size_t i : watchers ())
-      hears[i] = nodes[i].platform_status != REL_PLATFORM_UNREACHABLE;
+      receives[i] = nodes[i].platform_status != REL_PLATFORM_UNREACHABLE;
     while (changed)
       {
         changed = false;
         for (size_t i = 0; i < nodes.size (); i++)
           for (size_t parent : plan (i).parents)
-            if (nodes[i].alive && !hears[i] && parent != REL_NONE
-                && hears[parent])
-              hears[i] = changed = true;
+            if (nodes[i].alive && !receives[i] && parent != REL_NONE
+                && receives[parent])
+              receives[i] = changed = true;
       }
     for (size_t i = 0; i < nodes.size (); i++)
-      if (nodes[i].alive && !hears[i])
+      if (nodes[i].alive && !receives[i])
         return false;
     return true;
   }
@@ -126,7 +126,7 @@
     }
 }
 
-/* Guards against a mesh that hears nothing because the platform turns its
+/* Guards against a mesh that receives nothing because the platform turns its
    watchers away and serves others.  */
 TEST (Relays, BlindWatchersAreReplaced)
 {
@@ -163,7 +163,7 @@
 }
 
 /* Plays the exchange of sights: every node knows those of the nodes that it
-   hears from or asks.  */
+   subscribes to or polls.  */
 class Exchange : public Mesh
 {
 public:
@@ -185,7 +185,7 @@
         std::vector<struct rel_node> view = nodes;
 
         for (size_t j = 0; j < nodes.size (); j++)
-          view[j].platform_status = j == i ? sight (i) : known[i][j];
+          view[j].platform_status = j == i ? status_of (i) : known[i][j];
         decide (i, rel_compute_roles (view.data (), view.size (), i));
       }
     return watches != before;
@@ -196,13 +196,13 @@
     size_t result = 0;
 
     for (size_t i = 0; i < nodes.size (); i++)
-      result += sight (i) == wanted;
+      result += status_of (i) == wanted;
     return result;
   }
 
 private:
   enum rel_platform_status
-  sight (size_t node) const
+  status_of (size_t node) const
   {
     if (!watches[node])
       return REL_PLATFORM_UNKNOWN;
@@ -217,10 +217,10 @@
         entry = REL_PLATFORM_UNKNOWN;
     for (size_t peer : plan.parents)
       if (peer != REL_NONE)
-        known[node][peer] = sight (peer);
+        known[node][peer] = status_of (peer);
     for (size_t peer : plan.status_peers)
       if (peer != REL_NONE)
-        known[node][peer] = sight (peer);
+        known[node][peer] = status_of (peer);
   }
   std::vector<bool> sees;
   std::vector<bool> watches;
@@ -302,7 +302,7 @@
 }
 
 /* Guards against a quick choice of relays that differs from the definition:
-   nodes would then disagree on whom they hear from.  */
+   nodes would then disagree on their parents.  */
 TEST (Relays, AreThoseOfTheDefinition)
 {
   static const char *const centres[] = { "a", "b", "c", "d", "e" };
--- a/tests/support/load_sim.cc
+++ b/tests/support/load_sim.cc
@@ -308,7 +308,7 @@
   {
     server &gate = *servers[index];
     struct que_item entry = make_item (item, gate);
-    struct plc_load told
+    struct plc_load report
         = { gate.running,
             load.slots,
             gate.slot,
@@ -323,17 +323,19 @@
 
     drop (entry.call);
     at (now + one_way[locality (item->node, index)],
-        [this, item, index, done, told] { hear (item, index, done, told); });
+        [this, item, index, done, report] {
+          take_report (item, index, done, report);
+        });
   }
 
   void
-  hear (const std::shared_ptr<call> &item, size_t index, bool done,
-        struct plc_load told)
+  take_report (const std::shared_ptr<call> &item, size_t index, bool done,
+               struct plc_load report)
   {
     uint8_t way = locality (item->node, index);
 
-    told.reported_at = now;
-    known[item->node * servers.size () + index] = told;
+    report.reported_at = now;
+    known[item->node * servers.size () + index] = report;
     if (!done)
       {
         item->bounces++;
