--- a/review/3/run.py
+++ b/review/3/run.py
@@ -5,7 +5,6 @@
 import asyncio
 import pathlib
 import random
-import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -2,7 +2,7 @@
 stand-ins in this process, and the project's sidecars as separate processes.
 
 The stand-ins follow PROTOCOL.md and DEPLOY.md.  A script builds a Rig, adds
-machines, plays its events and ends with Rig.finish."""
+machines and plays its events; `play` runs it and ends the processes."""
 
 import asyncio
 import json
