Run no waiting call at an upstream of another service

Cause: the gate compared services when it admitted a call, not when it started one that had waited. A heartbeat that replaces one ready upstream by another left the queue as it was. Ruled out: stale records at the sender (a gate refuses calls of another service on arrival), kept connections (the request named the new upstream). Change: gat_next compares again before it starts a call, and a changed registration refuses the waiting calls that cannot run, so that their senders place them elsewhere. Related: a heartbeat of the same start with another service counts as a change; connections and times of a replaced upstream are not used for the next one.

--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -96,14 +96,12 @@
   gat_next (gate);
 }
 
-/* Returns why a call of SERVICE for UPSTREAM ("": any) cannot run here.  */
+/* Returns why the registered upstream cannot run CALL.  */
 static enum gat_refusal
 check_upstream (const struct gat *gate, const Mesh__Call *call)
 {
   const struct reg *registration = gate->registration;
 
-  if (gate->stopping)
-    return GAT_DRAINING;
   if (registration->state == REG_NONE
       || strcmp (registration->upstream.service, call->service) != 0)
     return GAT_NO_UPSTREAM;
@@ -114,21 +112,40 @@
   return GAT_NOT_REFUSED;
 }
 
+/* Runs a call that was waiting, or refuses it: the upstream may have been
+   replaced since the call was admitted.  */
+static void
+run_admitted (struct gat_call *call)
+{
+  enum gat_refusal refusal = check_upstream (call->gate, call->frame->call);
+
+  call->state = GAT_RECEIVING;
+  if (refusal == GAT_NOT_REFUSED)
+    gat_run (call);
+  else
+    gat_refuse (call, refusal);
+}
+
+static bool
+has_free_slot (const struct gat *gate)
+{
+  return gate->registration->state == REG_READY
+         && gate->running < gate->registration->upstream.slots;
+}
+
 void
 gat_next (struct gat *gate)
 {
-  const struct reg *registration = gate->registration;
-
-  while (registration->state == REG_READY
-         && gate->running < registration->upstream.slots)
-    {
-      struct gat_call *call = que_pop (&gate->queue, evl_now (gate->loop));
+  struct gat_call *call;
 
-      if (call == NULL)
-        break;
-      call->state = GAT_RECEIVING;
-      gat_run (call);
-    }
+  /* A call that ends below asks for the next one: the loop goes on.  */
+  if (gate->is_dequeuing)
+    return;
+  gate->is_dequeuing = true;
+  while (has_free_slot (gate)
+         && (call = que_pop (&gate->queue, evl_now (gate->loop))) != NULL)
+    run_admitted (call);
+  gate->is_dequeuing = false;
   plan_expiry (gate);
 }
 
@@ -225,7 +242,8 @@
   struct gat *gate = call->gate;
   const Mesh__Call *message = call->frame->call;
   struct que_item item = make_item (call);
-  enum gat_refusal refusal = check_upstream (gate, message);
+  enum gat_refusal refusal
+      = gate->stopping ? GAT_DRAINING : check_upstream (gate, message);
   clk_time wait;
 
   if (refusal != GAT_NOT_REFUSED)
@@ -386,39 +404,61 @@
   gat_next (gate);
 }
 
-/* Refuses the waiting calls, which the upstream will not run.  */
-static void
-refuse_waiting (struct gat *gate, enum gat_refusal refusal)
+/* Returns a waiting call that the registered upstream cannot run, null when
+   there is none.  */
+static struct gat_call *
+find_unservable (const struct gat *gate)
 {
-  while (gate->queue.count > 0)
+  for (size_t i = 0; i < gate->queue.count; i++)
     {
-      struct gat_call *call = gate->queue.items[0].call;
+      struct gat_call *call = gate->queue.items[i].call;
 
+      if (check_upstream (gate, call->frame->call) != GAT_NOT_REFUSED)
+        return call;
+    }
+  return NULL;
+}
+
+/* Refuses the waiting calls that the registered upstream cannot run, so that
+   their senders can place them elsewhere.  */
+static void
+refuse_unservable (struct gat *gate)
+{
+  struct gat_call *call;
+
+  while ((call = find_unservable (gate)) != NULL)
+    {
       que_remove (&gate->queue, call);
       call->state = GAT_RECEIVING;
-      gat_refuse (call, refusal);
+      gat_refuse (call, check_upstream (gate, call->frame->call));
     }
 }
 
+/* Forgets the upstream before: its connections and what was learned.  */
+static void
+reset_upstream (struct gat *gate)
+{
+  const struct ptf_heartbeat *upstream = &gate->registration->upstream;
+
+  gat_close_idle (gate);
+  gate->slot = 0;
+  memset (&gate->kinds, 0, sizeof gate->kinds);
+  gate->failed = 0;
+  gate->keep_time = DEFAULT_KEEP_TIME;
+  gate->upstream_count++;
+  gate->upstream_start_ms = upstream->start_ms;
+  memcpy (gate->upstream, upstream->name, sizeof gate->upstream);
+}
+
 void
 gat_apply_registration (struct gat *gate)
 {
-  const struct reg *registration = gate->registration;
+  const struct ptf_heartbeat *upstream = &gate->registration->upstream;
 
-  if (strcmp (gate->upstream, registration->upstream.name) != 0)
-    {
-      gat_close_idle (gate);
-      gate->slot = 0;
-      memset (&gate->kinds, 0, sizeof gate->kinds);
-      gate->failed = 0;
-      gate->keep_time = DEFAULT_KEEP_TIME;
-      memcpy (gate->upstream, registration->upstream.name,
-              sizeof gate->upstream);
-    }
-  if (registration->state == REG_LEAVING)
-    refuse_waiting (gate, GAT_LEAVING);
-  else if (registration->state == REG_UNREACHABLE)
-    refuse_waiting (gate, GAT_UNREACHABLE);
+  if (strcmp (gate->upstream, upstream->name) != 0
+      || gate->upstream_start_ms != upstream->start_ms)
+    reset_upstream (gate);
+  refuse_unservable (gate);
   gat_next (gate);
 }
 
--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -33,6 +33,7 @@
   clk_time target;
   clk_time deadline;
   clk_time started;
+  uint64_t upstream; /* the one that runs it, see gat.upstream_count */
   struct cnx *connection;
   struct evl_timer timer; /* of the deadline while it runs */
 };
@@ -63,6 +64,9 @@
   size_t idle_count;
   clk_time keep_time; /* for which the upstream keeps idle connections */
   char upstream[PTF_NAME_SIZE]; /* whose connections are kept */
+  uint64_t upstream_start_ms;   /* since the epoch */
+  uint64_t upstream_count;      /* upstreams so far, this one included */
+  bool is_dequeuing;            /* inside gat_next */
   bool stopping;
 };
 
--- a/src/gat/gat_run.c
+++ b/src/gat/gat_run.c
@@ -148,6 +148,13 @@
   gat_end_call (call);
 }
 
+/* Returns whether the upstream that runs the call has been replaced.  */
+static bool
+is_of_earlier_upstream (const struct gat_call *call)
+{
+  return call->upstream != call->gate->upstream_count;
+}
+
 /* Learns from the end of a call in a slot.  */
 static void
 learn (struct gat_call *call, bool failed)
@@ -155,6 +162,8 @@
   struct gat *gate = call->gate;
   clk_time elapsed = evl_now (gate->loop) - call->started;
 
+  if (is_of_earlier_upstream (call))
+    return;
   gate->failed += ((failed ? 1. : 0.) - gate->failed) / FAILED_WEIGHT;
   if (failed)
     return;
@@ -180,11 +189,16 @@
     gate->keep_time = (clk_time)seconds * CLK_SECOND;
 }
 
+/* Keeps the connection of a call that has ended for the next ones, unless it
+   leads to an upstream that has been replaced.  */
 static void
-keep_connection (struct gat *gate, struct cnx *connection)
+keep_connection (const struct gat_call *call, struct cnx *connection)
 {
+  struct gat *gate = call->gate;
+
   cnx_set_data (connection, NULL);
-  if (!cnx_is_persistent (connection) || gate->idle_count == GAT_MAX_IDLE)
+  if (!cnx_is_persistent (connection) || gate->idle_count == GAT_MAX_IDLE
+      || is_of_earlier_upstream (call))
     {
       cnx_close (connection);
       return;
@@ -242,7 +256,7 @@
     }
   learn_keep_time (gate, message);
   call->connection = NULL;
-  keep_connection (gate, connection);
+  keep_connection (call, connection);
   if (says_not_run (gate, message))
     {
       learn (call, true);
@@ -373,6 +387,7 @@
 
   call->state = GAT_RUNNING;
   call->started = evl_now (gate->loop);
+  call->upstream = gate->upstream_count;
   gate->running++;
   gat_log_started (call);
   call->connection = take_connection (gate);
--- a/src/reg/reg.c
+++ b/src/reg/reg.c
@@ -38,9 +38,9 @@
                       const struct ptf_heartbeat *announcement, clk_time now)
 {
   enum reg_state before = registration->state;
+  struct ptf_heartbeat known = registration->upstream;
   bool same = is_same_start (registration, announcement->name,
                              announcement->start_ms);
-  uint32_t slots = registration->upstream.slots;
 
   if (is_late (registration, announcement))
     return REG_STALE;
@@ -52,7 +52,9 @@
   registration->deregistered = false;
   registration->warmup_until = now + announcement->warmup_left;
   registration->state = announcement->leaving ? REG_LEAVING : REG_READY;
-  if (same && before == registration->state && slots == announcement->slots)
+  if (same && before == registration->state
+      && known.slots == announcement->slots
+      && strcmp (known.service, announcement->service) == 0)
     return REG_RENEWED;
   return REG_CHANGED;
 }
--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -438,6 +438,16 @@
   free (upstream);
 }
 
+void
+sup_go_dark (struct sup *upstream)
+{
+  upstream->fault = SUP_SILENT;
+  evl_timer_stop (&upstream->timer);
+  cnx_close (upstream->heartbeat);
+  upstream->heartbeat = NULL;
+  srv_stop_accepting (upstream->server);
+}
+
 void
 sup_set_fault (struct sup *upstream, enum sup_fault fault)
 {
--- a/standins/lib/sup.h
+++ b/standins/lib/sup.h
@@ -56,6 +56,10 @@
   /* Ends the upstream at once, as a crash does.  Null is allowed.  */
   void sup_destroy (struct sup *upstream);
 
+  /* Frees the address for another upstream, as when the VM of this one loses
+     its network: no heartbeats, no answers, and open connections stay open. */
+  void sup_go_dark (struct sup *upstream);
+
   /* Sets the fault of the requests that follow.  */
   void sup_set_fault (struct sup *upstream, enum sup_fault fault);
 
--- a/tests/reg_test.cc
+++ b/tests/reg_test.cc
@@ -116,6 +116,18 @@
   EXPECT_EQ (registration.state, REG_LEAVING);
 }
 
+/* Guards against a change of the service that nobody learns of: the gate would
+   go on to send calls of the service before.  */
+TEST_F (Registration, AnotherServiceIsNews)
+{
+  struct ptf_heartbeat announcement = announce ("i-1", 2, 1000, false);
+
+  take ("i-1", 1);
+  snprintf (announcement.service, sizeof announcement.service, "orders");
+  EXPECT_EQ (reg_handle_heartbeat (&registration, &announcement, ++now),
+             REG_CHANGED);
+}
+
 /* Guards against a record that overrides what the upstream itself said.  */
 TEST_F (Registration, AdoptsNothingOverAnAnnouncement)
 {
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -635,6 +635,39 @@
              sup_run_count (vms[1].upstream));
 }
 
+/* Guards against waiting calls that are sent to an upstream of another
+   service: the upstream for which they were admitted goes silent, and its
+   address goes to one that is ready at once.  */
+TEST_F (Sidecars, RunNoWaitingCallAtAnUpstreamOfAnotherService)
+{
+  slots = 1;
+  add_vm ("orders");
+  add_vm ("stock");
+  put_config (1);
+  ASSERT_TRUE (run_until_converged (1));
+  ASSERT_TRUE (
+      run_until ([&] { return status_of (0, "/once/", "", 1000) == 200; }));
+  sup_set_fault (vms[0].upstream, SUP_SILENT);
+  Peer running = send_call (0, "/once/", "", 400, "POST");
+
+  run_for (20);
+  Peer waiting = send_call (0, "/once/", "", 900, "POST");
+
+  run_for (20);
+  replace_upstream (0, "stock");
+  EXPECT_TRUE (run_until_received (waiting, "\r\n\r\n"));
+  EXPECT_EQ (response_status (waiting), 503);
+  EXPECT_NE (waiting.received.find ("not run"), std::string::npos);
+  EXPECT_TRUE (run_until_received (running, "\r\n\r\n"));
+  EXPECT_EQ (response_status (running), 504);
+  run_for (100);
+  EXPECT_EQ (sup_request_count (vms[0].upstream), 0u);
+  EXPECT_TRUE (run_until ([&] {
+    status_of (1, "/stock/");
+    return sup_run_count (vms[0].upstream) > 0;
+  }));
+}
+
 /* Guards against an upstream that sends bytes without end: in a head, a body
    or a part of its framing.  Memory and time are bounded, the caller learns
    that its request may have run, the connection is closed, and other calls go
--- a/tests/support/sidecar_mesh.cc
+++ b/tests/support/sidecar_mesh.cc
@@ -30,6 +30,8 @@
       sdc_destroy (vm.sidecar);
       sup_destroy (vm.upstream);
     }
+  for (struct sup *upstream : dark_upstreams)
+    sup_destroy (upstream);
   sst_destroy (store);
   run_for (5);
 }
@@ -130,6 +132,17 @@
   run_for (1);
 }
 
+void
+SidecarMesh::replace_upstream (size_t index, const std::string &service)
+{
+  Vm &vm = vms[index];
+
+  sup_go_dark (vm.upstream);
+  dark_upstreams.push_back (vm.upstream);
+  vm.service = service;
+  start_upstream (index);
+}
+
 void
 SidecarMesh::put_config (uint64_t version,
                          const std::vector<std::string> &more_paths)
--- a/tests/support/sidecar_mesh.h
+++ b/tests/support/sidecar_mesh.h
@@ -45,6 +45,9 @@
   void start_upstream (size_t vm);
   void kill_upstream (size_t vm);
 
+  /* Replaces the upstream of a VM, which goes dark, by one of SERVICE.  */
+  void replace_upstream (size_t vm, const std::string &service);
+
   /* Writes the document that sends /SERVICE/ to each service and /once/ to
      orders at most once.  */
   void put_config (uint64_t version,
@@ -93,6 +96,7 @@
 
 private:
   uint64_t ids = 0;
+  std::vector<struct sup *> dark_upstreams;
 };
 
 #endif
