Remember a deregistration that comes while a process starts

Cause: a process that has just started knows no upstream, and reg_deregister ignored an unknown one. The acknowledgement only asked whether the publisher had anything to write; it had nothing, so the record counted as durable, and the record of the killed process was restored with the upstream ready. Evidence: order of the lines of the restarted node and the record in the store; the acknowledgement itself had no line and has one now, with who holds the record. Ruled out: late writes of the killed process (they name a revision), late heartbeats (none sent). Change: the departure of an unknown upstream, or of a later start than the known one, is noted and published; a pending acknowledgement waits until the store or another node holds the record with it.

--- a/src/pub/pub.c
+++ b/src/pub/pub.c
@@ -49,8 +49,10 @@
   return mbr_member_equal (&copy, right);
 }
 
-bool
-pub_is_up_to_date (const struct pub *publisher)
+/* Returns whether there is nothing to write: the store holds the record that
+   was set last, or none was set; after pub_withdraw it holds no record.  */
+static bool
+is_up_to_date (const struct pub *publisher)
 {
   if (publisher->withdrawn)
     return publisher->revision == 0 && !publisher->has_stored;
@@ -59,6 +61,14 @@
              && is_equivalent (&publisher->stored, &publisher->desired));
 }
 
+bool
+pub_holds (const struct pub *publisher, uint64_t sequence)
+{
+  return publisher->has_desired && publisher->has_stored
+         && publisher->desired.sequence >= sequence
+         && is_equivalent (&publisher->stored, &publisher->desired);
+}
+
 bool
 pub_is_stored (const struct pub *publisher)
 {
@@ -219,7 +229,7 @@
 {
   struct pub *publisher = context;
 
-  if (publisher->call != NULL || pub_is_up_to_date (publisher))
+  if (publisher->call != NULL || is_up_to_date (publisher))
     return;
   evl_timer_stop (&publisher->backoff_timer);
   if (publisher->withdrawn)
@@ -278,7 +288,7 @@
   publisher->desired = *record;
   publisher->has_desired = true;
   publisher->failures = 0;
-  if (pub_is_up_to_date (publisher))
+  if (is_up_to_date (publisher))
     publisher->handlers->record_stored (publisher->context, record->sequence);
   start_next_call (publisher);
 }
--- a/src/pub/pub.h
+++ b/src/pub/pub.h
@@ -61,9 +61,9 @@
   /* Returns whether the store is known to hold an object of this node.  */
   bool pub_is_stored (const struct pub *publisher);
 
-  /* Returns whether there is nothing to write: the store holds the record that
-     was set last, or none was set; after pub_withdraw it holds no record.  */
-  bool pub_is_up_to_date (const struct pub *publisher);
+  /* Returns whether the store holds the record that was set with SEQUENCE, or
+     a later one.  */
+  bool pub_holds (const struct pub *publisher, uint64_t sequence);
 
 #ifdef __cplusplus
 }
--- a/src/reg/reg.c
+++ b/src/reg/reg.c
@@ -2,6 +2,7 @@
 
 #include "reg/reg.h"
 
+#include <stdio.h>
 #include <string.h>
 
 static bool
@@ -59,39 +60,81 @@
   return REG_CHANGED;
 }
 
+/* Returns whether an upstream that started at BORN (0: not told) is a later
+   start than the known one, if there is one.  */
+static bool
+is_later_start (const struct reg *registration, uint64_t born)
+{
+  uint64_t known = registration->upstream.start_ms;
+
+  return registration->state == REG_NONE
+         || (born != 0 && known != 0 && born > known);
+}
+
+/* Replaces the known upstream by one of which only the name and the start are
+   known.  */
+static void
+set_upstream (struct reg *registration, const char *name, uint64_t born)
+{
+  struct ptf_heartbeat *upstream = &registration->upstream;
+
+  memset (upstream, 0, sizeof *upstream);
+  snprintf (upstream->name, sizeof upstream->name, "%s", name);
+  upstream->start_ms = born;
+  registration->state = REG_READY;
+  registration->deregistered = false;
+}
+
 enum reg_result
 reg_deregister (struct reg *registration, const char *name, uint64_t born,
                 clk_time now)
 {
-  bool changed = registration->state != REG_LEAVING;
+  bool changed;
 
   if (!is_same_start (registration, name, born))
-    return REG_STALE;
+    {
+      if (!is_later_start (registration, born))
+        return REG_STALE;
+      set_upstream (registration, name, born);
+    }
+  changed = registration->state != REG_LEAVING;
   registration->state = REG_LEAVING;
   registration->deregistered = true;
   registration->updated_at = now;
   return changed ? REG_CHANGED : REG_RENEWED;
 }
 
+/* Returns whether the known upstream has described itself, or an earlier
+   process has.  */
+static bool
+is_described (const struct reg *registration)
+{
+  return registration->state != REG_NONE
+         && registration->upstream.service[0] != '\0';
+}
+
 bool
 reg_restore (struct reg *registration, const struct mbr_member *record,
              struct net_address address, clk_time now)
 {
   struct ptf_heartbeat *upstream = &registration->upstream;
+  bool departed
+      = is_same_start (registration, record->upstream, record->upstream_born);
 
-  if (registration->state != REG_NONE || record->upstream[0] == '\0')
+  if (record->upstream[0] == '\0' || is_described (registration)
+      || !(departed || is_later_start (registration, record->upstream_born)))
     return false;
-  memset (upstream, 0, sizeof *upstream);
-  memcpy (upstream->name, record->upstream, sizeof upstream->name);
+  set_upstream (registration, record->upstream, record->upstream_born);
   memcpy (upstream->service, record->service, sizeof upstream->service);
   memcpy (upstream->data_centre, record->data_centre,
           sizeof upstream->data_centre);
   upstream->address = address;
   upstream->slots = record->slots;
-  upstream->start_ms = record->upstream_born;
-  upstream->leaving = record->upstream_leaving;
+  upstream->leaving = departed || record->upstream_leaving;
   registration->updated_at = now;
-  registration->state = record->upstream_leaving ? REG_LEAVING : REG_READY;
+  registration->deregistered = departed;
+  if (upstream->leaving)
+    registration->state = REG_LEAVING;
   return true;
 }
 
--- a/src/reg/reg.h
+++ b/src/reg/reg.h
@@ -49,12 +49,15 @@
                         const struct ptf_heartbeat *announcement,
                         clk_time now);
 
-  /* Takes the farewell of the upstream NAME, started at BORN (0: not told). */
+  /* Takes the deregistration of the upstream NAME, started at BORN (0: not
+     told).  It also binds when the upstream is not known, or is a later start
+     than the known one: a heartbeat of it that is late changes nothing.  */
   enum reg_result reg_deregister (struct reg *registration, const char *name,
                                   uint64_t born, clk_time now);
 
   /* Adopts what an earlier process of this node knew of the upstream at
-     ADDRESS, as long as nothing newer is known.  Returns whether it did.  */
+     ADDRESS, as long as nothing newer is known.  A deregistration that has
+     come meanwhile stays in force.  Returns whether it did.  */
   bool reg_restore (struct reg *registration, const struct mbr_member *record,
                     struct net_address address, clk_time now);
 
--- a/src/sdc/sdc_control.c
+++ b/src/sdc/sdc_control.c
@@ -6,6 +6,7 @@
 #include "met/met.h"
 #include "sdc/sdc_internal.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -22,13 +23,36 @@
   srv_finish_response (connection, body, strlen (body));
 }
 
-/* Returns whether this node's record would survive the loss of this process:
-   the store or another node holds it.  */
-static bool
-is_record_durable (const struct sdc *sidecar)
+/* Returns who holds this node's record with SEQUENCE, or a later one, so that
+   it survives the loss of this process; null while nobody does.  */
+static const char *
+find_holder (const struct sdc *sidecar, uint64_t sequence)
+{
+  if (pub_holds (sidecar->publisher, sequence))
+    return "the store";
+  return sidecar->acknowledged_sequence >= sequence ? "another node" : NULL;
+}
+
+/* Answers the departure that this node's record has since SEQUENCE.  HOLDER is
+   null when it is not durable.  */
+static void
+answer_departure (const struct sdc *sidecar, struct srv_connection *connection,
+                  uint64_t sequence, const char *holder)
 {
-  return (sidecar->nodes_listed && pub_is_up_to_date (sidecar->publisher))
-         || sidecar->acknowledged_sequence >= sidecar->record.sequence;
+  const struct ptf_heartbeat *upstream = &sidecar->registration.upstream;
+
+  if (holder != NULL)
+    log_write (LOG_INFO, "sdc",
+               "acknowledged that upstream %s leaves: %s holds record %" PRIu64
+               " of this node",
+               upstream->name, holder, sequence);
+  else
+    log_write (
+        LOG_WARNING, "sdc",
+        "did not acknowledge that upstream %s leaves: neither the store "
+        "nor another node holds record %" PRIu64 " of this node",
+        upstream->name, sequence);
+  send_json_response (connection, holder != NULL ? 200 : 503, "{}");
 }
 
 /* Acknowledges a draining heartbeat or a deregistration when this node's
@@ -37,16 +61,18 @@
 acknowledge_when_durable (struct sdc *sidecar,
                           struct srv_connection *connection)
 {
+  uint64_t sequence = sidecar->record.sequence;
+  const char *holder = find_holder (sidecar, sequence);
   struct sdc_pending_ack *ack;
 
-  if (is_record_durable (sidecar))
+  if (holder != NULL)
     {
-      send_json_response (connection, 200, "{}");
+      answer_departure (sidecar, connection, sequence, holder);
       return;
     }
   ack = mem_alloc (1, sizeof *ack);
   ack->connection = connection;
-  ack->sequence = sidecar->record.sequence;
+  ack->sequence = sequence;
   ack->deadline = evl_now (sidecar->loop) + ACK_TIMEOUT;
   ack->next = sidecar->pending_acks;
   sidecar->pending_acks = ack;
@@ -57,19 +83,19 @@
 {
   struct sdc_pending_ack **position = &sidecar->pending_acks;
   clk_time now = evl_now (sidecar->loop);
-  bool durable = is_record_durable (sidecar);
 
   while (*position != NULL)
     {
       struct sdc_pending_ack *ack = *position;
+      const char *holder = find_holder (sidecar, ack->sequence);
 
-      if (!durable && now < ack->deadline)
+      if (holder == NULL && now < ack->deadline)
         {
           position = &ack->next;
           continue;
         }
       *position = ack->next;
-      send_json_response (ack->connection, durable ? 200 : 503, "{}");
+      answer_departure (sidecar, ack->connection, ack->sequence, holder);
       free (ack);
     }
 }
@@ -116,7 +142,8 @@
   const struct ptf_heartbeat *upstream = &sidecar->registration.upstream;
 
   log_write (LOG_INFO, "sdc", "upstream %s of service %s is now %s",
-             upstream->name, upstream->service,
+             upstream->name,
+             upstream->service[0] != '\0' ? upstream->service : "(unknown)",
              reg_state_name (sidecar->registration.state));
 }
 
@@ -161,6 +188,11 @@
       log_registration (sidecar);
       sdc_handle_registration_change (sidecar);
     }
+  else if (result == REG_STALE)
+    log_write (LOG_INFO, "sdc",
+               "upstream %s, which deregisters, has been replaced by upstream "
+               "%s",
+               heartbeat->name, sidecar->registration.upstream.name);
   acknowledge_when_durable (sidecar, connection);
 }
 
--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -19,6 +19,9 @@
 #define MAX_RUNS 65536
 #define FLOOD_BLOCK 16384
 
+/* Time between two deregistrations.  */
+#define DEREGISTER_INTERVAL (50 * CLK_MILLISECOND)
+
 /* A request that takes a slot.  */
 struct run
 {
@@ -56,6 +59,7 @@
   uint64_t born; /* ms since the epoch */
   uint64_t sequence;
   bool draining;
+  bool deregistering;
   bool acknowledged;
   struct cnx *heartbeat;
   struct evl_timer timer; /* of the next heartbeat */
@@ -347,6 +351,17 @@
 static const struct cnx_handlers heartbeat_handlers
     = { on_acknowledged, on_lost };
 
+static void
+put_deregistration (const struct sup *upstream, struct buf *output)
+{
+  char body[64];
+
+  snprintf (body, sizeof body, "{\"" PFM_BORN "\":%" PRIu64 "}",
+            upstream->born);
+  htp_put_header (output, "Content-Type", "application/json");
+  htp_put_body (output, body, strlen (body));
+}
+
 static void
 put_heartbeat (const struct sup *upstream, struct buf *output)
 {
@@ -374,24 +389,34 @@
 {
   static const struct htp_limits limits = { 4096, 4096 };
   struct sup *upstream = context;
+  bool leaves = upstream->draining || upstream->deregistering;
   char target[2 * NAME_SIZE];
   struct buf *output;
 
+  if (upstream->deregistering && upstream->acknowledged)
+    return;
   evl_timer_set (&upstream->timer,
                  evl_now (upstream->loop)
-                     + upstream->settings.heartbeat_interval);
+                     + (upstream->deregistering
+                            ? DEREGISTER_INTERVAL
+                            : upstream->settings.heartbeat_interval));
   if (upstream->heartbeat == NULL)
     upstream->heartbeat = cnx_open (upstream->loop, upstream->settings.control,
                                     &heartbeat_handlers, upstream, &limits);
   if (!cnx_is_idle (upstream->heartbeat))
     return;
   upstream->sequence++;
-  cnx_set_data (upstream->heartbeat, upstream->draining ? upstream : NULL);
-  snprintf (target, sizeof target, PFM_HEARTBEAT_PATH "%s", upstream->name);
+  cnx_set_data (upstream->heartbeat, leaves ? upstream : NULL);
+  snprintf (target, sizeof target, "%s%s",
+            upstream->deregistering ? PFM_DEREGISTER_PATH : PFM_HEARTBEAT_PATH,
+            upstream->name);
   output = cnx_request_buffer (upstream->heartbeat);
   htp_put_request (output, "POST", target);
   htp_put_header (output, "Host", "control");
-  put_heartbeat (upstream, output);
+  if (upstream->deregistering)
+    put_deregistration (upstream, output);
+  else
+    put_heartbeat (upstream, output);
   cnx_send (upstream->heartbeat, false);
 }
 
@@ -467,6 +492,13 @@
   send_heartbeat (upstream);
 }
 
+void
+sup_deregister (struct sup *upstream)
+{
+  upstream->deregistering = true;
+  send_heartbeat (upstream);
+}
+
 bool
 sup_is_drain_acknowledged (const struct sup *upstream)
 {
--- a/standins/lib/sup.h
+++ b/standins/lib/sup.h
@@ -85,6 +85,10 @@
   /* Says in heartbeats that the upstream leaves.  */
   void sup_drain (struct sup *upstream);
 
+  /* Sends no more heartbeats but deregistrations, again and again until one is
+     acknowledged.  The upstream goes on to serve.  */
+  void sup_deregister (struct sup *upstream);
+
   /* Returns whether the departure was acknowledged.  */
   bool sup_is_drain_acknowledged (const struct sup *upstream);
 
--- a/tests/reg_test.cc
+++ b/tests/reg_test.cc
@@ -128,6 +128,53 @@
              REG_CHANGED);
 }
 
+/* Guards against a deregistration that is lost because it comes before the
+   upstream is known, and is then undone by a heartbeat that comes late or by
+   the record of an earlier process.  */
+TEST_F (Registration, RemembersADepartureOfAnUnknownUpstream)
+{
+  struct mbr_member record = {};
+  struct net_address address = { 1, 2 };
+
+  EXPECT_EQ (reg_deregister (&registration, "i-1", 1000, now), REG_CHANGED);
+  EXPECT_EQ (registration.state, REG_LEAVING);
+  EXPECT_EQ (take ("i-1", 7), REG_STALE);
+  snprintf (record.upstream, sizeof record.upstream, "i-1");
+  snprintf (record.service, sizeof record.service, "stock");
+  record.upstream_born = 1000;
+  EXPECT_TRUE (reg_restore (&registration, &record, address, now));
+  EXPECT_EQ (registration.state, REG_LEAVING);
+  EXPECT_STREQ (registration.upstream.service, "stock");
+  EXPECT_EQ (take ("i-1", 8), REG_STALE);
+}
+
+/* Guards against a late deregistration that takes a later upstream out of use
+   for as long as its next heartbeat takes.  */
+TEST_F (Registration, ADepartureOfAnEarlierStartDoesNotBindALaterOne)
+{
+  struct mbr_member record = {};
+  struct net_address address = { 1, 2 };
+
+  reg_deregister (&registration, "i-1", 1000, now);
+  snprintf (record.upstream, sizeof record.upstream, "i-2");
+  record.upstream_born = 2000;
+  EXPECT_TRUE (reg_restore (&registration, &record, address, now));
+  EXPECT_STREQ (registration.upstream.name, "i-2");
+  EXPECT_EQ (registration.state, REG_READY);
+  EXPECT_EQ (take ("i-1", 9), REG_STALE);
+}
+
+/* Guards against a departure that is lost because an earlier upstream was
+   restored from the store: a late heartbeat would bring the later one back. */
+TEST_F (Registration, RemembersADepartureOfALaterStart)
+{
+  take ("i-1", 5);
+  EXPECT_EQ (reg_deregister (&registration, "i-2", 2000, now), REG_CHANGED);
+  EXPECT_EQ (registration.state, REG_LEAVING);
+  EXPECT_EQ (take ("i-2", 3, 2000), REG_STALE);
+  EXPECT_EQ (take ("i-1", 6), REG_STALE);
+}
+
 /* Guards against a record that overrides what the upstream itself said.  */
 TEST_F (Registration, AdoptsNothingOverAnAnnouncement)
 {
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -598,6 +598,31 @@
   EXPECT_EQ (sup_request_count (vms[1].upstream), arrivals);
 }
 
+/* Guards against a deregistration that is acknowledged and forgotten: it comes
+   while a process that was killed starts again, before the store has told the
+   process of its upstream.  */
+TEST_F (Sidecars, RememberADeregistrationThatComesDuringAStart)
+{
+  uint64_t arrivals;
+
+  heartbeat = CLK_SECOND;
+  start_mesh ();
+  sst_set_delay (store, 240 * CLK_MILLISECOND);
+  kill_sidecar (1);
+  sup_deregister (vms[1].upstream);
+  start_sidecar (1);
+  ASSERT_TRUE (run_until (
+      [&] { return sup_is_drain_acknowledged (vms[1].upstream); }, 3000));
+  sst_set_delay (store, 0);
+  arrivals = sup_request_count (vms[1].upstream);
+  run_for (500);
+  for (int i = 0; i < 20; i++)
+    EXPECT_EQ (status_of (i % 4, "/stock/"), 200);
+  EXPECT_EQ (sup_request_count (vms[1].upstream), arrivals);
+  const json_t *record = sst_get (store, "mesh-nodes", "vm-1");
+  EXPECT_TRUE (json_is_true (json_object_get (record, "upstream_leaving")));
+}
+
 /* Guards against an acknowledged draining that an earlier write overwrites:
    the store applies a write whose reply was lost a second later.  */
 TEST_F (Sidecars, KeepDrainingWhenWritesTakeEffectLate)
