Ask a restored upstream whether it takes calls before it is used

Cause: a process that starts used an upstream because the store's record named it. That record was written before the departure, which only another node held in its memory. Evidence: log of the node: leaving, acknowledged (another node holds record 4), and after the kill "restored the registration", followed by started calls. Ruled out: late heartbeats and late writes (none), a relay that acknowledged what it did not hold. Weighed: to acknowledge only what the store holds (departures would wait for the store, and AcknowledgeDrainingWithoutTheStore would go), and to wait for the next heartbeat (up to 1.5 s without the upstream after each start). Change: a restored upstream is unconfirmed until its next heartbeat or a health check with its name; calls wait at the gate for up to 0.5 s. The target of the check comes with the document (field 8 of the delta; nodes without it still agree on the digest). hck is new, sdc_confirm.c uses it. A registration that does not change the record is not published again.

--- a/src/dlt/dlt.h
+++ b/src/dlt/dlt.h
@@ -31,7 +31,8 @@
 #define DLT_MAX_ROUTES 20000
 
   /* Returns a digest of the content of DOCUMENT, which does not depend on the
-     order of its routes and services.  */
+     order of its routes and services.  It leaves out the targets of health
+     checks, all of which come with each delta.  */
   uint64_t dlt_digest (const struct doc_document *document);
 
   /* Appends the delta from BASE to RESULT.  Without a BASE (null) it contains
--- a/src/dlt/dlt_apply.c
+++ b/src/dlt/dlt_apply.c
@@ -36,6 +36,20 @@
   return UINT32_MAX;
 }
 
+/* Returns whether a delta has the target of a health check, or none, for each
+   service.  A node of an earlier version sends no targets at all.  */
+static bool
+has_valid_health_paths (const Mesh__DocumentDelta *delta)
+{
+  if (delta->n_health_paths != 0 && delta->n_health_paths != delta->n_services)
+    return false;
+  for (size_t i = 0; i < delta->n_health_paths; i++)
+    if (delta->health_paths[i][0] != '\0'
+        && !doc_is_health_path (delta->health_paths[i]))
+      return false;
+  return true;
+}
+
 static void
 build_services (struct document_builder *builder)
 {
@@ -47,6 +61,9 @@
     {
       result->services[i].name = mem_copy_string (delta->services[i]);
       result->services[i].cross_region = true;
+      if (delta->n_health_paths > 0 && delta->health_paths[i][0] != '\0')
+        result->services[i].health_path
+            = mem_copy_string (delta->health_paths[i]);
     }
   result->service_count = delta->n_services;
   if (builder->base == NULL)
@@ -208,6 +225,8 @@
                max_routes);
       return DLT_TOO_LONG;
     }
+  if (!has_valid_health_paths (delta))
+    return invalid ("the target of a health check is out of range");
   builder->result->routes
       = mem_alloc (max_routes, sizeof *builder->result->routes);
   builder->result->caller_limits
--- a/src/dlt/dlt_encode.c
+++ b/src/dlt/dlt_encode.c
@@ -152,8 +152,17 @@
 
   encoder->delta.services = mem_alloc (result->service_count, sizeof (char *));
   encoder->delta.n_services = result->service_count;
+  encoder->delta.health_paths
+      = mem_alloc (result->service_count, sizeof (char *));
+  encoder->delta.n_health_paths = result->service_count;
   for (size_t i = 0; i < result->service_count; i++)
-    encoder->delta.services[i] = result->services[i].name;
+    {
+      const struct doc_service *service = &result->services[i];
+
+      encoder->delta.services[i] = service->name;
+      encoder->delta.health_paths[i]
+          = service->health_path != NULL ? service->health_path : (char *)"";
+    }
 }
 
 static void
@@ -179,6 +188,7 @@
       free (route->shares);
     }
   free (encoder->delta.services);
+  free (encoder->delta.health_paths);
   free (encoder->delta.changed);
   free (encoder->delta.removed);
   free (encoder->routes);
--- a/src/doc/doc.h
+++ b/src/doc/doc.h
@@ -97,6 +97,7 @@
     char **upstreams; /* upstream names, or "data-centre:NAME"; none: any */
     size_t upstream_count;
     bool cross_region; /* may be served from the other region */
+    char *health_path; /* request target of health checks; null: none */
     enum doc_key_store key_store;
     unsigned line; /* where it starts in the text */
   };
@@ -164,6 +165,10 @@
   /* Returns "once" or "repeatable".  */
   const char *doc_class_name (enum doc_class call_class);
 
+  /* Returns whether TEXT can be the target of a health check: a path of
+     printable characters.  */
+  bool doc_is_health_path (const char *text);
+
   /* Returns "platform" or "memory".  */
   const char *doc_key_store_name (enum doc_key_store order_keys);
 
--- a/src/doc/doc_document.c
+++ b/src/doc/doc_document.c
@@ -3,6 +3,7 @@
 #include "base/str.h"
 #include "doc/doc.h"
 
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -51,6 +52,19 @@
   return left < right ? -1 : left > right;
 }
 
+bool
+doc_is_health_path (const char *text)
+{
+  size_t length = strlen (text);
+
+  if (text[0] != '/' || length > DOC_MAX_PATH_LENGTH)
+    return false;
+  for (size_t i = 0; i < length; i++)
+    if (!isgraph ((unsigned char)text[i]))
+      return false;
+  return true;
+}
+
 const char *
 doc_class_name (enum doc_class call_class)
 {
@@ -76,6 +90,7 @@
         free (service->upstreams[j]);
       free (service->upstreams);
       free (service->name);
+      free (service->health_path);
     }
   for (size_t i = 0; i < document->route_count; i++)
     {
--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -215,7 +215,7 @@
   struct que_item item = make_item ((struct gat_call *)call);
   clk_time slot = gate->slot > 0 ? gate->slot : item.service_time;
 
-  if (gate->running < slots || slots == 0)
+  if (gate->running + gate->queue.count < slots || slots == 0)
     return 0;
   gate->queue.dequeue_interval = slot / slots;
   return que_estimate_wait (&gate->queue, &item, evl_now (gate->loop));
@@ -252,7 +252,7 @@
       return;
     }
   wait = gat_expect_wait (call);
-  if (wait == 0 && gate->running < gate->registration->upstream.slots)
+  if (wait == 0 && has_free_slot (gate))
     {
       gat_run (call);
       return;
@@ -477,7 +477,9 @@
   mesh__load__init (load);
   load->running = gate->running;
   load->waiting = (uint32_t)gate->queue.count;
-  if (registration->state == REG_READY && !gate->stopping)
+  if ((registration->state == REG_READY
+       || registration->state == REG_UNCONFIRMED)
+      && !gate->stopping)
     load->slots = registration->upstream.slots;
   load->slot_us = (uint32_t)(gate->slot / CLK_MICROSECOND);
   load->service_us = (uint32_t)(gat_kind_of (call)->service / CLK_MICROSECOND);
--- a/src/ptf/ptf.h
+++ b/src/ptf/ptf.h
@@ -40,6 +40,7 @@
     PTF_TARGET_UPSTREAM, /* name of the upstream that must run the request */
     PTF_NOT_RUN,         /* says that the upstream did not run the request */
     PTF_CALLER_SERVICE,  /* service of the VM where the request started */
+    PTF_UPSTREAM_NAME,   /* name of the upstream that answers a health check */
     PTF_HEADER_COUNT
   };
 
--- a/src/reg/reg.c
+++ b/src/reg/reg.c
@@ -51,6 +51,7 @@
   registration->upstream = *announcement;
   registration->updated_at = now;
   registration->deregistered = false;
+  registration->restored = false;
   registration->warmup_until = now + announcement->warmup_left;
   registration->state = announcement->leaving ? REG_LEAVING : REG_READY;
   if (same && before == registration->state
@@ -81,8 +82,9 @@
   memset (upstream, 0, sizeof *upstream);
   snprintf (upstream->name, sizeof upstream->name, "%s", name);
   upstream->start_ms = born;
-  registration->state = REG_READY;
+  registration->state = REG_UNCONFIRMED;
   registration->deregistered = false;
+  registration->restored = false;
 }
 
 enum reg_result
@@ -100,6 +102,7 @@
   changed = registration->state != REG_LEAVING;
   registration->state = REG_LEAVING;
   registration->deregistered = true;
+  registration->restored = false;
   registration->updated_at = now;
   return changed ? REG_CHANGED : REG_RENEWED;
 }
@@ -133,15 +136,31 @@
   upstream->leaving = departed || record->upstream_leaving;
   registration->updated_at = now;
   registration->deregistered = departed;
+  registration->restored = !upstream->leaving;
   if (upstream->leaving)
     registration->state = REG_LEAVING;
   return true;
 }
 
+bool
+reg_needs_confirmation (const struct reg *registration)
+{
+  return registration->restored;
+}
+
+void
+reg_confirm (struct reg *registration, clk_time now)
+{
+  registration->restored = false;
+  registration->state = REG_READY;
+  registration->updated_at = now;
+}
+
 bool
 reg_mark_unreachable (struct reg *registration)
 {
-  if (registration->state != REG_READY)
+  if (registration->state != REG_READY
+      && registration->state != REG_UNCONFIRMED)
     return false;
   registration->state = REG_UNREACHABLE;
   return true;
@@ -167,7 +186,8 @@
 const char *
 reg_state_name (enum reg_state state)
 {
-  static const char *const names[] = { "none", "ready", "leaving", "silent" };
+  static const char *const names[]
+      = { "none", "ready", "leaving", "silent", "unconfirmed" };
 
   return names[state];
 }
--- a/src/reg/reg.h
+++ b/src/reg/reg.h
@@ -19,10 +19,11 @@
 
   enum reg_state
   {
-    REG_NONE,       /* no upstream is known */
-    REG_READY,      /* it takes calls */
-    REG_LEAVING,    /* it takes no new calls */
-    REG_UNREACHABLE /* announcements have stopped, or its address refuses */
+    REG_NONE,        /* no upstream is known */
+    REG_READY,       /* it takes calls */
+    REG_LEAVING,     /* it takes no new calls */
+    REG_UNREACHABLE, /* announcements have stopped, or its address refuses */
+    REG_UNCONFIRMED  /* restored; it has not said since that it takes calls */
   };
 
   /* What an announcement did.  */
@@ -41,6 +42,7 @@
     clk_time updated_at;           /* when it was accepted */
     clk_time warmup_until;
     bool deregistered; /* deregistered: announcements of this start are late */
+    bool restored;     /* restored from a record and not confirmed since */
   };
 
   /* Takes an announcement that arrived at NOW.  */
@@ -57,10 +59,18 @@
 
   /* Adopts what an earlier process of this node knew of the upstream at
      ADDRESS, as long as nothing newer is known.  A deregistration that has
-     come meanwhile stays in force.  Returns whether it did.  */
+     come meanwhile stays in force.  An upstream that is not leaving by the
+     record is unconfirmed.  Returns whether it did.  */
   bool reg_restore (struct reg *registration, const struct mbr_member *record,
                     struct net_address address, clk_time now);
 
+  /* Returns whether the upstream was restored from a record that says that it
+     takes calls, and has neither announced itself nor been confirmed since. */
+  bool reg_needs_confirmation (const struct reg *registration);
+
+  /* The restored upstream has said that it takes calls.  */
+  void reg_confirm (struct reg *registration, clk_time now);
+
   /* The upstream refused a connection, or its announcements are overdue.
      Returns whether the state changed.  */
   bool reg_mark_unreachable (struct reg *registration);
@@ -70,7 +80,7 @@
   bool reg_fill_record (const struct reg *registration,
                         struct mbr_member *record);
 
-  /* Returns "none", "ready", "leaving" or "silent".  */
+  /* Returns "none", "ready", "leaving", "silent" or "unconfirmed".  */
   const char *reg_state_name (enum reg_state state);
 
 #ifdef __cplusplus
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -7,6 +7,7 @@
 #include "evl/evl.h"
 #include "fwd/fwd.h"
 #include "gat/gat.h"
+#include "hck/hck.h"
 #include "hub/hub.h"
 #include "prb/prb.h"
 #include "pub/pub.h"
@@ -49,7 +50,8 @@
   struct srv *metrics_server;
   struct wch *config_watch;
   struct wch *node_watch;
-  struct prb *probe; /* probes the store while this node watches it */
+  struct prb *probe;        /* probes the store while this node watches it */
+  struct hck *health_check; /* of a restored upstream; see sdc_confirm.c */
   struct pub *publisher;
   struct syn *sync;
   struct snp_snapshot *snapshot;
@@ -137,9 +139,16 @@
 void sdc_publish_record (struct sdc *sidecar);
 
 /* Applies a change of the registration to this node's record, which it
-   publishes, and to the gate.  */
+   publishes if it has changed, and to the gate.  */
 void sdc_handle_registration_change (struct sdc *sidecar);
 
+/* Starts the health check of an upstream that was restored from an earlier
+   record, if it is needed and its target is known.  */
+void sdc_confirm_upstream (struct sdc *sidecar);
+
+/* Ends the wait for the confirmation of a restored upstream when it is due. */
+void sdc_check_confirmation (struct sdc *sidecar, clk_time now);
+
 /* Answers the pending acknowledgements whose record is durable, with status
    200, and those whose deadline has passed, with status 503.  */
 void sdc_send_acks (struct sdc *sidecar);
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -242,6 +242,7 @@
   if (sidecar == NULL)
     return;
   sto_cancel (sidecar->config_call);
+  hck_cancel (sidecar->health_check);
   prb_destroy (sidecar->probe);
   wch_destroy (sidecar->config_watch);
   wch_destroy (sidecar->node_watch);
@@ -404,6 +405,7 @@
 
   sdc_send_acks (sidecar);
   check_upstream (sidecar, now);
+  sdc_check_confirmation (sidecar, now);
   dir_purge_dead (sidecar->directory, now - DEAD_RECORD_LIFETIME);
   sdc_advance_join (sidecar, now);
   sdc_report_unreachable_nodes (sidecar, now);
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -56,6 +56,7 @@
   log_set_config_version (snapshot->stamp.version);
   log_write (LOG_INFO, "sdc", "version %" PRIu64 " is in effect",
              snapshot->stamp.version);
+  sdc_confirm_upstream (sidecar);
 }
 
 void
@@ -175,6 +176,7 @@
                  "record of this node",
                  record->upstream);
       sdc_handle_registration_change (sidecar);
+      sdc_confirm_upstream (sidecar);
     }
   else if (record->upstream_leaving
            && reg_deregister (&sidecar->registration, record->upstream,
@@ -421,7 +423,7 @@
 void
 sdc_handle_registration_change (struct sdc *sidecar)
 {
-  reg_fill_record (&sidecar->registration, &sidecar->record);
-  sdc_publish_record (sidecar);
+  if (reg_fill_record (&sidecar->registration, &sidecar->record))
+    sdc_publish_record (sidecar);
   gat_apply_registration (sidecar->gate);
 }
--- a/standins/lib/scf.c
+++ b/standins/lib/scf.c
@@ -27,11 +27,11 @@
   char path[PATH_SIZE];
 
   snprintf (path, sizeof path, "/%s/", service);
-  json_array_append_new (entries,
-                         json_pack ("{s:s, s:{s:s}, s:{s:s, s:i}}",
-                                    PFM_ENTRY_TYPE, PFM_SERVICES, PFM_METADATA,
-                                    PFM_NAME, service, PFM_SPEC, "HealthPath",
-                                    "/health", PFM_MAX_CONNECTIONS, 100));
+  json_array_append_new (
+      entries,
+      json_pack ("{s:s, s:{s:s}, s:{s:s, s:i}}", PFM_ENTRY_TYPE, PFM_SERVICES,
+                 PFM_METADATA, PFM_NAME, service, PFM_SPEC, PFM_HEALTH_PATH,
+                 SCF_HEALTH_PATH, PFM_MAX_CONNECTIONS, 100));
   json_array_append_new (entries, make_route (path, service, true));
 }
 
--- a/standins/lib/scf.h
+++ b/standins/lib/scf.h
@@ -15,6 +15,9 @@
 /* Host of all routes of the document.  */
 #define SCF_HOST "mesh.example"
 
+/* Request target of the health checks of all services.  */
+#define SCF_HEALTH_PATH "/health"
+
   /* Returns a document that sends /SERVICE/ to each of SERVICES and PATHS to
      the first one, all of which may run again, and /once/ to the first one at
      most once.  */
--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -6,6 +6,7 @@
 #include "base/mem.h"
 #include "cnx/cnx.h"
 #include "pfm_names.h"
+#include "scf.h"
 #include "srv/srv.h"
 
 #include <inttypes.h>
@@ -55,6 +56,8 @@
   size_t done_count;
   uint64_t repeats;
   uint64_t arrivals;
+  uint64_t health_checks;
+  bool health_failing;
   clk_time last_arrival;
   uint64_t born; /* ms since the epoch */
   uint64_t sequence;
@@ -267,6 +270,18 @@
   srv_finish_response (connection, NULL, 0);
 }
 
+static void
+answer_health_check (struct sup *upstream, struct srv_connection *connection)
+{
+  bool healthy = !upstream->draining && !upstream->deregistering
+                 && !upstream->health_failing;
+  struct buf *output = srv_start_response (connection, healthy ? 200 : 503);
+
+  upstream->health_checks++;
+  htp_put_header (output, PFM_INSTANCE_ID, upstream->name);
+  srv_finish_response (connection, NULL, 0);
+}
+
 static void
 on_request (void *context, struct srv_connection *connection,
             struct htp_message *message)
@@ -276,6 +291,11 @@
   const char *target = htp_find_header (message, PFM_TARGET_INSTANCE);
   struct run *run;
 
+  if (strcmp (htp_target (message), SCF_HEALTH_PATH) == 0)
+    {
+      answer_health_check (upstream, connection);
+      return;
+    }
   upstream->arrivals++;
   upstream->last_arrival = evl_now (upstream->loop);
   if (id == NULL)
@@ -523,6 +543,18 @@
   return upstream->repeats;
 }
 
+void
+sup_set_health_failing (struct sup *upstream, bool on)
+{
+  upstream->health_failing = on;
+}
+
+uint64_t
+sup_health_check_count (const struct sup *upstream)
+{
+  return upstream->health_checks;
+}
+
 clk_time
 sup_last_request_time (const struct sup *upstream)
 {
--- a/standins/lib/sup.h
+++ b/standins/lib/sup.h
@@ -102,6 +102,12 @@
   /* Returns how often the request with this id ran.  */
   unsigned sup_runs_of (const struct sup *upstream, const char *id);
 
+  /* Sets whether health checks fail, whatever the state of the upstream.  */
+  void sup_set_health_failing (struct sup *upstream, bool on);
+
+  /* Returns the health checks received so far.  */
+  uint64_t sup_health_check_count (const struct sup *upstream);
+
   /* Returns when a request last arrived, 0 when none did.  */
   clk_time sup_last_request_time (const struct sup *upstream);
 
--- a/tests/dlt_test.cc
+++ b/tests/dlt_test.cc
@@ -212,3 +212,32 @@
   doc_destroy (empty);
   doc_destroy (base);
 }
+
+/* Guards against health checks that are lost, kept from the base or invalid in
+   a received version.  */
+TEST (Deltas, CarryTheHealthChecks)
+{
+  struct rnd random;
+
+  rnd_init (&random, 8);
+  struct doc_document *base = make_document (&random, 10);
+  struct doc_document *next = make_document (&random, 10);
+
+  base->services[0].health_path = mem_copy_string ("/before");
+  next->services[0].health_path = mem_copy_string ("/health");
+  struct doc_document *copy = apply_data (base, encode (base, next));
+
+  ASSERT_NE (copy, nullptr) << err_last ();
+  EXPECT_STREQ (copy->services[0].health_path, "/health");
+  EXPECT_EQ (copy->services[copy->service_count - 1].health_path == nullptr,
+             copy->service_count > 1);
+  doc_destroy (copy);
+  for (const char *invalid : { "health", "/a b", "/a\r\nHost: b" })
+    {
+      free (next->services[0].health_path);
+      next->services[0].health_path = mem_copy_string (invalid);
+      EXPECT_EQ (apply_data (base, encode (base, next)), nullptr);
+    }
+  doc_destroy (base);
+  doc_destroy (next);
+}
--- a/tests/reg_test.cc
+++ b/tests/reg_test.cc
@@ -160,10 +160,50 @@
   record.upstream_born = 2000;
   EXPECT_TRUE (reg_restore (&registration, &record, address, now));
   EXPECT_STREQ (registration.upstream.name, "i-2");
-  EXPECT_EQ (registration.state, REG_READY);
+  EXPECT_EQ (registration.state, REG_UNCONFIRMED);
   EXPECT_EQ (take ("i-1", 9), REG_STALE);
 }
 
+/* Guards against calls to an upstream that has left since its record was
+   written, and against one that is never used again.  */
+TEST_F (Registration, ARestoredUpstreamNeedsConfirmation)
+{
+  struct mbr_member record = {};
+  struct net_address address = { 1, 2 };
+
+  snprintf (record.upstream, sizeof record.upstream, "i-1");
+  snprintf (record.service, sizeof record.service, "stock");
+  record.upstream_born = 1000;
+  EXPECT_TRUE (reg_restore (&registration, &record, address, now));
+  EXPECT_EQ (registration.state, REG_UNCONFIRMED);
+  EXPECT_TRUE (reg_needs_confirmation (&registration));
+  EXPECT_TRUE (reg_mark_unreachable (&registration));
+  EXPECT_TRUE (reg_needs_confirmation (&registration));
+  reg_confirm (&registration, now);
+  EXPECT_EQ (registration.state, REG_READY);
+  EXPECT_FALSE (reg_needs_confirmation (&registration));
+}
+
+/* The same by a heartbeat, and not after a deregistration.  */
+TEST_F (Registration, AHeartbeatConfirmsARestoredUpstream)
+{
+  struct mbr_member record = {};
+  struct net_address address = { 1, 2 };
+
+  snprintf (record.upstream, sizeof record.upstream, "i-1");
+  snprintf (record.service, sizeof record.service, "stock");
+  record.upstream_born = 1000;
+  reg_restore (&registration, &record, address, now);
+  EXPECT_EQ (take ("i-1", 3), REG_CHANGED);
+  EXPECT_EQ (registration.state, REG_READY);
+  EXPECT_FALSE (reg_needs_confirmation (&registration));
+  registration = {};
+  reg_restore (&registration, &record, address, now);
+  reg_deregister (&registration, "i-1", 1000, now);
+  EXPECT_EQ (registration.state, REG_LEAVING);
+  EXPECT_FALSE (reg_needs_confirmation (&registration));
+}
+
 /* Guards against a departure that is lost because an earlier upstream was
    restored from the store: a late heartbeat would bring the later one back. */
 TEST_F (Registration, RemembersADepartureOfALaterStart)
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -623,6 +623,82 @@
   EXPECT_TRUE (json_is_true (json_object_get (record, "upstream_leaving")));
 }
 
+/* Guards against a departure that is forgotten when all processes are killed:
+   it was acknowledged while the store was away, because another node held it,
+   and the record in the store still says that the upstream takes calls.  */
+TEST_F (Sidecars, RememberADepartureWhenAllAreKilledWithoutTheStore)
+{
+  uint64_t arrivals;
+
+  heartbeat = CLK_SECOND;
+  start_mesh ();
+  sst_set_fault (store, SST_NO_RESPONSE, 0);
+  sup_deregister (vms[1].upstream);
+  ASSERT_TRUE (run_until (
+      [&] { return sup_is_drain_acknowledged (vms[1].upstream); }, 2500));
+  arrivals = sup_request_count (vms[1].upstream);
+  restart_all_sidecars ();
+  sst_clear_faults (store);
+  ASSERT_TRUE (run_until_converged (1));
+  run_for (200);
+  for (int i = 0; i < 20; i++)
+    EXPECT_EQ (status_of (i % 4, "/stock/"), 200);
+  EXPECT_EQ (sup_request_count (vms[1].upstream), arrivals);
+}
+
+/* Guards against an upstream that stays out of use after its node has started
+   again, for as long as its next heartbeat takes.  */
+TEST_F (Sidecars, UseARestoredUpstreamBeforeItsNextHeartbeat)
+{
+  uint64_t runs;
+
+  heartbeat = 20 * CLK_SECOND;
+  start_mesh ();
+  runs = sup_run_count (vms[1].upstream);
+  kill_sidecar (1);
+  start_sidecar (1);
+  ASSERT_TRUE (run_until_converged (1));
+  EXPECT_TRUE (run_until (
+      [&] {
+        status_of (1, "/stock/");
+        return sup_run_count (vms[1].upstream) > runs;
+      },
+      1000));
+  EXPECT_EQ (sup_health_check_count (vms[1].upstream), 1u);
+}
+
+/* Guards against an upstream that stays out of use although it sends
+   heartbeats, because its health check fails.  */
+TEST_F (Sidecars, UseARestoredUpstreamWhoseHealthCheckFails)
+{
+  uint64_t runs;
+
+  start_mesh ();
+  sup_set_health_failing (vms[1].upstream, true);
+  runs = sup_run_count (vms[1].upstream);
+  kill_sidecar (1);
+  start_sidecar (1);
+  ASSERT_TRUE (run_until_converged (1));
+  EXPECT_TRUE (run_until ([&] {
+    status_of (1, "/stock/");
+    return sup_run_count (vms[1].upstream) > runs;
+  }));
+}
+
+/* Guards against calls that are refused, or run, while a restored upstream is
+   not confirmed: all processes start together, and each must wait for the
+   configuration before it can ask its upstream.  */
+TEST_F (Sidecars, HoldCallsUntilARestoredUpstreamIsConfirmed)
+{
+  heartbeat = 20 * CLK_SECOND;
+  start_mesh ();
+  restart_all_sidecars ();
+  for (int i = 0; i < 8; i++)
+    EXPECT_TRUE (run_until (
+        [&] { return status_of (i % 4, "/stock/", "", 3000) == 200; }, 1500));
+  EXPECT_EQ (sup_duplicate_count (vms[1].upstream), 0u);
+}
+
 /* Guards against an acknowledged draining that an earlier write overwrites:
    the store applies a write whose reply was lost a second later.  */
 TEST_F (Sidecars, KeepDrainingWhenWritesTakeEffectLate)
