--- a/src/syn/syn.c
+++ b/src/syn/syn.c
@@ -482,6 +482,30 @@
   syn_push_version (sync, subscriber);
 }
 
+/* Returns whether the directory has exactly this record.  It has not when a
+   record with a higher incarnation was known, which a node whose clock was set
+   back may send before it learns of that.  */
+static bool
+holds_record (const struct syn *sync, const Mesh__Member *message)
+{
+  struct mbr_member member;
+  const struct mbr_member *known;
+
+  if (!mbr_member_from_wire (message, &member))
+    return false;
+  known = dir_get (sync->directory, dir_find (sync->directory, member.name));
+  return known != NULL && mbr_member_equal (known, &member);
+}
+
+static bool
+holds_records (const struct syn *sync, const Mesh__Members *message)
+{
+  for (size_t i = 0; i < message->n_members; i++)
+    if (!holds_record (sync, message->members[i]))
+      return false;
+  return true;
+}
+
 static void
 handle_members (struct syn *sync, const Mesh__Members *message,
                 struct hub_inbound_link *source, dir_handle source_peer)
@@ -491,7 +515,8 @@
 
   for (size_t i = 0; i < message->n_members; i++)
     handle_member (sync, message->members[i], source, source_peer);
-  if (message->acknowledge == 0 || source == NULL)
+  if (message->acknowledge == 0 || source == NULL
+      || !holds_records (sync, message))
     return;
   ack.acknowledge = message->acknowledge;
   frame.body_case = MESH__FRAME__BODY_MEMBERS_ACK;
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -7,3379 +7,4428 @@
 #endif
 
 #include "mesh.pb-c.h"
-void
-mesh__stamp__init (Mesh__Stamp *message)
+void   mesh__stamp__init
+                     (Mesh__Stamp         *message)
 {
   static const Mesh__Stamp init_value = MESH__STAMP__INIT;
   *message = init_value;
 }
-size_t
-mesh__stamp__get_packed_size (const Mesh__Stamp *message)
+size_t mesh__stamp__get_packed_size
+                     (const Mesh__Stamp *message)
 {
-  assert (message->base.descriptor == &mesh__stamp__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__stamp__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__stamp__pack (const Mesh__Stamp *message, uint8_t *out)
+size_t mesh__stamp__pack
+                     (const Mesh__Stamp *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__stamp__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__stamp__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__stamp__pack_to_buffer (const Mesh__Stamp *message,
-                             ProtobufCBuffer *buffer)
+size_t mesh__stamp__pack_to_buffer
+                     (const Mesh__Stamp *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__stamp__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__stamp__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Stamp *
-mesh__stamp__unpack (ProtobufCAllocator *allocator, size_t len,
-                     const uint8_t *data)
+       mesh__stamp__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Stamp *)protobuf_c_message_unpack (&mesh__stamp__descriptor,
-                                                   allocator, len, data);
+  return (Mesh__Stamp *)
+     protobuf_c_message_unpack (&mesh__stamp__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__stamp__free_unpacked (Mesh__Stamp *message,
-                            ProtobufCAllocator *allocator)
+void   mesh__stamp__free_unpacked
+                     (Mesh__Stamp *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__stamp__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__stamp__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__member__init (Mesh__Member *message)
+void   mesh__member__init
+                     (Mesh__Member         *message)
 {
   static const Mesh__Member init_value = MESH__MEMBER__INIT;
   *message = init_value;
 }
-size_t
-mesh__member__get_packed_size (const Mesh__Member *message)
+size_t mesh__member__get_packed_size
+                     (const Mesh__Member *message)
 {
-  assert (message->base.descriptor == &mesh__member__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__member__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__member__pack (const Mesh__Member *message, uint8_t *out)
+size_t mesh__member__pack
+                     (const Mesh__Member *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__member__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__member__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__member__pack_to_buffer (const Mesh__Member *message,
-                              ProtobufCBuffer *buffer)
+size_t mesh__member__pack_to_buffer
+                     (const Mesh__Member *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__member__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__member__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Member *
-mesh__member__unpack (ProtobufCAllocator *allocator, size_t len,
-                      const uint8_t *data)
+       mesh__member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Member *)protobuf_c_message_unpack (&mesh__member__descriptor,
-                                                    allocator, len, data);
+  return (Mesh__Member *)
+     protobuf_c_message_unpack (&mesh__member__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__member__free_unpacked (Mesh__Member *message,
-                             ProtobufCAllocator *allocator)
+void   mesh__member__free_unpacked
+                     (Mesh__Member *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__member__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__member__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__probe__init (Mesh__Probe *message)
+void   mesh__probe__init
+                     (Mesh__Probe         *message)
 {
   static const Mesh__Probe init_value = MESH__PROBE__INIT;
   *message = init_value;
 }
-size_t
-mesh__probe__get_packed_size (const Mesh__Probe *message)
+size_t mesh__probe__get_packed_size
+                     (const Mesh__Probe *message)
 {
-  assert (message->base.descriptor == &mesh__probe__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__probe__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__probe__pack (const Mesh__Probe *message, uint8_t *out)
+size_t mesh__probe__pack
+                     (const Mesh__Probe *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__probe__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__probe__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__probe__pack_to_buffer (const Mesh__Probe *message,
-                             ProtobufCBuffer *buffer)
+size_t mesh__probe__pack_to_buffer
+                     (const Mesh__Probe *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__probe__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__probe__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Probe *
-mesh__probe__unpack (ProtobufCAllocator *allocator, size_t len,
-                     const uint8_t *data)
+       mesh__probe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Probe *)protobuf_c_message_unpack (&mesh__probe__descriptor,
-                                                   allocator, len, data);
+  return (Mesh__Probe *)
+     protobuf_c_message_unpack (&mesh__probe__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__probe__free_unpacked (Mesh__Probe *message,
-                            ProtobufCAllocator *allocator)
+void   mesh__probe__free_unpacked
+                     (Mesh__Probe *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__probe__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__probe__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__probe_request__init (Mesh__ProbeRequest *message)
+void   mesh__probe_request__init
+                     (Mesh__ProbeRequest         *message)
 {
   static const Mesh__ProbeRequest init_value = MESH__PROBE_REQUEST__INIT;
   *message = init_value;
 }
-size_t
-mesh__probe_request__get_packed_size (const Mesh__ProbeRequest *message)
+size_t mesh__probe_request__get_packed_size
+                     (const Mesh__ProbeRequest *message)
 {
-  assert (message->base.descriptor == &mesh__probe_request__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__probe_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__probe_request__pack (const Mesh__ProbeRequest *message, uint8_t *out)
+size_t mesh__probe_request__pack
+                     (const Mesh__ProbeRequest *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__probe_request__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__probe_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__probe_request__pack_to_buffer (const Mesh__ProbeRequest *message,
-                                     ProtobufCBuffer *buffer)
+size_t mesh__probe_request__pack_to_buffer
+                     (const Mesh__ProbeRequest *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__probe_request__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__probe_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__ProbeRequest *
-mesh__probe_request__unpack (ProtobufCAllocator *allocator, size_t len,
-                             const uint8_t *data)
+       mesh__probe_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__ProbeRequest *)protobuf_c_message_unpack (
-      &mesh__probe_request__descriptor, allocator, len, data);
+  return (Mesh__ProbeRequest *)
+     protobuf_c_message_unpack (&mesh__probe_request__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__probe_request__free_unpacked (Mesh__ProbeRequest *message,
-                                    ProtobufCAllocator *allocator)
+void   mesh__probe_request__free_unpacked
+                     (Mesh__ProbeRequest *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__probe_request__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__probe_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__probe_ack__init (Mesh__ProbeAck *message)
+void   mesh__probe_ack__init
+                     (Mesh__ProbeAck         *message)
 {
   static const Mesh__ProbeAck init_value = MESH__PROBE_ACK__INIT;
   *message = init_value;
 }
-size_t
-mesh__probe_ack__get_packed_size (const Mesh__ProbeAck *message)
+size_t mesh__probe_ack__get_packed_size
+                     (const Mesh__ProbeAck *message)
 {
-  assert (message->base.descriptor == &mesh__probe_ack__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__probe_ack__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__probe_ack__pack (const Mesh__ProbeAck *message, uint8_t *out)
+size_t mesh__probe_ack__pack
+                     (const Mesh__ProbeAck *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__probe_ack__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__probe_ack__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__probe_ack__pack_to_buffer (const Mesh__ProbeAck *message,
-                                 ProtobufCBuffer *buffer)
+size_t mesh__probe_ack__pack_to_buffer
+                     (const Mesh__ProbeAck *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__probe_ack__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__probe_ack__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__ProbeAck *
-mesh__probe_ack__unpack (ProtobufCAllocator *allocator, size_t len,
-                         const uint8_t *data)
+       mesh__probe_ack__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__ProbeAck *)protobuf_c_message_unpack (
-      &mesh__probe_ack__descriptor, allocator, len, data);
+  return (Mesh__ProbeAck *)
+     protobuf_c_message_unpack (&mesh__probe_ack__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__probe_ack__free_unpacked (Mesh__ProbeAck *message,
-                                ProtobufCAllocator *allocator)
+void   mesh__probe_ack__free_unpacked
+                     (Mesh__ProbeAck *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__probe_ack__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__probe_ack__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__announcement__init (Mesh__Announcement *message)
+void   mesh__announcement__init
+                     (Mesh__Announcement         *message)
 {
   static const Mesh__Announcement init_value = MESH__ANNOUNCEMENT__INIT;
   *message = init_value;
 }
-size_t
-mesh__announcement__get_packed_size (const Mesh__Announcement *message)
+size_t mesh__announcement__get_packed_size
+                     (const Mesh__Announcement *message)
 {
-  assert (message->base.descriptor == &mesh__announcement__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__announcement__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__announcement__pack (const Mesh__Announcement *message, uint8_t *out)
+size_t mesh__announcement__pack
+                     (const Mesh__Announcement *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__announcement__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__announcement__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__announcement__pack_to_buffer (const Mesh__Announcement *message,
-                                    ProtobufCBuffer *buffer)
+size_t mesh__announcement__pack_to_buffer
+                     (const Mesh__Announcement *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__announcement__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__announcement__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Announcement *
-mesh__announcement__unpack (ProtobufCAllocator *allocator, size_t len,
-                            const uint8_t *data)
+       mesh__announcement__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Announcement *)protobuf_c_message_unpack (
-      &mesh__announcement__descriptor, allocator, len, data);
+  return (Mesh__Announcement *)
+     protobuf_c_message_unpack (&mesh__announcement__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__announcement__free_unpacked (Mesh__Announcement *message,
-                                   ProtobufCAllocator *allocator)
+void   mesh__announcement__free_unpacked
+                     (Mesh__Announcement *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__announcement__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__announcement__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__applied__init (Mesh__Applied *message)
+void   mesh__applied__init
+                     (Mesh__Applied         *message)
 {
   static const Mesh__Applied init_value = MESH__APPLIED__INIT;
   *message = init_value;
 }
-size_t
-mesh__applied__get_packed_size (const Mesh__Applied *message)
+size_t mesh__applied__get_packed_size
+                     (const Mesh__Applied *message)
 {
-  assert (message->base.descriptor == &mesh__applied__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__applied__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__applied__pack (const Mesh__Applied *message, uint8_t *out)
+size_t mesh__applied__pack
+                     (const Mesh__Applied *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__applied__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__applied__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__applied__pack_to_buffer (const Mesh__Applied *message,
-                               ProtobufCBuffer *buffer)
+size_t mesh__applied__pack_to_buffer
+                     (const Mesh__Applied *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__applied__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__applied__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Applied *
-mesh__applied__unpack (ProtobufCAllocator *allocator, size_t len,
-                       const uint8_t *data)
+       mesh__applied__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Applied *)protobuf_c_message_unpack (
-      &mesh__applied__descriptor, allocator, len, data);
+  return (Mesh__Applied *)
+     protobuf_c_message_unpack (&mesh__applied__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__applied__free_unpacked (Mesh__Applied *message,
-                              ProtobufCAllocator *allocator)
+void   mesh__applied__free_unpacked
+                     (Mesh__Applied *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__applied__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__applied__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__datagram__init (Mesh__Datagram *message)
+void   mesh__datagram__init
+                     (Mesh__Datagram         *message)
 {
   static const Mesh__Datagram init_value = MESH__DATAGRAM__INIT;
   *message = init_value;
 }
-size_t
-mesh__datagram__get_packed_size (const Mesh__Datagram *message)
+size_t mesh__datagram__get_packed_size
+                     (const Mesh__Datagram *message)
 {
-  assert (message->base.descriptor == &mesh__datagram__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__datagram__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__datagram__pack (const Mesh__Datagram *message, uint8_t *out)
+size_t mesh__datagram__pack
+                     (const Mesh__Datagram *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__datagram__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__datagram__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__datagram__pack_to_buffer (const Mesh__Datagram *message,
-                                ProtobufCBuffer *buffer)
+size_t mesh__datagram__pack_to_buffer
+                     (const Mesh__Datagram *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__datagram__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__datagram__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Datagram *
-mesh__datagram__unpack (ProtobufCAllocator *allocator, size_t len,
-                        const uint8_t *data)
+       mesh__datagram__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Datagram *)protobuf_c_message_unpack (
-      &mesh__datagram__descriptor, allocator, len, data);
+  return (Mesh__Datagram *)
+     protobuf_c_message_unpack (&mesh__datagram__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__datagram__free_unpacked (Mesh__Datagram *message,
-                               ProtobufCAllocator *allocator)
+void   mesh__datagram__free_unpacked
+                     (Mesh__Datagram *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__datagram__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__datagram__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__hello__init (Mesh__Hello *message)
+void   mesh__hello__init
+                     (Mesh__Hello         *message)
 {
   static const Mesh__Hello init_value = MESH__HELLO__INIT;
   *message = init_value;
 }
-size_t
-mesh__hello__get_packed_size (const Mesh__Hello *message)
+size_t mesh__hello__get_packed_size
+                     (const Mesh__Hello *message)
 {
-  assert (message->base.descriptor == &mesh__hello__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__hello__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__hello__pack (const Mesh__Hello *message, uint8_t *out)
+size_t mesh__hello__pack
+                     (const Mesh__Hello *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__hello__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__hello__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__hello__pack_to_buffer (const Mesh__Hello *message,
-                             ProtobufCBuffer *buffer)
+size_t mesh__hello__pack_to_buffer
+                     (const Mesh__Hello *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__hello__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__hello__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Hello *
-mesh__hello__unpack (ProtobufCAllocator *allocator, size_t len,
-                     const uint8_t *data)
+       mesh__hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Hello *)protobuf_c_message_unpack (&mesh__hello__descriptor,
-                                                   allocator, len, data);
+  return (Mesh__Hello *)
+     protobuf_c_message_unpack (&mesh__hello__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__hello__free_unpacked (Mesh__Hello *message,
-                            ProtobufCAllocator *allocator)
+void   mesh__hello__free_unpacked
+                     (Mesh__Hello *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__hello__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__hello__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__refusal__init (Mesh__Refusal *message)
+void   mesh__refusal__init
+                     (Mesh__Refusal         *message)
 {
   static const Mesh__Refusal init_value = MESH__REFUSAL__INIT;
   *message = init_value;
 }
-size_t
-mesh__refusal__get_packed_size (const Mesh__Refusal *message)
+size_t mesh__refusal__get_packed_size
+                     (const Mesh__Refusal *message)
 {
-  assert (message->base.descriptor == &mesh__refusal__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__refusal__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__refusal__pack (const Mesh__Refusal *message, uint8_t *out)
+size_t mesh__refusal__pack
+                     (const Mesh__Refusal *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__refusal__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__refusal__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__refusal__pack_to_buffer (const Mesh__Refusal *message,
-                               ProtobufCBuffer *buffer)
+size_t mesh__refusal__pack_to_buffer
+                     (const Mesh__Refusal *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__refusal__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__refusal__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Refusal *
-mesh__refusal__unpack (ProtobufCAllocator *allocator, size_t len,
-                       const uint8_t *data)
+       mesh__refusal__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Refusal *)protobuf_c_message_unpack (
-      &mesh__refusal__descriptor, allocator, len, data);
+  return (Mesh__Refusal *)
+     protobuf_c_message_unpack (&mesh__refusal__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__refusal__free_unpacked (Mesh__Refusal *message,
-                              ProtobufCAllocator *allocator)
+void   mesh__refusal__free_unpacked
+                     (Mesh__Refusal *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__refusal__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__refusal__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__call_id__init (Mesh__CallId *message)
+void   mesh__call_id__init
+                     (Mesh__CallId         *message)
 {
   static const Mesh__CallId init_value = MESH__CALL_ID__INIT;
   *message = init_value;
 }
-size_t
-mesh__call_id__get_packed_size (const Mesh__CallId *message)
+size_t mesh__call_id__get_packed_size
+                     (const Mesh__CallId *message)
 {
-  assert (message->base.descriptor == &mesh__call_id__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__call_id__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__call_id__pack (const Mesh__CallId *message, uint8_t *out)
+size_t mesh__call_id__pack
+                     (const Mesh__CallId *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__call_id__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__call_id__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__call_id__pack_to_buffer (const Mesh__CallId *message,
-                               ProtobufCBuffer *buffer)
+size_t mesh__call_id__pack_to_buffer
+                     (const Mesh__CallId *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__call_id__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__call_id__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__CallId *
-mesh__call_id__unpack (ProtobufCAllocator *allocator, size_t len,
-                       const uint8_t *data)
+       mesh__call_id__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__CallId *)protobuf_c_message_unpack (&mesh__call_id__descriptor,
-                                                    allocator, len, data);
+  return (Mesh__CallId *)
+     protobuf_c_message_unpack (&mesh__call_id__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__call_id__free_unpacked (Mesh__CallId *message,
-                              ProtobufCAllocator *allocator)
+void   mesh__call_id__free_unpacked
+                     (Mesh__CallId *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__call_id__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__call_id__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__header__init (Mesh__Header *message)
+void   mesh__header__init
+                     (Mesh__Header         *message)
 {
   static const Mesh__Header init_value = MESH__HEADER__INIT;
   *message = init_value;
 }
-size_t
-mesh__header__get_packed_size (const Mesh__Header *message)
+size_t mesh__header__get_packed_size
+                     (const Mesh__Header *message)
 {
-  assert (message->base.descriptor == &mesh__header__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__header__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__header__pack (const Mesh__Header *message, uint8_t *out)
+size_t mesh__header__pack
+                     (const Mesh__Header *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__header__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__header__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__header__pack_to_buffer (const Mesh__Header *message,
-                              ProtobufCBuffer *buffer)
+size_t mesh__header__pack_to_buffer
+                     (const Mesh__Header *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__header__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__header__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Header *
-mesh__header__unpack (ProtobufCAllocator *allocator, size_t len,
-                      const uint8_t *data)
+       mesh__header__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Header *)protobuf_c_message_unpack (&mesh__header__descriptor,
-                                                    allocator, len, data);
+  return (Mesh__Header *)
+     protobuf_c_message_unpack (&mesh__header__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__header__free_unpacked (Mesh__Header *message,
-                             ProtobufCAllocator *allocator)
+void   mesh__header__free_unpacked
+                     (Mesh__Header *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__header__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__header__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__call__init (Mesh__Call *message)
+void   mesh__call__init
+                     (Mesh__Call         *message)
 {
   static const Mesh__Call init_value = MESH__CALL__INIT;
   *message = init_value;
 }
-size_t
-mesh__call__get_packed_size (const Mesh__Call *message)
+size_t mesh__call__get_packed_size
+                     (const Mesh__Call *message)
 {
-  assert (message->base.descriptor == &mesh__call__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__call__pack (const Mesh__Call *message, uint8_t *out)
+size_t mesh__call__pack
+                     (const Mesh__Call *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__call__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__call__pack_to_buffer (const Mesh__Call *message, ProtobufCBuffer *buffer)
+size_t mesh__call__pack_to_buffer
+                     (const Mesh__Call *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__call__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Call *
-mesh__call__unpack (ProtobufCAllocator *allocator, size_t len,
-                    const uint8_t *data)
+       mesh__call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Call *)protobuf_c_message_unpack (&mesh__call__descriptor,
-                                                  allocator, len, data);
+  return (Mesh__Call *)
+     protobuf_c_message_unpack (&mesh__call__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__call__free_unpacked (Mesh__Call *message, ProtobufCAllocator *allocator)
+void   mesh__call__free_unpacked
+                     (Mesh__Call *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__call__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__load__init (Mesh__Load *message)
+void   mesh__load__init
+                     (Mesh__Load         *message)
 {
   static const Mesh__Load init_value = MESH__LOAD__INIT;
   *message = init_value;
 }
-size_t
-mesh__load__get_packed_size (const Mesh__Load *message)
+size_t mesh__load__get_packed_size
+                     (const Mesh__Load *message)
 {
-  assert (message->base.descriptor == &mesh__load__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__load__pack (const Mesh__Load *message, uint8_t *out)
+size_t mesh__load__pack
+                     (const Mesh__Load *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__load__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__load__pack_to_buffer (const Mesh__Load *message, ProtobufCBuffer *buffer)
+size_t mesh__load__pack_to_buffer
+                     (const Mesh__Load *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__load__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Load *
-mesh__load__unpack (ProtobufCAllocator *allocator, size_t len,
-                    const uint8_t *data)
+       mesh__load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Load *)protobuf_c_message_unpack (&mesh__load__descriptor,
-                                                  allocator, len, data);
+  return (Mesh__Load *)
+     protobuf_c_message_unpack (&mesh__load__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__load__free_unpacked (Mesh__Load *message, ProtobufCAllocator *allocator)
+void   mesh__load__free_unpacked
+                     (Mesh__Load *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__load__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__body_part__init (Mesh__BodyPart *message)
+void   mesh__body_part__init
+                     (Mesh__BodyPart         *message)
 {
   static const Mesh__BodyPart init_value = MESH__BODY_PART__INIT;
   *message = init_value;
 }
-size_t
-mesh__body_part__get_packed_size (const Mesh__BodyPart *message)
+size_t mesh__body_part__get_packed_size
+                     (const Mesh__BodyPart *message)
 {
-  assert (message->base.descriptor == &mesh__body_part__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__body_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__body_part__pack (const Mesh__BodyPart *message, uint8_t *out)
+size_t mesh__body_part__pack
+                     (const Mesh__BodyPart *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__body_part__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__body_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__body_part__pack_to_buffer (const Mesh__BodyPart *message,
-                                 ProtobufCBuffer *buffer)
+size_t mesh__body_part__pack_to_buffer
+                     (const Mesh__BodyPart *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__body_part__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__body_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__BodyPart *
-mesh__body_part__unpack (ProtobufCAllocator *allocator, size_t len,
-                         const uint8_t *data)
+       mesh__body_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__BodyPart *)protobuf_c_message_unpack (
-      &mesh__body_part__descriptor, allocator, len, data);
+  return (Mesh__BodyPart *)
+     protobuf_c_message_unpack (&mesh__body_part__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__body_part__free_unpacked (Mesh__BodyPart *message,
-                                ProtobufCAllocator *allocator)
+void   mesh__body_part__free_unpacked
+                     (Mesh__BodyPart *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__body_part__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__body_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__answer__init (Mesh__Answer *message)
+void   mesh__answer__init
+                     (Mesh__Answer         *message)
 {
   static const Mesh__Answer init_value = MESH__ANSWER__INIT;
   *message = init_value;
 }
-size_t
-mesh__answer__get_packed_size (const Mesh__Answer *message)
+size_t mesh__answer__get_packed_size
+                     (const Mesh__Answer *message)
 {
-  assert (message->base.descriptor == &mesh__answer__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__answer__pack (const Mesh__Answer *message, uint8_t *out)
+size_t mesh__answer__pack
+                     (const Mesh__Answer *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__answer__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__answer__pack_to_buffer (const Mesh__Answer *message,
-                              ProtobufCBuffer *buffer)
+size_t mesh__answer__pack_to_buffer
+                     (const Mesh__Answer *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__answer__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Answer *
-mesh__answer__unpack (ProtobufCAllocator *allocator, size_t len,
-                      const uint8_t *data)
+       mesh__answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Answer *)protobuf_c_message_unpack (&mesh__answer__descriptor,
-                                                    allocator, len, data);
+  return (Mesh__Answer *)
+     protobuf_c_message_unpack (&mesh__answer__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__answer__free_unpacked (Mesh__Answer *message,
-                             ProtobufCAllocator *allocator)
+void   mesh__answer__free_unpacked
+                     (Mesh__Answer *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__answer__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__cancel__init (Mesh__Cancel *message)
+void   mesh__cancel__init
+                     (Mesh__Cancel         *message)
 {
   static const Mesh__Cancel init_value = MESH__CANCEL__INIT;
   *message = init_value;
 }
-size_t
-mesh__cancel__get_packed_size (const Mesh__Cancel *message)
+size_t mesh__cancel__get_packed_size
+                     (const Mesh__Cancel *message)
 {
-  assert (message->base.descriptor == &mesh__cancel__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__cancel__pack (const Mesh__Cancel *message, uint8_t *out)
+size_t mesh__cancel__pack
+                     (const Mesh__Cancel *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__cancel__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__cancel__pack_to_buffer (const Mesh__Cancel *message,
-                              ProtobufCBuffer *buffer)
+size_t mesh__cancel__pack_to_buffer
+                     (const Mesh__Cancel *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__cancel__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Cancel *
-mesh__cancel__unpack (ProtobufCAllocator *allocator, size_t len,
-                      const uint8_t *data)
+       mesh__cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Cancel *)protobuf_c_message_unpack (&mesh__cancel__descriptor,
-                                                    allocator, len, data);
+  return (Mesh__Cancel *)
+     protobuf_c_message_unpack (&mesh__cancel__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__cancel__free_unpacked (Mesh__Cancel *message,
-                             ProtobufCAllocator *allocator)
+void   mesh__cancel__free_unpacked
+                     (Mesh__Cancel *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__cancel__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__query__init (Mesh__Query *message)
+void   mesh__query__init
+                     (Mesh__Query         *message)
 {
   static const Mesh__Query init_value = MESH__QUERY__INIT;
   *message = init_value;
 }
-size_t
-mesh__query__get_packed_size (const Mesh__Query *message)
+size_t mesh__query__get_packed_size
+                     (const Mesh__Query *message)
 {
-  assert (message->base.descriptor == &mesh__query__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__query__pack (const Mesh__Query *message, uint8_t *out)
+size_t mesh__query__pack
+                     (const Mesh__Query *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__query__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__query__pack_to_buffer (const Mesh__Query *message,
-                             ProtobufCBuffer *buffer)
+size_t mesh__query__pack_to_buffer
+                     (const Mesh__Query *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__query__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Query *
-mesh__query__unpack (ProtobufCAllocator *allocator, size_t len,
-                     const uint8_t *data)
+       mesh__query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Query *)protobuf_c_message_unpack (&mesh__query__descriptor,
-                                                   allocator, len, data);
+  return (Mesh__Query *)
+     protobuf_c_message_unpack (&mesh__query__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__query__free_unpacked (Mesh__Query *message,
-                            ProtobufCAllocator *allocator)
+void   mesh__query__free_unpacked
+                     (Mesh__Query *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__query__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__query_reply__init (Mesh__QueryReply *message)
+void   mesh__query_reply__init
+                     (Mesh__QueryReply         *message)
 {
   static const Mesh__QueryReply init_value = MESH__QUERY_REPLY__INIT;
   *message = init_value;
 }
-size_t
-mesh__query_reply__get_packed_size (const Mesh__QueryReply *message)
+size_t mesh__query_reply__get_packed_size
+                     (const Mesh__QueryReply *message)
 {
-  assert (message->base.descriptor == &mesh__query_reply__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__query_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__query_reply__pack (const Mesh__QueryReply *message, uint8_t *out)
+size_t mesh__query_reply__pack
+                     (const Mesh__QueryReply *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__query_reply__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__query_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__query_reply__pack_to_buffer (const Mesh__QueryReply *message,
-                                   ProtobufCBuffer *buffer)
+size_t mesh__query_reply__pack_to_buffer
+                     (const Mesh__QueryReply *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__query_reply__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__query_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__QueryReply *
-mesh__query_reply__unpack (ProtobufCAllocator *allocator, size_t len,
-                           const uint8_t *data)
+       mesh__query_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__QueryReply *)protobuf_c_message_unpack (
-      &mesh__query_reply__descriptor, allocator, len, data);
+  return (Mesh__QueryReply *)
+     protobuf_c_message_unpack (&mesh__query_reply__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__query_reply__free_unpacked (Mesh__QueryReply *message,
-                                  ProtobufCAllocator *allocator)
+void   mesh__query_reply__free_unpacked
+                     (Mesh__QueryReply *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__query_reply__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__query_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__window_grant__init (Mesh__WindowGrant *message)
+void   mesh__window_grant__init
+                     (Mesh__WindowGrant         *message)
 {
   static const Mesh__WindowGrant init_value = MESH__WINDOW_GRANT__INIT;
   *message = init_value;
 }
-size_t
-mesh__window_grant__get_packed_size (const Mesh__WindowGrant *message)
+size_t mesh__window_grant__get_packed_size
+                     (const Mesh__WindowGrant *message)
 {
-  assert (message->base.descriptor == &mesh__window_grant__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__window_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__window_grant__pack (const Mesh__WindowGrant *message, uint8_t *out)
+size_t mesh__window_grant__pack
+                     (const Mesh__WindowGrant *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__window_grant__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__window_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__window_grant__pack_to_buffer (const Mesh__WindowGrant *message,
-                                    ProtobufCBuffer *buffer)
+size_t mesh__window_grant__pack_to_buffer
+                     (const Mesh__WindowGrant *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__window_grant__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__window_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__WindowGrant *
-mesh__window_grant__unpack (ProtobufCAllocator *allocator, size_t len,
-                            const uint8_t *data)
+       mesh__window_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__WindowGrant *)protobuf_c_message_unpack (
-      &mesh__window_grant__descriptor, allocator, len, data);
+  return (Mesh__WindowGrant *)
+     protobuf_c_message_unpack (&mesh__window_grant__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__window_grant__free_unpacked (Mesh__WindowGrant *message,
-                                   ProtobufCAllocator *allocator)
+void   mesh__window_grant__free_unpacked
+                     (Mesh__WindowGrant *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__window_grant__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__window_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__fetch_request__init (Mesh__FetchRequest *message)
+void   mesh__fetch_request__init
+                     (Mesh__FetchRequest         *message)
 {
   static const Mesh__FetchRequest init_value = MESH__FETCH_REQUEST__INIT;
   *message = init_value;
 }
-size_t
-mesh__fetch_request__get_packed_size (const Mesh__FetchRequest *message)
+size_t mesh__fetch_request__get_packed_size
+                     (const Mesh__FetchRequest *message)
 {
-  assert (message->base.descriptor == &mesh__fetch_request__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__fetch_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__fetch_request__pack (const Mesh__FetchRequest *message, uint8_t *out)
+size_t mesh__fetch_request__pack
+                     (const Mesh__FetchRequest *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__fetch_request__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__fetch_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__fetch_request__pack_to_buffer (const Mesh__FetchRequest *message,
-                                     ProtobufCBuffer *buffer)
+size_t mesh__fetch_request__pack_to_buffer
+                     (const Mesh__FetchRequest *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__fetch_request__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__fetch_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__FetchRequest *
-mesh__fetch_request__unpack (ProtobufCAllocator *allocator, size_t len,
-                             const uint8_t *data)
+       mesh__fetch_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__FetchRequest *)protobuf_c_message_unpack (
-      &mesh__fetch_request__descriptor, allocator, len, data);
+  return (Mesh__FetchRequest *)
+     protobuf_c_message_unpack (&mesh__fetch_request__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__fetch_request__free_unpacked (Mesh__FetchRequest *message,
-                                    ProtobufCAllocator *allocator)
+void   mesh__fetch_request__free_unpacked
+                     (Mesh__FetchRequest *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__fetch_request__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__fetch_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__route_share__init (Mesh__RouteShare *message)
+void   mesh__route_share__init
+                     (Mesh__RouteShare         *message)
 {
   static const Mesh__RouteShare init_value = MESH__ROUTE_SHARE__INIT;
   *message = init_value;
 }
-size_t
-mesh__route_share__get_packed_size (const Mesh__RouteShare *message)
+size_t mesh__route_share__get_packed_size
+                     (const Mesh__RouteShare *message)
 {
-  assert (message->base.descriptor == &mesh__route_share__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__route_share__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__route_share__pack (const Mesh__RouteShare *message, uint8_t *out)
+size_t mesh__route_share__pack
+                     (const Mesh__RouteShare *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__route_share__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__route_share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__route_share__pack_to_buffer (const Mesh__RouteShare *message,
-                                   ProtobufCBuffer *buffer)
+size_t mesh__route_share__pack_to_buffer
+                     (const Mesh__RouteShare *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__route_share__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__route_share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__RouteShare *
-mesh__route_share__unpack (ProtobufCAllocator *allocator, size_t len,
-                           const uint8_t *data)
+       mesh__route_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__RouteShare *)protobuf_c_message_unpack (
-      &mesh__route_share__descriptor, allocator, len, data);
+  return (Mesh__RouteShare *)
+     protobuf_c_message_unpack (&mesh__route_share__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__route_share__free_unpacked (Mesh__RouteShare *message,
-                                  ProtobufCAllocator *allocator)
+void   mesh__route_share__free_unpacked
+                     (Mesh__RouteShare *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__route_share__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__route_share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__route__init (Mesh__Route *message)
+void   mesh__route__init
+                     (Mesh__Route         *message)
 {
   static const Mesh__Route init_value = MESH__ROUTE__INIT;
   *message = init_value;
 }
-size_t
-mesh__route__get_packed_size (const Mesh__Route *message)
+size_t mesh__route__get_packed_size
+                     (const Mesh__Route *message)
 {
-  assert (message->base.descriptor == &mesh__route__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__route__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__route__pack (const Mesh__Route *message, uint8_t *out)
+size_t mesh__route__pack
+                     (const Mesh__Route *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__route__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__route__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__route__pack_to_buffer (const Mesh__Route *message,
-                             ProtobufCBuffer *buffer)
+size_t mesh__route__pack_to_buffer
+                     (const Mesh__Route *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__route__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__route__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Route *
-mesh__route__unpack (ProtobufCAllocator *allocator, size_t len,
-                     const uint8_t *data)
+       mesh__route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Route *)protobuf_c_message_unpack (&mesh__route__descriptor,
-                                                   allocator, len, data);
+  return (Mesh__Route *)
+     protobuf_c_message_unpack (&mesh__route__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__route__free_unpacked (Mesh__Route *message,
-                            ProtobufCAllocator *allocator)
+void   mesh__route__free_unpacked
+                     (Mesh__Route *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__route__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__route__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__document_delta__init (Mesh__DocumentDelta *message)
+void   mesh__document_delta__init
+                     (Mesh__DocumentDelta         *message)
 {
   static const Mesh__DocumentDelta init_value = MESH__DOCUMENT_DELTA__INIT;
   *message = init_value;
 }
-size_t
-mesh__document_delta__get_packed_size (const Mesh__DocumentDelta *message)
+size_t mesh__document_delta__get_packed_size
+                     (const Mesh__DocumentDelta *message)
 {
-  assert (message->base.descriptor == &mesh__document_delta__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__document_delta__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__document_delta__pack (const Mesh__DocumentDelta *message, uint8_t *out)
+size_t mesh__document_delta__pack
+                     (const Mesh__DocumentDelta *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__document_delta__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__document_delta__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__document_delta__pack_to_buffer (const Mesh__DocumentDelta *message,
-                                      ProtobufCBuffer *buffer)
+size_t mesh__document_delta__pack_to_buffer
+                     (const Mesh__DocumentDelta *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__document_delta__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__document_delta__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__DocumentDelta *
-mesh__document_delta__unpack (ProtobufCAllocator *allocator, size_t len,
-                              const uint8_t *data)
+       mesh__document_delta__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__DocumentDelta *)protobuf_c_message_unpack (
-      &mesh__document_delta__descriptor, allocator, len, data);
+  return (Mesh__DocumentDelta *)
+     protobuf_c_message_unpack (&mesh__document_delta__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__document_delta__free_unpacked (Mesh__DocumentDelta *message,
-                                     ProtobufCAllocator *allocator)
+void   mesh__document_delta__free_unpacked
+                     (Mesh__DocumentDelta *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__document_delta__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__document_delta__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__fetch_reply__init (Mesh__FetchReply *message)
+void   mesh__fetch_reply__init
+                     (Mesh__FetchReply         *message)
 {
   static const Mesh__FetchReply init_value = MESH__FETCH_REPLY__INIT;
   *message = init_value;
 }
-size_t
-mesh__fetch_reply__get_packed_size (const Mesh__FetchReply *message)
+size_t mesh__fetch_reply__get_packed_size
+                     (const Mesh__FetchReply *message)
 {
-  assert (message->base.descriptor == &mesh__fetch_reply__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__fetch_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__fetch_reply__pack (const Mesh__FetchReply *message, uint8_t *out)
+size_t mesh__fetch_reply__pack
+                     (const Mesh__FetchReply *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__fetch_reply__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__fetch_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__fetch_reply__pack_to_buffer (const Mesh__FetchReply *message,
-                                   ProtobufCBuffer *buffer)
+size_t mesh__fetch_reply__pack_to_buffer
+                     (const Mesh__FetchReply *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__fetch_reply__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__fetch_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__FetchReply *
-mesh__fetch_reply__unpack (ProtobufCAllocator *allocator, size_t len,
-                           const uint8_t *data)
+       mesh__fetch_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__FetchReply *)protobuf_c_message_unpack (
-      &mesh__fetch_reply__descriptor, allocator, len, data);
+  return (Mesh__FetchReply *)
+     protobuf_c_message_unpack (&mesh__fetch_reply__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__fetch_reply__free_unpacked (Mesh__FetchReply *message,
-                                  ProtobufCAllocator *allocator)
+void   mesh__fetch_reply__free_unpacked
+                     (Mesh__FetchReply *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__fetch_reply__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__fetch_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__ping__init (Mesh__Ping *message)
+void   mesh__ping__init
+                     (Mesh__Ping         *message)
 {
   static const Mesh__Ping init_value = MESH__PING__INIT;
   *message = init_value;
 }
-size_t
-mesh__ping__get_packed_size (const Mesh__Ping *message)
+size_t mesh__ping__get_packed_size
+                     (const Mesh__Ping *message)
 {
-  assert (message->base.descriptor == &mesh__ping__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__ping__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__ping__pack (const Mesh__Ping *message, uint8_t *out)
+size_t mesh__ping__pack
+                     (const Mesh__Ping *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__ping__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__ping__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__ping__pack_to_buffer (const Mesh__Ping *message, ProtobufCBuffer *buffer)
+size_t mesh__ping__pack_to_buffer
+                     (const Mesh__Ping *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__ping__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__ping__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Ping *
-mesh__ping__unpack (ProtobufCAllocator *allocator, size_t len,
-                    const uint8_t *data)
+       mesh__ping__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Ping *)protobuf_c_message_unpack (&mesh__ping__descriptor,
-                                                  allocator, len, data);
+  return (Mesh__Ping *)
+     protobuf_c_message_unpack (&mesh__ping__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__ping__free_unpacked (Mesh__Ping *message, ProtobufCAllocator *allocator)
+void   mesh__ping__free_unpacked
+                     (Mesh__Ping *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__ping__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__ping__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__pong__init (Mesh__Pong *message)
+void   mesh__pong__init
+                     (Mesh__Pong         *message)
 {
   static const Mesh__Pong init_value = MESH__PONG__INIT;
   *message = init_value;
 }
-size_t
-mesh__pong__get_packed_size (const Mesh__Pong *message)
+size_t mesh__pong__get_packed_size
+                     (const Mesh__Pong *message)
 {
-  assert (message->base.descriptor == &mesh__pong__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__pong__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__pong__pack (const Mesh__Pong *message, uint8_t *out)
+size_t mesh__pong__pack
+                     (const Mesh__Pong *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__pong__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__pong__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__pong__pack_to_buffer (const Mesh__Pong *message, ProtobufCBuffer *buffer)
+size_t mesh__pong__pack_to_buffer
+                     (const Mesh__Pong *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__pong__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__pong__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Pong *
-mesh__pong__unpack (ProtobufCAllocator *allocator, size_t len,
-                    const uint8_t *data)
+       mesh__pong__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Pong *)protobuf_c_message_unpack (&mesh__pong__descriptor,
-                                                  allocator, len, data);
+  return (Mesh__Pong *)
+     protobuf_c_message_unpack (&mesh__pong__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__pong__free_unpacked (Mesh__Pong *message, ProtobufCAllocator *allocator)
+void   mesh__pong__free_unpacked
+                     (Mesh__Pong *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__pong__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__pong__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__subscribe__init (Mesh__Subscribe *message)
+void   mesh__subscribe__init
+                     (Mesh__Subscribe         *message)
 {
   static const Mesh__Subscribe init_value = MESH__SUBSCRIBE__INIT;
   *message = init_value;
 }
-size_t
-mesh__subscribe__get_packed_size (const Mesh__Subscribe *message)
+size_t mesh__subscribe__get_packed_size
+                     (const Mesh__Subscribe *message)
 {
-  assert (message->base.descriptor == &mesh__subscribe__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__subscribe__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__subscribe__pack (const Mesh__Subscribe *message, uint8_t *out)
+size_t mesh__subscribe__pack
+                     (const Mesh__Subscribe *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__subscribe__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__subscribe__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__subscribe__pack_to_buffer (const Mesh__Subscribe *message,
-                                 ProtobufCBuffer *buffer)
+size_t mesh__subscribe__pack_to_buffer
+                     (const Mesh__Subscribe *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__subscribe__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__subscribe__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Subscribe *
-mesh__subscribe__unpack (ProtobufCAllocator *allocator, size_t len,
-                         const uint8_t *data)
+       mesh__subscribe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Subscribe *)protobuf_c_message_unpack (
-      &mesh__subscribe__descriptor, allocator, len, data);
+  return (Mesh__Subscribe *)
+     protobuf_c_message_unpack (&mesh__subscribe__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__subscribe__free_unpacked (Mesh__Subscribe *message,
-                                ProtobufCAllocator *allocator)
+void   mesh__subscribe__free_unpacked
+                     (Mesh__Subscribe *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__subscribe__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__subscribe__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__members__init (Mesh__Members *message)
+void   mesh__members__init
+                     (Mesh__Members         *message)
 {
   static const Mesh__Members init_value = MESH__MEMBERS__INIT;
   *message = init_value;
 }
-size_t
-mesh__members__get_packed_size (const Mesh__Members *message)
+size_t mesh__members__get_packed_size
+                     (const Mesh__Members *message)
 {
-  assert (message->base.descriptor == &mesh__members__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__members__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__members__pack (const Mesh__Members *message, uint8_t *out)
+size_t mesh__members__pack
+                     (const Mesh__Members *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__members__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__members__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__members__pack_to_buffer (const Mesh__Members *message,
-                               ProtobufCBuffer *buffer)
+size_t mesh__members__pack_to_buffer
+                     (const Mesh__Members *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__members__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__members__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Members *
-mesh__members__unpack (ProtobufCAllocator *allocator, size_t len,
-                       const uint8_t *data)
+       mesh__members__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Members *)protobuf_c_message_unpack (
-      &mesh__members__descriptor, allocator, len, data);
+  return (Mesh__Members *)
+     protobuf_c_message_unpack (&mesh__members__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__members__free_unpacked (Mesh__Members *message,
-                              ProtobufCAllocator *allocator)
+void   mesh__members__free_unpacked
+                     (Mesh__Members *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__members__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__members__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__suspect__init (Mesh__Suspect *message)
+void   mesh__suspect__init
+                     (Mesh__Suspect         *message)
 {
   static const Mesh__Suspect init_value = MESH__SUSPECT__INIT;
   *message = init_value;
 }
-size_t
-mesh__suspect__get_packed_size (const Mesh__Suspect *message)
+size_t mesh__suspect__get_packed_size
+                     (const Mesh__Suspect *message)
 {
-  assert (message->base.descriptor == &mesh__suspect__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__suspect__pack (const Mesh__Suspect *message, uint8_t *out)
+size_t mesh__suspect__pack
+                     (const Mesh__Suspect *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__suspect__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__suspect__pack_to_buffer (const Mesh__Suspect *message,
-                               ProtobufCBuffer *buffer)
+size_t mesh__suspect__pack_to_buffer
+                     (const Mesh__Suspect *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__suspect__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Suspect *
-mesh__suspect__unpack (ProtobufCAllocator *allocator, size_t len,
-                       const uint8_t *data)
+       mesh__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Suspect *)protobuf_c_message_unpack (
-      &mesh__suspect__descriptor, allocator, len, data);
+  return (Mesh__Suspect *)
+     protobuf_c_message_unpack (&mesh__suspect__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__suspect__free_unpacked (Mesh__Suspect *message,
-                              ProtobufCAllocator *allocator)
+void   mesh__suspect__free_unpacked
+                     (Mesh__Suspect *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__suspect__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__members_ack__init (Mesh__MembersAck *message)
+void   mesh__members_ack__init
+                     (Mesh__MembersAck         *message)
 {
   static const Mesh__MembersAck init_value = MESH__MEMBERS_ACK__INIT;
   *message = init_value;
 }
-size_t
-mesh__members_ack__get_packed_size (const Mesh__MembersAck *message)
+size_t mesh__members_ack__get_packed_size
+                     (const Mesh__MembersAck *message)
 {
-  assert (message->base.descriptor == &mesh__members_ack__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__members_ack__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__members_ack__pack (const Mesh__MembersAck *message, uint8_t *out)
+size_t mesh__members_ack__pack
+                     (const Mesh__MembersAck *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__members_ack__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__members_ack__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__members_ack__pack_to_buffer (const Mesh__MembersAck *message,
-                                   ProtobufCBuffer *buffer)
+size_t mesh__members_ack__pack_to_buffer
+                     (const Mesh__MembersAck *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__members_ack__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__members_ack__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__MembersAck *
-mesh__members_ack__unpack (ProtobufCAllocator *allocator, size_t len,
-                           const uint8_t *data)
+       mesh__members_ack__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__MembersAck *)protobuf_c_message_unpack (
-      &mesh__members_ack__descriptor, allocator, len, data);
+  return (Mesh__MembersAck *)
+     protobuf_c_message_unpack (&mesh__members_ack__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__members_ack__free_unpacked (Mesh__MembersAck *message,
-                                  ProtobufCAllocator *allocator)
+void   mesh__members_ack__free_unpacked
+                     (Mesh__MembersAck *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__members_ack__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
+  assert(message->base.descriptor == &mesh__members_ack__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void
-mesh__frame__init (Mesh__Frame *message)
+void   mesh__frame__init
+                     (Mesh__Frame         *message)
 {
   static const Mesh__Frame init_value = MESH__FRAME__INIT;
   *message = init_value;
 }
-size_t
-mesh__frame__get_packed_size (const Mesh__Frame *message)
+size_t mesh__frame__get_packed_size
+                     (const Mesh__Frame *message)
 {
-  assert (message->base.descriptor == &mesh__frame__descriptor);
-  return protobuf_c_message_get_packed_size (
-      (const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &mesh__frame__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t
-mesh__frame__pack (const Mesh__Frame *message, uint8_t *out)
+size_t mesh__frame__pack
+                     (const Mesh__Frame *message,
+                      uint8_t       *out)
 {
-  assert (message->base.descriptor == &mesh__frame__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &mesh__frame__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t
-mesh__frame__pack_to_buffer (const Mesh__Frame *message,
-                             ProtobufCBuffer *buffer)
+size_t mesh__frame__pack_to_buffer
+                     (const Mesh__Frame *message,
+                      ProtobufCBuffer *buffer)
 {
-  assert (message->base.descriptor == &mesh__frame__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage *)message,
-                                            buffer);
+  assert(message->base.descriptor == &mesh__frame__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
 Mesh__Frame *
-mesh__frame__unpack (ProtobufCAllocator *allocator, size_t len,
-                     const uint8_t *data)
+       mesh__frame__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  return (Mesh__Frame *)protobuf_c_message_unpack (&mesh__frame__descriptor,
-                                                   allocator, len, data);
+  return (Mesh__Frame *)
+     protobuf_c_message_unpack (&mesh__frame__descriptor,
+                                allocator, len, data);
 }
-void
-mesh__frame__free_unpacked (Mesh__Frame *message,
-                            ProtobufCAllocator *allocator)
+void   mesh__frame__free_unpacked
+                     (Mesh__Frame *message,
+                      ProtobufCAllocator *allocator)
 {
-  if (!message)
+  if(!message)
     return;
-  assert (message->base.descriptor == &mesh__frame__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage *)message, allocator);
-}
-static const ProtobufCFieldDescriptor mesh__stamp__field_descriptors[2] = {
-  {
-      "version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0,                                              /* quantifier_offset */
-      offsetof (Mesh__Stamp, version), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "hash", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-      0,                                           /* quantifier_offset */
-      offsetof (Mesh__Stamp, hash), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+  assert(message->base.descriptor == &mesh__frame__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor mesh__stamp__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Stamp, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hash",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Stamp, hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__stamp__field_indices_by_name[] = {
-  1, /* field[1] = hash */
-  0, /* field[0] = version */
+  1,   /* field[1] = hash */
+  0,   /* field[0] = version */
 };
-static const ProtobufCIntRange mesh__stamp__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor mesh__stamp__descriptor = {
+static const ProtobufCIntRange mesh__stamp__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mesh__stamp__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Stamp",
   "Stamp",
   "Mesh__Stamp",
   "mesh",
-  sizeof (Mesh__Stamp),
+  sizeof(Mesh__Stamp),
   2,
   mesh__stamp__field_descriptors,
   mesh__stamp__field_indices_by_name,
-  1,
-  mesh__stamp__number_ranges,
-  (ProtobufCMessageInit)mesh__stamp__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__stamp__number_ranges,
+  (ProtobufCMessageInit) mesh__stamp__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__member__field_descriptors[15] = {
-  {
-      "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Member, name), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Member, incarnation), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "sequence", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0,                                                /* quantifier_offset */
-      offsetof (Mesh__Member, sequence), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "state", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                             /* quantifier_offset */
-      offsetof (Mesh__Member, state), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "ip", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-      0,                                          /* quantifier_offset */
-      offsetof (Mesh__Member, ip), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "port", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                            /* quantifier_offset */
-      offsetof (Mesh__Member, port), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "data_centre", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Member, data_centre), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "region", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Member, region), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "service", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Member, service), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "upstream", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Member, upstream), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "slots", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                             /* quantifier_offset */
-      offsetof (Mesh__Member, slots), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "upstream_born", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Member, upstream_born), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "upstream_leaving", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Member, upstream_leaving), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "platform_distance", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Member, platform_distance), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "capacity", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                                /* quantifier_offset */
-      offsetof (Mesh__Member, capacity), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__member__field_descriptors[15] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ip",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream_born",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, upstream_born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream_leaving",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, upstream_leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "platform_distance",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, platform_distance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__member__field_indices_by_name[] = {
-  14, /* field[14] = capacity */
-  6,  /* field[6] = data_centre */
-  1,  /* field[1] = incarnation */
-  4,  /* field[4] = ip */
-  0,  /* field[0] = name */
-  13, /* field[13] = platform_distance */
-  5,  /* field[5] = port */
-  7,  /* field[7] = region */
-  2,  /* field[2] = sequence */
-  8,  /* field[8] = service */
-  10, /* field[10] = slots */
-  3,  /* field[3] = state */
-  9,  /* field[9] = upstream */
-  11, /* field[11] = upstream_born */
-  12, /* field[12] = upstream_leaving */
-};
-static const ProtobufCIntRange mesh__member__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 15 } };
-const ProtobufCMessageDescriptor mesh__member__descriptor = {
+  14,   /* field[14] = capacity */
+  6,   /* field[6] = data_centre */
+  1,   /* field[1] = incarnation */
+  4,   /* field[4] = ip */
+  0,   /* field[0] = name */
+  13,   /* field[13] = platform_distance */
+  5,   /* field[5] = port */
+  7,   /* field[7] = region */
+  2,   /* field[2] = sequence */
+  8,   /* field[8] = service */
+  10,   /* field[10] = slots */
+  3,   /* field[3] = state */
+  9,   /* field[9] = upstream */
+  11,   /* field[11] = upstream_born */
+  12,   /* field[12] = upstream_leaving */
+};
+static const ProtobufCIntRange mesh__member__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 15 }
+};
+const ProtobufCMessageDescriptor mesh__member__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Member",
   "Member",
   "Mesh__Member",
   "mesh",
-  sizeof (Mesh__Member),
+  sizeof(Mesh__Member),
   15,
   mesh__member__field_descriptors,
   mesh__member__field_indices_by_name,
-  1,
-  mesh__member__number_ranges,
-  (ProtobufCMessageInit)mesh__member__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__member__number_ranges,
+  (ProtobufCMessageInit) mesh__member__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__probe__field_descriptors[1] = {
+static const ProtobufCFieldDescriptor mesh__probe__field_descriptors[1] =
+{
   {
-      "nonce", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                            /* quantifier_offset */
-      offsetof (Mesh__Probe, nonce), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "nonce",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Probe, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__probe__field_indices_by_name[] = {
-  0, /* field[0] = nonce */
+  0,   /* field[0] = nonce */
 };
-static const ProtobufCIntRange mesh__probe__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 1 } };
-const ProtobufCMessageDescriptor mesh__probe__descriptor = {
+static const ProtobufCIntRange mesh__probe__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor mesh__probe__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Probe",
   "Probe",
   "Mesh__Probe",
   "mesh",
-  sizeof (Mesh__Probe),
+  sizeof(Mesh__Probe),
   1,
   mesh__probe__field_descriptors,
   mesh__probe__field_indices_by_name,
-  1,
-  mesh__probe__number_ranges,
-  (ProtobufCMessageInit)mesh__probe__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor mesh__probe_request__field_descriptors[2]
-    = {
-        {
-            "nonce", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Mesh__ProbeRequest, nonce), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "target", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (Mesh__ProbeRequest, target), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-      };
+  1,  mesh__probe__number_ranges,
+  (ProtobufCMessageInit) mesh__probe__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__probe_request__field_descriptors[2] =
+{
+  {
+    "nonce",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__ProbeRequest, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__ProbeRequest, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned mesh__probe_request__field_indices_by_name[] = {
-  0, /* field[0] = nonce */
-  1, /* field[1] = target */
+  0,   /* field[0] = nonce */
+  1,   /* field[1] = target */
 };
-static const ProtobufCIntRange mesh__probe_request__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor mesh__probe_request__descriptor = {
+static const ProtobufCIntRange mesh__probe_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mesh__probe_request__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.ProbeRequest",
   "ProbeRequest",
   "Mesh__ProbeRequest",
   "mesh",
-  sizeof (Mesh__ProbeRequest),
+  sizeof(Mesh__ProbeRequest),
   2,
   mesh__probe_request__field_descriptors,
   mesh__probe_request__field_indices_by_name,
-  1,
-  mesh__probe_request__number_ranges,
-  (ProtobufCMessageInit)mesh__probe_request__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__probe_request__number_ranges,
+  (ProtobufCMessageInit) mesh__probe_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__probe_ack__field_descriptors[3] = {
-  {
-      "nonce", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                               /* quantifier_offset */
-      offsetof (Mesh__ProbeAck, nonce), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "subject", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__ProbeAck, subject), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "digest", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-      0,                                                /* quantifier_offset */
-      offsetof (Mesh__ProbeAck, digest), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__probe_ack__field_descriptors[3] =
+{
+  {
+    "nonce",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__ProbeAck, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "subject",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__ProbeAck, subject),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__ProbeAck, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__probe_ack__field_indices_by_name[] = {
-  2, /* field[2] = digest */
-  0, /* field[0] = nonce */
-  1, /* field[1] = subject */
+  2,   /* field[2] = digest */
+  0,   /* field[0] = nonce */
+  1,   /* field[1] = subject */
 };
-static const ProtobufCIntRange mesh__probe_ack__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor mesh__probe_ack__descriptor = {
+static const ProtobufCIntRange mesh__probe_ack__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mesh__probe_ack__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.ProbeAck",
   "ProbeAck",
   "Mesh__ProbeAck",
   "mesh",
-  sizeof (Mesh__ProbeAck),
+  sizeof(Mesh__ProbeAck),
   3,
   mesh__probe_ack__field_descriptors,
   mesh__probe_ack__field_indices_by_name,
-  1,
-  mesh__probe_ack__number_ranges,
-  (ProtobufCMessageInit)mesh__probe_ack__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor mesh__announcement__field_descriptors[5]
-    = {
-        {
-            "base_stamp", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof (Mesh__Announcement, base_stamp),
-            &mesh__stamp__descriptor, NULL, 0, /* flags */
-            0, NULL, NULL                      /* reserved1,reserved2, etc */
-        },
-        {
-            "result", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof (Mesh__Announcement, result), &mesh__stamp__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "delta", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-            0, /* quantifier_offset */
-            offsetof (Mesh__Announcement, delta), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "root", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-            0, /* quantifier_offset */
-            offsetof (Mesh__Announcement, root), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "acknowledge", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof (Mesh__Announcement, acknowledge), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  mesh__probe_ack__number_ranges,
+  (ProtobufCMessageInit) mesh__probe_ack__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__announcement__field_descriptors[5] =
+{
+  {
+    "base_stamp",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Announcement, base_stamp),
+    &mesh__stamp__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Announcement, result),
+    &mesh__stamp__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "delta",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Announcement, delta),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "root",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Announcement, root),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "acknowledge",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Announcement, acknowledge),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned mesh__announcement__field_indices_by_name[] = {
-  4, /* field[4] = acknowledge */
-  0, /* field[0] = base_stamp */
-  2, /* field[2] = delta */
-  1, /* field[1] = result */
-  3, /* field[3] = root */
-};
-static const ProtobufCIntRange mesh__announcement__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 5 } };
-const ProtobufCMessageDescriptor mesh__announcement__descriptor = {
+  4,   /* field[4] = acknowledge */
+  0,   /* field[0] = base_stamp */
+  2,   /* field[2] = delta */
+  1,   /* field[1] = result */
+  3,   /* field[3] = root */
+};
+static const ProtobufCIntRange mesh__announcement__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mesh__announcement__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Announcement",
   "Announcement",
   "Mesh__Announcement",
   "mesh",
-  sizeof (Mesh__Announcement),
+  sizeof(Mesh__Announcement),
   5,
   mesh__announcement__field_descriptors,
   mesh__announcement__field_indices_by_name,
-  1,
-  mesh__announcement__number_ranges,
-  (ProtobufCMessageInit)mesh__announcement__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__announcement__number_ranges,
+  (ProtobufCMessageInit) mesh__announcement__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__applied__field_descriptors[3] = {
-  {
-      "held", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Applied, held), &mesh__stamp__descriptor, NULL,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "rejected", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Applied, rejected), &mesh__stamp__descriptor, NULL,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "reason", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Applied, reason), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__applied__field_descriptors[3] =
+{
+  {
+    "held",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Applied, held),
+    &mesh__stamp__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rejected",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Applied, rejected),
+    &mesh__stamp__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Applied, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__applied__field_indices_by_name[] = {
-  0, /* field[0] = held */
-  2, /* field[2] = reason */
-  1, /* field[1] = rejected */
+  0,   /* field[0] = held */
+  2,   /* field[2] = reason */
+  1,   /* field[1] = rejected */
 };
-static const ProtobufCIntRange mesh__applied__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor mesh__applied__descriptor = {
+static const ProtobufCIntRange mesh__applied__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mesh__applied__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Applied",
   "Applied",
   "Mesh__Applied",
   "mesh",
-  sizeof (Mesh__Applied),
+  sizeof(Mesh__Applied),
   3,
   mesh__applied__field_descriptors,
   mesh__applied__field_indices_by_name,
-  1,
-  mesh__applied__number_ranges,
-  (ProtobufCMessageInit)mesh__applied__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__applied__number_ranges,
+  (ProtobufCMessageInit) mesh__applied__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__datagram__field_descriptors[12] = {
-  {
-      "protocol", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Datagram, protocol), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "mesh", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-      0,                                              /* quantifier_offset */
-      offsetof (Mesh__Datagram, mesh), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "from", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Datagram, from), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "incarnation", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Datagram, incarnation), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "held", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Datagram, held), &mesh__stamp__descriptor, NULL,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "updates", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Datagram, n_updates), offsetof (Mesh__Datagram, updates),
-      &mesh__member__descriptor, NULL, 0, /* flags */
-      0, NULL, NULL                       /* reserved1,reserved2, etc */
-  },
-  {
-      "effective", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Datagram, effective), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "probe", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Datagram, body_case), offsetof (Mesh__Datagram, probe),
-      &mesh__probe__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "probe_request", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Datagram, body_case),
-      offsetof (Mesh__Datagram, probe_request),
-      &mesh__probe_request__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "probe_ack", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Datagram, body_case),
-      offsetof (Mesh__Datagram, probe_ack), &mesh__probe_ack__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "announcement", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Datagram, body_case),
-      offsetof (Mesh__Datagram, announcement), &mesh__announcement__descriptor,
-      NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                          /* reserved1,reserved2, etc */
-  },
-  {
-      "applied", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Datagram, body_case), offsetof (Mesh__Datagram, applied),
-      &mesh__applied__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__datagram__field_descriptors[12] =
+{
+  {
+    "protocol",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Datagram, protocol),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mesh",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Datagram, mesh),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Datagram, from),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Datagram, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Datagram, held),
+    &mesh__stamp__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "updates",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Datagram, n_updates),
+    offsetof(Mesh__Datagram, updates),
+    &mesh__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "effective",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Datagram, effective),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "probe",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Datagram, body_case),
+    offsetof(Mesh__Datagram, probe),
+    &mesh__probe__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "probe_request",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Datagram, body_case),
+    offsetof(Mesh__Datagram, probe_request),
+    &mesh__probe_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "probe_ack",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Datagram, body_case),
+    offsetof(Mesh__Datagram, probe_ack),
+    &mesh__probe_ack__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "announcement",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Datagram, body_case),
+    offsetof(Mesh__Datagram, announcement),
+    &mesh__announcement__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "applied",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Datagram, body_case),
+    offsetof(Mesh__Datagram, applied),
+    &mesh__applied__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__datagram__field_indices_by_name[] = {
-  10, /* field[10] = announcement */
-  11, /* field[11] = applied */
-  6,  /* field[6] = effective */
-  2,  /* field[2] = from */
-  4,  /* field[4] = held */
-  3,  /* field[3] = incarnation */
-  1,  /* field[1] = mesh */
-  7,  /* field[7] = probe */
-  9,  /* field[9] = probe_ack */
-  8,  /* field[8] = probe_request */
-  0,  /* field[0] = protocol */
-  5,  /* field[5] = updates */
-};
-static const ProtobufCIntRange mesh__datagram__number_ranges[2 + 1]
-    = { { 1, 0 }, { 10, 7 }, { 0, 12 } };
-const ProtobufCMessageDescriptor mesh__datagram__descriptor = {
+  10,   /* field[10] = announcement */
+  11,   /* field[11] = applied */
+  6,   /* field[6] = effective */
+  2,   /* field[2] = from */
+  4,   /* field[4] = held */
+  3,   /* field[3] = incarnation */
+  1,   /* field[1] = mesh */
+  7,   /* field[7] = probe */
+  9,   /* field[9] = probe_ack */
+  8,   /* field[8] = probe_request */
+  0,   /* field[0] = protocol */
+  5,   /* field[5] = updates */
+};
+static const ProtobufCIntRange mesh__datagram__number_ranges[2 + 1] =
+{
+  { 1, 0 },
+  { 10, 7 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor mesh__datagram__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Datagram",
   "Datagram",
   "Mesh__Datagram",
   "mesh",
-  sizeof (Mesh__Datagram),
+  sizeof(Mesh__Datagram),
   12,
   mesh__datagram__field_descriptors,
   mesh__datagram__field_indices_by_name,
-  2,
-  mesh__datagram__number_ranges,
-  (ProtobufCMessageInit)mesh__datagram__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  2,  mesh__datagram__number_ranges,
+  (ProtobufCMessageInit) mesh__datagram__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__hello__field_descriptors[6] = {
-  {
-      "protocol", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                               /* quantifier_offset */
-      offsetof (Mesh__Hello, protocol), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "mesh", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-      0,                                           /* quantifier_offset */
-      offsetof (Mesh__Hello, mesh), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "from", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Hello, from), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "incarnation", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Hello, incarnation), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "member", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Hello, member), &mesh__member__descriptor, NULL,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "to", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Hello, to), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__hello__field_descriptors[6] =
+{
+  {
+    "protocol",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Hello, protocol),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mesh",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Hello, mesh),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Hello, from),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Hello, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Hello, member),
+    &mesh__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Hello, to),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__hello__field_indices_by_name[] = {
-  2, /* field[2] = from */
-  3, /* field[3] = incarnation */
-  4, /* field[4] = member */
-  1, /* field[1] = mesh */
-  0, /* field[0] = protocol */
-  5, /* field[5] = to */
-};
-static const ProtobufCIntRange mesh__hello__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 6 } };
-const ProtobufCMessageDescriptor mesh__hello__descriptor = {
+  2,   /* field[2] = from */
+  3,   /* field[3] = incarnation */
+  4,   /* field[4] = member */
+  1,   /* field[1] = mesh */
+  0,   /* field[0] = protocol */
+  5,   /* field[5] = to */
+};
+static const ProtobufCIntRange mesh__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor mesh__hello__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Hello",
   "Hello",
   "Mesh__Hello",
   "mesh",
-  sizeof (Mesh__Hello),
+  sizeof(Mesh__Hello),
   6,
   mesh__hello__field_descriptors,
   mesh__hello__field_indices_by_name,
-  1,
-  mesh__hello__number_ranges,
-  (ProtobufCMessageInit)mesh__hello__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__hello__number_ranges,
+  (ProtobufCMessageInit) mesh__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__refusal__field_descriptors[2] = {
-  {
-      "protocol", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Refusal, protocol), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "reason", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Refusal, reason), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__refusal__field_descriptors[2] =
+{
+  {
+    "protocol",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Refusal, protocol),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Refusal, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__refusal__field_indices_by_name[] = {
-  0, /* field[0] = protocol */
-  1, /* field[1] = reason */
+  0,   /* field[0] = protocol */
+  1,   /* field[1] = reason */
+};
+static const ProtobufCIntRange mesh__refusal__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-static const ProtobufCIntRange mesh__refusal__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor mesh__refusal__descriptor = {
+const ProtobufCMessageDescriptor mesh__refusal__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Refusal",
   "Refusal",
   "Mesh__Refusal",
   "mesh",
-  sizeof (Mesh__Refusal),
+  sizeof(Mesh__Refusal),
   2,
   mesh__refusal__field_descriptors,
   mesh__refusal__field_indices_by_name,
-  1,
-  mesh__refusal__number_ranges,
-  (ProtobufCMessageInit)mesh__refusal__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__refusal__number_ranges,
+  (ProtobufCMessageInit) mesh__refusal__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__call_id__field_descriptors[2] = {
-  {
-      "origin", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-      0,                                              /* quantifier_offset */
-      offsetof (Mesh__CallId, origin), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "number", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0,                                              /* quantifier_offset */
-      offsetof (Mesh__CallId, number), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__call_id__field_descriptors[2] =
+{
+  {
+    "origin",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__CallId, origin),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__CallId, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__call_id__field_indices_by_name[] = {
-  1, /* field[1] = number */
-  0, /* field[0] = origin */
+  1,   /* field[1] = number */
+  0,   /* field[0] = origin */
+};
+static const ProtobufCIntRange mesh__call_id__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-static const ProtobufCIntRange mesh__call_id__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor mesh__call_id__descriptor = {
+const ProtobufCMessageDescriptor mesh__call_id__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.CallId",
   "CallId",
   "Mesh__CallId",
   "mesh",
-  sizeof (Mesh__CallId),
+  sizeof(Mesh__CallId),
   2,
   mesh__call_id__field_descriptors,
   mesh__call_id__field_indices_by_name,
-  1,
-  mesh__call_id__number_ranges,
-  (ProtobufCMessageInit)mesh__call_id__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__call_id__number_ranges,
+  (ProtobufCMessageInit) mesh__call_id__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__header__field_descriptors[2] = {
-  {
-      "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Header, name), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "value", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Header, value), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__header__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Header, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Header, value),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__header__field_indices_by_name[] = {
-  0, /* field[0] = name */
-  1, /* field[1] = value */
+  0,   /* field[0] = name */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange mesh__header__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-static const ProtobufCIntRange mesh__header__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor mesh__header__descriptor = {
+const ProtobufCMessageDescriptor mesh__header__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Header",
   "Header",
   "Mesh__Header",
   "mesh",
-  sizeof (Mesh__Header),
+  sizeof(Mesh__Header),
   2,
   mesh__header__field_descriptors,
   mesh__header__field_indices_by_name,
-  1,
-  mesh__header__number_ranges,
-  (ProtobufCMessageInit)mesh__header__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__header__number_ranges,
+  (ProtobufCMessageInit) mesh__header__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__call__field_descriptors[23] = {
-  {
-      "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Call, id), &mesh__call_id__descriptor, NULL,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "method", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Call, method), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "target", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Call, target), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "headers", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Call, n_headers), offsetof (Mesh__Call, headers),
-      &mesh__header__descriptor, NULL, 0, /* flags */
-      0, NULL, NULL                       /* reserved1,reserved2, etc */
-  },
-  {
-      "remaining_us", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Call, remaining_us), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "depth", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                           /* quantifier_offset */
-      offsetof (Mesh__Call, depth), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "retries_left", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Call, retries_left), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "call_class", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                                /* quantifier_offset */
-      offsetof (Mesh__Call, call_class), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "tenant", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Call, tenant), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "order_key", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Call, order_key), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "body", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-      0,                                          /* quantifier_offset */
-      offsetof (Mesh__Call, body), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "more", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-      0,                                          /* quantifier_offset */
-      offsetof (Mesh__Call, more), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "config_version", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Call, config_version), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "service", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Call, service), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "order_keys", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                                /* quantifier_offset */
-      offsetof (Mesh__Call, order_keys), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "gate_incarnation", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Call, gate_incarnation), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "parent", 17, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Call, parent), &mesh__call_id__descriptor, NULL,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "priority", 18, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                              /* quantifier_offset */
-      offsetof (Mesh__Call, priority), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "target_us", 19, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                               /* quantifier_offset */
-      offsetof (Mesh__Call, target_us), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "repeat", 20, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-      0,                                            /* quantifier_offset */
-      offsetof (Mesh__Call, repeat), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "upstream", 21, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Call, upstream), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "max_wait_us", 22, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Call, max_wait_us), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "route", 23, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED32,
-      0,                                           /* quantifier_offset */
-      offsetof (Mesh__Call, route), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__call__field_descriptors[23] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, id),
+    &mesh__call_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "method",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, method),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "headers",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Call, n_headers),
+    offsetof(Mesh__Call, headers),
+    &mesh__header__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remaining_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, remaining_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "depth",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, depth),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retries_left",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, retries_left),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call_class",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, call_class),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tenant",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, tenant),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order_key",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, order_key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "more",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, more),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order_keys",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, order_keys),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gate_incarnation",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, gate_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parent",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, parent),
+    &mesh__call_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_us",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, target_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeat",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, repeat),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, upstream),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_wait_us",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, max_wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, route),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__call__field_indices_by_name[] = {
-  10, /* field[10] = body */
-  7,  /* field[7] = call_class */
-  12, /* field[12] = config_version */
-  5,  /* field[5] = depth */
-  15, /* field[15] = gate_incarnation */
-  3,  /* field[3] = headers */
-  0,  /* field[0] = id */
-  21, /* field[21] = max_wait_us */
-  1,  /* field[1] = method */
-  11, /* field[11] = more */
-  9,  /* field[9] = order_key */
-  14, /* field[14] = order_keys */
-  16, /* field[16] = parent */
-  17, /* field[17] = priority */
-  4,  /* field[4] = remaining_us */
-  19, /* field[19] = repeat */
-  6,  /* field[6] = retries_left */
-  22, /* field[22] = route */
-  13, /* field[13] = service */
-  2,  /* field[2] = target */
-  18, /* field[18] = target_us */
-  8,  /* field[8] = tenant */
-  20, /* field[20] = upstream */
-};
-static const ProtobufCIntRange mesh__call__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 23 } };
-const ProtobufCMessageDescriptor mesh__call__descriptor = {
+  10,   /* field[10] = body */
+  7,   /* field[7] = call_class */
+  12,   /* field[12] = config_version */
+  5,   /* field[5] = depth */
+  15,   /* field[15] = gate_incarnation */
+  3,   /* field[3] = headers */
+  0,   /* field[0] = id */
+  21,   /* field[21] = max_wait_us */
+  1,   /* field[1] = method */
+  11,   /* field[11] = more */
+  9,   /* field[9] = order_key */
+  14,   /* field[14] = order_keys */
+  16,   /* field[16] = parent */
+  17,   /* field[17] = priority */
+  4,   /* field[4] = remaining_us */
+  19,   /* field[19] = repeat */
+  6,   /* field[6] = retries_left */
+  22,   /* field[22] = route */
+  13,   /* field[13] = service */
+  2,   /* field[2] = target */
+  18,   /* field[18] = target_us */
+  8,   /* field[8] = tenant */
+  20,   /* field[20] = upstream */
+};
+static const ProtobufCIntRange mesh__call__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 23 }
+};
+const ProtobufCMessageDescriptor mesh__call__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Call",
   "Call",
   "Mesh__Call",
   "mesh",
-  sizeof (Mesh__Call),
+  sizeof(Mesh__Call),
   23,
   mesh__call__field_descriptors,
   mesh__call__field_indices_by_name,
-  1,
-  mesh__call__number_ranges,
-  (ProtobufCMessageInit)mesh__call__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__call__number_ranges,
+  (ProtobufCMessageInit) mesh__call__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__load__field_descriptors[7] = {
-  {
-      "running", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                             /* quantifier_offset */
-      offsetof (Mesh__Load, running), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "waiting", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                             /* quantifier_offset */
-      offsetof (Mesh__Load, waiting), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "slots", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                           /* quantifier_offset */
-      offsetof (Mesh__Load, slots), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "slot_us", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                             /* quantifier_offset */
-      offsetof (Mesh__Load, slot_us), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "service_us", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                                /* quantifier_offset */
-      offsetof (Mesh__Load, service_us), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "wait_us", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                             /* quantifier_offset */
-      offsetof (Mesh__Load, wait_us), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "failed_permille", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Load, failed_permille), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__load__field_descriptors[7] =
+{
+  {
+    "running",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Load, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Load, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Load, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Load, slot_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Load, service_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Load, wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed_permille",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Load, failed_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__load__field_indices_by_name[] = {
-  6, /* field[6] = failed_permille */
-  0, /* field[0] = running */
-  4, /* field[4] = service_us */
-  3, /* field[3] = slot_us */
-  2, /* field[2] = slots */
-  5, /* field[5] = wait_us */
-  1, /* field[1] = waiting */
-};
-static const ProtobufCIntRange mesh__load__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 7 } };
-const ProtobufCMessageDescriptor mesh__load__descriptor = {
+  6,   /* field[6] = failed_permille */
+  0,   /* field[0] = running */
+  4,   /* field[4] = service_us */
+  3,   /* field[3] = slot_us */
+  2,   /* field[2] = slots */
+  5,   /* field[5] = wait_us */
+  1,   /* field[1] = waiting */
+};
+static const ProtobufCIntRange mesh__load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor mesh__load__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Load",
   "Load",
   "Mesh__Load",
   "mesh",
-  sizeof (Mesh__Load),
+  sizeof(Mesh__Load),
   7,
   mesh__load__field_descriptors,
   mesh__load__field_indices_by_name,
-  1,
-  mesh__load__number_ranges,
-  (ProtobufCMessageInit)mesh__load__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__load__number_ranges,
+  (ProtobufCMessageInit) mesh__load__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__body_part__field_descriptors[3] = {
-  {
-      "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      0, /* quantifier_offset */
-      offsetof (Mesh__BodyPart, id), &mesh__call_id__descriptor, NULL,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "data", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-      0,                                              /* quantifier_offset */
-      offsetof (Mesh__BodyPart, data), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "more", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-      0,                                              /* quantifier_offset */
-      offsetof (Mesh__BodyPart, more), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__body_part__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__BodyPart, id),
+    &mesh__call_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__BodyPart, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "more",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__BodyPart, more),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__body_part__field_indices_by_name[] = {
-  1, /* field[1] = data */
-  0, /* field[0] = id */
-  2, /* field[2] = more */
+  1,   /* field[1] = data */
+  0,   /* field[0] = id */
+  2,   /* field[2] = more */
+};
+static const ProtobufCIntRange mesh__body_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
 };
-static const ProtobufCIntRange mesh__body_part__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor mesh__body_part__descriptor = {
+const ProtobufCMessageDescriptor mesh__body_part__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.BodyPart",
   "BodyPart",
   "Mesh__BodyPart",
   "mesh",
-  sizeof (Mesh__BodyPart),
+  sizeof(Mesh__BodyPart),
   3,
   mesh__body_part__field_descriptors,
   mesh__body_part__field_indices_by_name,
-  1,
-  mesh__body_part__number_ranges,
-  (ProtobufCMessageInit)mesh__body_part__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__body_part__number_ranges,
+  (ProtobufCMessageInit) mesh__body_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__answer__field_descriptors[11] = {
-  {
-      "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Answer, id), &mesh__call_id__descriptor, NULL,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "outcome", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                               /* quantifier_offset */
-      offsetof (Mesh__Answer, outcome), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "status", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                              /* quantifier_offset */
-      offsetof (Mesh__Answer, status), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "headers", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Answer, n_headers), offsetof (Mesh__Answer, headers),
-      &mesh__header__descriptor, NULL, 0, /* flags */
-      0, NULL, NULL                       /* reserved1,reserved2, etc */
-  },
-  {
-      "body", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-      0,                                            /* quantifier_offset */
-      offsetof (Mesh__Answer, body), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "more", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-      0,                                            /* quantifier_offset */
-      offsetof (Mesh__Answer, more), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "reason", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Answer, reason), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "retries_spent", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Answer, retries_spent), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "load", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Answer, load), &mesh__load__descriptor, NULL,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "refusal", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                               /* quantifier_offset */
-      offsetof (Mesh__Answer, refusal), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "config_version", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Answer, config_version), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__answer__field_descriptors[11] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Answer, id),
+    &mesh__call_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Answer, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Answer, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "headers",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Answer, n_headers),
+    offsetof(Mesh__Answer, headers),
+    &mesh__header__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Answer, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "more",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Answer, more),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Answer, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retries_spent",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Answer, retries_spent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Answer, load),
+    &mesh__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refusal",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Answer, refusal),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Answer, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__answer__field_indices_by_name[] = {
-  4,  /* field[4] = body */
-  10, /* field[10] = config_version */
-  3,  /* field[3] = headers */
-  0,  /* field[0] = id */
-  8,  /* field[8] = load */
-  5,  /* field[5] = more */
-  1,  /* field[1] = outcome */
-  6,  /* field[6] = reason */
-  9,  /* field[9] = refusal */
-  7,  /* field[7] = retries_spent */
-  2,  /* field[2] = status */
-};
-static const ProtobufCIntRange mesh__answer__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 11 } };
-const ProtobufCMessageDescriptor mesh__answer__descriptor = {
+  4,   /* field[4] = body */
+  10,   /* field[10] = config_version */
+  3,   /* field[3] = headers */
+  0,   /* field[0] = id */
+  8,   /* field[8] = load */
+  5,   /* field[5] = more */
+  1,   /* field[1] = outcome */
+  6,   /* field[6] = reason */
+  9,   /* field[9] = refusal */
+  7,   /* field[7] = retries_spent */
+  2,   /* field[2] = status */
+};
+static const ProtobufCIntRange mesh__answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor mesh__answer__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Answer",
   "Answer",
   "Mesh__Answer",
   "mesh",
-  sizeof (Mesh__Answer),
+  sizeof(Mesh__Answer),
   11,
   mesh__answer__field_descriptors,
   mesh__answer__field_indices_by_name,
-  1,
-  mesh__answer__number_ranges,
-  (ProtobufCMessageInit)mesh__answer__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__answer__number_ranges,
+  (ProtobufCMessageInit) mesh__answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__cancel__field_descriptors[1] = {
+static const ProtobufCFieldDescriptor mesh__cancel__field_descriptors[1] =
+{
   {
-      "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Cancel, id), &mesh__call_id__descriptor, NULL,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Cancel, id),
+    &mesh__call_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__cancel__field_indices_by_name[] = {
-  0, /* field[0] = id */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange mesh__cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
 };
-static const ProtobufCIntRange mesh__cancel__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 1 } };
-const ProtobufCMessageDescriptor mesh__cancel__descriptor = {
+const ProtobufCMessageDescriptor mesh__cancel__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Cancel",
   "Cancel",
   "Mesh__Cancel",
   "mesh",
-  sizeof (Mesh__Cancel),
+  sizeof(Mesh__Cancel),
   1,
   mesh__cancel__field_descriptors,
   mesh__cancel__field_indices_by_name,
-  1,
-  mesh__cancel__number_ranges,
-  (ProtobufCMessageInit)mesh__cancel__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__cancel__number_ranges,
+  (ProtobufCMessageInit) mesh__cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__query__field_descriptors[2] = {
-  {
-      "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Query, id), &mesh__call_id__descriptor, NULL,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "gate_incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Query, gate_incarnation), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__query__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Query, id),
+    &mesh__call_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gate_incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Query, gate_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__query__field_indices_by_name[] = {
-  1, /* field[1] = gate_incarnation */
-  0, /* field[0] = id */
+  1,   /* field[1] = gate_incarnation */
+  0,   /* field[0] = id */
 };
-static const ProtobufCIntRange mesh__query__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor mesh__query__descriptor = {
+static const ProtobufCIntRange mesh__query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mesh__query__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Query",
   "Query",
   "Mesh__Query",
   "mesh",
-  sizeof (Mesh__Query),
+  sizeof(Mesh__Query),
   2,
   mesh__query__field_descriptors,
   mesh__query__field_indices_by_name,
-  1,
-  mesh__query__number_ranges,
-  (ProtobufCMessageInit)mesh__query__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor mesh__query_reply__field_descriptors[3]
-    = {
-        {
-            "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof (Mesh__QueryReply, id), &mesh__call_id__descriptor, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "state", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Mesh__QueryReply, state), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "answer", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof (Mesh__QueryReply, answer), &mesh__answer__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  mesh__query__number_ranges,
+  (ProtobufCMessageInit) mesh__query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__query_reply__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__QueryReply, id),
+    &mesh__call_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__QueryReply, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__QueryReply, answer),
+    &mesh__answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned mesh__query_reply__field_indices_by_name[] = {
-  2, /* field[2] = answer */
-  0, /* field[0] = id */
-  1, /* field[1] = state */
+  2,   /* field[2] = answer */
+  0,   /* field[0] = id */
+  1,   /* field[1] = state */
 };
-static const ProtobufCIntRange mesh__query_reply__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor mesh__query_reply__descriptor = {
+static const ProtobufCIntRange mesh__query_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mesh__query_reply__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.QueryReply",
   "QueryReply",
   "Mesh__QueryReply",
   "mesh",
-  sizeof (Mesh__QueryReply),
+  sizeof(Mesh__QueryReply),
   3,
   mesh__query_reply__field_descriptors,
   mesh__query_reply__field_indices_by_name,
-  1,
-  mesh__query_reply__number_ranges,
-  (ProtobufCMessageInit)mesh__query_reply__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor mesh__window_grant__field_descriptors[2]
-    = {
-        {
-            "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof (Mesh__WindowGrant, id), &mesh__call_id__descriptor, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "bytes", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Mesh__WindowGrant, bytes), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  mesh__query_reply__number_ranges,
+  (ProtobufCMessageInit) mesh__query_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__window_grant__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__WindowGrant, id),
+    &mesh__call_id__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__WindowGrant, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned mesh__window_grant__field_indices_by_name[] = {
-  1, /* field[1] = bytes */
-  0, /* field[0] = id */
+  1,   /* field[1] = bytes */
+  0,   /* field[0] = id */
 };
-static const ProtobufCIntRange mesh__window_grant__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor mesh__window_grant__descriptor = {
+static const ProtobufCIntRange mesh__window_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mesh__window_grant__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.WindowGrant",
   "WindowGrant",
   "Mesh__WindowGrant",
   "mesh",
-  sizeof (Mesh__WindowGrant),
+  sizeof(Mesh__WindowGrant),
   2,
   mesh__window_grant__field_descriptors,
   mesh__window_grant__field_indices_by_name,
-  1,
-  mesh__window_grant__number_ranges,
-  (ProtobufCMessageInit)mesh__window_grant__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor mesh__fetch_request__field_descriptors[4]
-    = {
-        {
-            "held", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof (Mesh__FetchRequest, held), &mesh__stamp__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "want_document", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof (Mesh__FetchRequest, want_document), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "want_members", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-            0, /* quantifier_offset */
-            offsetof (Mesh__FetchRequest, want_members), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "members", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Mesh__FetchRequest, n_members),
-            offsetof (Mesh__FetchRequest, members), &mesh__member__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  mesh__window_grant__number_ranges,
+  (ProtobufCMessageInit) mesh__window_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__fetch_request__field_descriptors[4] =
+{
+  {
+    "held",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__FetchRequest, held),
+    &mesh__stamp__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "want_document",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__FetchRequest, want_document),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "want_members",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__FetchRequest, want_members),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__FetchRequest, n_members),
+    offsetof(Mesh__FetchRequest, members),
+    &mesh__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned mesh__fetch_request__field_indices_by_name[] = {
-  0, /* field[0] = held */
-  3, /* field[3] = members */
-  1, /* field[1] = want_document */
-  2, /* field[2] = want_members */
-};
-static const ProtobufCIntRange mesh__fetch_request__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 4 } };
-const ProtobufCMessageDescriptor mesh__fetch_request__descriptor = {
+  0,   /* field[0] = held */
+  3,   /* field[3] = members */
+  1,   /* field[1] = want_document */
+  2,   /* field[2] = want_members */
+};
+static const ProtobufCIntRange mesh__fetch_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mesh__fetch_request__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.FetchRequest",
   "FetchRequest",
   "Mesh__FetchRequest",
   "mesh",
-  sizeof (Mesh__FetchRequest),
+  sizeof(Mesh__FetchRequest),
   4,
   mesh__fetch_request__field_descriptors,
   mesh__fetch_request__field_indices_by_name,
-  1,
-  mesh__fetch_request__number_ranges,
-  (ProtobufCMessageInit)mesh__fetch_request__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor mesh__route_share__field_descriptors[2]
-    = {
-        {
-            "service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Mesh__RouteShare, service), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "weight", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Mesh__RouteShare, weight), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  mesh__fetch_request__number_ranges,
+  (ProtobufCMessageInit) mesh__fetch_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__route_share__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__RouteShare, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__RouteShare, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned mesh__route_share__field_indices_by_name[] = {
-  0, /* field[0] = service */
-  1, /* field[1] = weight */
+  0,   /* field[0] = service */
+  1,   /* field[1] = weight */
+};
+static const ProtobufCIntRange mesh__route_share__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
 };
-static const ProtobufCIntRange mesh__route_share__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor mesh__route_share__descriptor = {
+const ProtobufCMessageDescriptor mesh__route_share__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.RouteShare",
   "RouteShare",
   "Mesh__RouteShare",
   "mesh",
-  sizeof (Mesh__RouteShare),
+  sizeof(Mesh__RouteShare),
   2,
   mesh__route_share__field_descriptors,
   mesh__route_share__field_indices_by_name,
-  1,
-  mesh__route_share__number_ranges,
-  (ProtobufCMessageInit)mesh__route_share__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__route_share__number_ranges,
+  (ProtobufCMessageInit) mesh__route_share__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__route__field_descriptors[10] = {
-  {
-      "host", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Route, host), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "path", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Route, path), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "methods", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                              /* quantifier_offset */
-      offsetof (Mesh__Route, methods), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "service", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                              /* quantifier_offset */
-      offsetof (Mesh__Route, service), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "call_class", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Route, call_class), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "deadline_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Route, deadline_ms), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "target_ms", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                                /* quantifier_offset */
-      offsetof (Mesh__Route, target_ms), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "max_attempts", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Route, max_attempts), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "priority", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                               /* quantifier_offset */
-      offsetof (Mesh__Route, priority), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "shares", 10, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Route, n_shares), offsetof (Mesh__Route, shares),
-      &mesh__route_share__descriptor, NULL, 0, /* flags */
-      0, NULL, NULL                            /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__route__field_descriptors[10] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Route, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Route, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "methods",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Route, methods),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Route, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call_class",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Route, call_class),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Route, deadline_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Route, target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_attempts",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Route, max_attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Route, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shares",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Route, n_shares),
+    offsetof(Mesh__Route, shares),
+    &mesh__route_share__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__route__field_indices_by_name[] = {
-  4, /* field[4] = call_class */
-  5, /* field[5] = deadline_ms */
-  0, /* field[0] = host */
-  7, /* field[7] = max_attempts */
-  2, /* field[2] = methods */
-  1, /* field[1] = path */
-  8, /* field[8] = priority */
-  3, /* field[3] = service */
-  9, /* field[9] = shares */
-  6, /* field[6] = target_ms */
-};
-static const ProtobufCIntRange mesh__route__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 10 } };
-const ProtobufCMessageDescriptor mesh__route__descriptor = {
+  4,   /* field[4] = call_class */
+  5,   /* field[5] = deadline_ms */
+  0,   /* field[0] = host */
+  7,   /* field[7] = max_attempts */
+  2,   /* field[2] = methods */
+  1,   /* field[1] = path */
+  8,   /* field[8] = priority */
+  3,   /* field[3] = service */
+  9,   /* field[9] = shares */
+  6,   /* field[6] = target_ms */
+};
+static const ProtobufCIntRange mesh__route__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor mesh__route__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Route",
   "Route",
   "Mesh__Route",
   "mesh",
-  sizeof (Mesh__Route),
+  sizeof(Mesh__Route),
   10,
   mesh__route__field_descriptors,
   mesh__route__field_indices_by_name,
-  1,
