-  mesh__route__number_ranges,
-  (ProtobufCMessageInit)mesh__route__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor
-    mesh__document_delta__field_descriptors[8]
-    = {
-        {
-            "services", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
-            offsetof (Mesh__DocumentDelta, n_services),
-            offsetof (Mesh__DocumentDelta, services), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-        {
-            "changed", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Mesh__DocumentDelta, n_changed),
-            offsetof (Mesh__DocumentDelta, changed), &mesh__route__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "removed", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Mesh__DocumentDelta, n_removed),
-            offsetof (Mesh__DocumentDelta, removed), &mesh__route__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "header_bytes", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Mesh__DocumentDelta, header_bytes), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "body_bytes", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-            0, /* quantifier_offset */
-            offsetof (Mesh__DocumentDelta, body_bytes), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "header_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Mesh__DocumentDelta, header_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "idle_ms", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Mesh__DocumentDelta, idle_ms), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "health_paths", 8, PROTOBUF_C_LABEL_REPEATED,
-            PROTOBUF_C_TYPE_STRING,
-            offsetof (Mesh__DocumentDelta, n_health_paths),
-            offsetof (Mesh__DocumentDelta, health_paths), NULL,
-            &protobuf_c_empty_string, 0, /* flags */
-            0, NULL, NULL                /* reserved1,reserved2, etc */
-        },
-      };
+  1,  mesh__route__number_ranges,
+  (ProtobufCMessageInit) mesh__route__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__document_delta__field_descriptors[8] =
+{
+  {
+    "services",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Mesh__DocumentDelta, n_services),
+    offsetof(Mesh__DocumentDelta, services),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changed",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__DocumentDelta, n_changed),
+    offsetof(Mesh__DocumentDelta, changed),
+    &mesh__route__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__DocumentDelta, n_removed),
+    offsetof(Mesh__DocumentDelta, removed),
+    &mesh__route__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "header_bytes",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__DocumentDelta, header_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body_bytes",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__DocumentDelta, body_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "header_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__DocumentDelta, header_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idle_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__DocumentDelta, idle_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "health_paths",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Mesh__DocumentDelta, n_health_paths),
+    offsetof(Mesh__DocumentDelta, health_paths),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned mesh__document_delta__field_indices_by_name[] = {
-  4, /* field[4] = body_bytes */
-  1, /* field[1] = changed */
-  3, /* field[3] = header_bytes */
-  5, /* field[5] = header_ms */
-  7, /* field[7] = health_paths */
-  6, /* field[6] = idle_ms */
-  2, /* field[2] = removed */
-  0, /* field[0] = services */
-};
-static const ProtobufCIntRange mesh__document_delta__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 8 } };
-const ProtobufCMessageDescriptor mesh__document_delta__descriptor = {
+  4,   /* field[4] = body_bytes */
+  1,   /* field[1] = changed */
+  3,   /* field[3] = header_bytes */
+  5,   /* field[5] = header_ms */
+  7,   /* field[7] = health_paths */
+  6,   /* field[6] = idle_ms */
+  2,   /* field[2] = removed */
+  0,   /* field[0] = services */
+};
+static const ProtobufCIntRange mesh__document_delta__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor mesh__document_delta__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.DocumentDelta",
   "DocumentDelta",
   "Mesh__DocumentDelta",
   "mesh",
-  sizeof (Mesh__DocumentDelta),
+  sizeof(Mesh__DocumentDelta),
   8,
   mesh__document_delta__field_descriptors,
   mesh__document_delta__field_indices_by_name,
-  1,
-  mesh__document_delta__number_ranges,
-  (ProtobufCMessageInit)mesh__document_delta__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor mesh__fetch_reply__field_descriptors[5]
-    = {
-        {
-            "base_stamp", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof (Mesh__FetchReply, base_stamp), &mesh__stamp__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "result", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-            0, /* quantifier_offset */
-            offsetof (Mesh__FetchReply, result), &mesh__stamp__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "payload", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-            0, /* quantifier_offset */
-            offsetof (Mesh__FetchReply, payload), NULL, NULL, 0, /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "members", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-            offsetof (Mesh__FetchReply, n_members),
-            offsetof (Mesh__FetchReply, members), &mesh__member__descriptor,
-            NULL, 0,      /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-        {
-            "retry_after_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Mesh__FetchReply, retry_after_ms), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  mesh__document_delta__number_ranges,
+  (ProtobufCMessageInit) mesh__document_delta__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__fetch_reply__field_descriptors[5] =
+{
+  {
+    "base_stamp",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__FetchReply, base_stamp),
+    &mesh__stamp__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__FetchReply, result),
+    &mesh__stamp__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__FetchReply, payload),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__FetchReply, n_members),
+    offsetof(Mesh__FetchReply, members),
+    &mesh__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__FetchReply, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned mesh__fetch_reply__field_indices_by_name[] = {
-  0, /* field[0] = base_stamp */
-  3, /* field[3] = members */
-  2, /* field[2] = payload */
-  1, /* field[1] = result */
-  4, /* field[4] = retry_after_ms */
-};
-static const ProtobufCIntRange mesh__fetch_reply__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 5 } };
-const ProtobufCMessageDescriptor mesh__fetch_reply__descriptor = {
+  0,   /* field[0] = base_stamp */
+  3,   /* field[3] = members */
+  2,   /* field[2] = payload */
+  1,   /* field[1] = result */
+  4,   /* field[4] = retry_after_ms */
+};
+static const ProtobufCIntRange mesh__fetch_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mesh__fetch_reply__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.FetchReply",
   "FetchReply",
   "Mesh__FetchReply",
   "mesh",
-  sizeof (Mesh__FetchReply),
+  sizeof(Mesh__FetchReply),
   5,
   mesh__fetch_reply__field_descriptors,
   mesh__fetch_reply__field_indices_by_name,
-  1,
-  mesh__fetch_reply__number_ranges,
-  (ProtobufCMessageInit)mesh__fetch_reply__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__fetch_reply__number_ranges,
+  (ProtobufCMessageInit) mesh__fetch_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__ping__field_descriptors[1] = {
+static const ProtobufCFieldDescriptor mesh__ping__field_descriptors[1] =
+{
   {
-      "nonce", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                           /* quantifier_offset */
-      offsetof (Mesh__Ping, nonce), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+    "nonce",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Ping, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__ping__field_indices_by_name[] = {
-  0, /* field[0] = nonce */
+  0,   /* field[0] = nonce */
+};
+static const ProtobufCIntRange mesh__ping__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
 };
-static const ProtobufCIntRange mesh__ping__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 1 } };
-const ProtobufCMessageDescriptor mesh__ping__descriptor = {
+const ProtobufCMessageDescriptor mesh__ping__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Ping",
   "Ping",
   "Mesh__Ping",
   "mesh",
-  sizeof (Mesh__Ping),
+  sizeof(Mesh__Ping),
   1,
   mesh__ping__field_descriptors,
   mesh__ping__field_indices_by_name,
-  1,
-  mesh__ping__number_ranges,
-  (ProtobufCMessageInit)mesh__ping__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__ping__number_ranges,
+  (ProtobufCMessageInit) mesh__ping__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__pong__field_descriptors[3] = {
-  {
-      "nonce", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                           /* quantifier_offset */
-      offsetof (Mesh__Pong, nonce), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "config_version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Pong, config_version), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "sight", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0,                                           /* quantifier_offset */
-      offsetof (Mesh__Pong, sight), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__pong__field_descriptors[3] =
+{
+  {
+    "nonce",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Pong, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Pong, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sight",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Pong, sight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__pong__field_indices_by_name[] = {
-  1, /* field[1] = config_version */
-  0, /* field[0] = nonce */
-  2, /* field[2] = sight */
+  1,   /* field[1] = config_version */
+  0,   /* field[0] = nonce */
+  2,   /* field[2] = sight */
 };
-static const ProtobufCIntRange mesh__pong__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 3 } };
-const ProtobufCMessageDescriptor mesh__pong__descriptor = {
+static const ProtobufCIntRange mesh__pong__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mesh__pong__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Pong",
   "Pong",
   "Mesh__Pong",
   "mesh",
-  sizeof (Mesh__Pong),
+  sizeof(Mesh__Pong),
   3,
   mesh__pong__field_descriptors,
   mesh__pong__field_indices_by_name,
-  1,
-  mesh__pong__number_ranges,
-  (ProtobufCMessageInit)mesh__pong__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__pong__number_ranges,
+  (ProtobufCMessageInit) mesh__pong__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__subscribe__field_descriptors[4] = {
-  {
-      "held", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Subscribe, held), &mesh__stamp__descriptor, NULL,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "member", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Subscribe, member), &mesh__member__descriptor, NULL,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "end", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-      0,                                              /* quantifier_offset */
-      offsetof (Mesh__Subscribe, end), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "directory", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Subscribe, directory), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__subscribe__field_descriptors[4] =
+{
+  {
+    "held",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Subscribe, held),
+    &mesh__stamp__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Subscribe, member),
+    &mesh__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Subscribe, end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "directory",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Subscribe, directory),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__subscribe__field_indices_by_name[] = {
-  3, /* field[3] = directory */
-  2, /* field[2] = end */
-  0, /* field[0] = held */
-  1, /* field[1] = member */
-};
-static const ProtobufCIntRange mesh__subscribe__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 4 } };
-const ProtobufCMessageDescriptor mesh__subscribe__descriptor = {
+  3,   /* field[3] = directory */
+  2,   /* field[2] = end */
+  0,   /* field[0] = held */
+  1,   /* field[1] = member */
+};
+static const ProtobufCIntRange mesh__subscribe__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mesh__subscribe__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Subscribe",
   "Subscribe",
   "Mesh__Subscribe",
   "mesh",
-  sizeof (Mesh__Subscribe),
+  sizeof(Mesh__Subscribe),
   4,
   mesh__subscribe__field_descriptors,
   mesh__subscribe__field_indices_by_name,
-  1,
-  mesh__subscribe__number_ranges,
-  (ProtobufCMessageInit)mesh__subscribe__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__subscribe__number_ranges,
+  (ProtobufCMessageInit) mesh__subscribe__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__members__field_descriptors[2] = {
-  {
-      "members", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Members, n_members), offsetof (Mesh__Members, members),
-      &mesh__member__descriptor, NULL, 0, /* flags */
-      0, NULL, NULL                       /* reserved1,reserved2, etc */
-  },
-  {
-      "acknowledge", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Members, acknowledge), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__members__field_descriptors[2] =
+{
+  {
+    "members",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Members, n_members),
+    offsetof(Mesh__Members, members),
+    &mesh__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "acknowledge",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Members, acknowledge),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__members__field_indices_by_name[] = {
-  1, /* field[1] = acknowledge */
-  0, /* field[0] = members */
+  1,   /* field[1] = acknowledge */
+  0,   /* field[0] = members */
 };
-static const ProtobufCIntRange mesh__members__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor mesh__members__descriptor = {
+static const ProtobufCIntRange mesh__members__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mesh__members__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Members",
   "Members",
   "Mesh__Members",
   "mesh",
-  sizeof (Mesh__Members),
+  sizeof(Mesh__Members),
   2,
   mesh__members__field_descriptors,
   mesh__members__field_indices_by_name,
-  1,
-  mesh__members__number_ranges,
-  (ProtobufCMessageInit)mesh__members__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__members__number_ranges,
+  (ProtobufCMessageInit) mesh__members__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__suspect__field_descriptors[2] = {
-  {
-      "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Suspect, name), NULL, &protobuf_c_empty_string,
-      0,            /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
-  },
-  {
-      "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-      0, /* quantifier_offset */
-      offsetof (Mesh__Suspect, incarnation), NULL, NULL, 0, /* flags */
-      0, NULL, NULL /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__suspect__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Suspect, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Suspect, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__suspect__field_indices_by_name[] = {
-  1, /* field[1] = incarnation */
-  0, /* field[0] = name */
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = name */
 };
-static const ProtobufCIntRange mesh__suspect__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 2 } };
-const ProtobufCMessageDescriptor mesh__suspect__descriptor = {
+static const ProtobufCIntRange mesh__suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mesh__suspect__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Suspect",
   "Suspect",
   "Mesh__Suspect",
   "mesh",
-  sizeof (Mesh__Suspect),
+  sizeof(Mesh__Suspect),
   2,
   mesh__suspect__field_descriptors,
   mesh__suspect__field_indices_by_name,
-  1,
-  mesh__suspect__number_ranges,
-  (ProtobufCMessageInit)mesh__suspect__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor mesh__members_ack__field_descriptors[1]
-    = {
-        {
-            "acknowledge", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-            0, /* quantifier_offset */
-            offsetof (Mesh__MembersAck, acknowledge), NULL, NULL,
-            0,            /* flags */
-            0, NULL, NULL /* reserved1,reserved2, etc */
-        },
-      };
+  1,  mesh__suspect__number_ranges,
+  (ProtobufCMessageInit) mesh__suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__members_ack__field_descriptors[1] =
+{
+  {
+    "acknowledge",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__MembersAck, acknowledge),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
 static const unsigned mesh__members_ack__field_indices_by_name[] = {
-  0, /* field[0] = acknowledge */
+  0,   /* field[0] = acknowledge */
 };
-static const ProtobufCIntRange mesh__members_ack__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 1 } };
-const ProtobufCMessageDescriptor mesh__members_ack__descriptor = {
+static const ProtobufCIntRange mesh__members_ack__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor mesh__members_ack__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.MembersAck",
   "MembersAck",
   "Mesh__MembersAck",
   "mesh",
-  sizeof (Mesh__MembersAck),
+  sizeof(Mesh__MembersAck),
   1,
   mesh__members_ack__field_descriptors,
   mesh__members_ack__field_indices_by_name,
-  1,
-  mesh__members_ack__number_ranges,
-  (ProtobufCMessageInit)mesh__members_ack__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__members_ack__number_ranges,
+  (ProtobufCMessageInit) mesh__members_ack__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__frame__field_descriptors[19] = {
-  {
-      "hello", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, hello),
-      &mesh__hello__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "refusal", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, refusal),
-      &mesh__refusal__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "call", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, call),
-      &mesh__call__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "call_body", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, call_body),
-      &mesh__body_part__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "answer", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, answer),
-      &mesh__answer__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "answer_body", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, answer_body),
-      &mesh__body_part__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "cancel", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, cancel),
-      &mesh__cancel__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "query", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, query),
-      &mesh__query__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "query_reply", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, query_reply),
-      &mesh__query_reply__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "window_grant", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, window_grant),
-      &mesh__window_grant__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "fetch_request", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, fetch_request),
-      &mesh__fetch_request__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "fetch_reply", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, fetch_reply),
-      &mesh__fetch_reply__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "ping", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, ping),
-      &mesh__ping__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "pong", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, pong),
-      &mesh__pong__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "subscribe", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, subscribe),
-      &mesh__subscribe__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "members", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, members),
-      &mesh__members__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "members_ack", 17, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, members_ack),
-      &mesh__members_ack__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "push", 18, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, push),
-      &mesh__fetch_reply__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
-  },
-  {
-      "suspect", 19, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-      offsetof (Mesh__Frame, body_case), offsetof (Mesh__Frame, suspect),
-      &mesh__suspect__descriptor, NULL,
-      0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-      0, NULL, NULL                    /* reserved1,reserved2, etc */
+static const ProtobufCFieldDescriptor mesh__frame__field_descriptors[19] =
+{
+  {
+    "hello",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, hello),
+    &mesh__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refusal",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, refusal),
+    &mesh__refusal__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, call),
+    &mesh__call__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call_body",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, call_body),
+    &mesh__body_part__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, answer),
+    &mesh__answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer_body",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, answer_body),
+    &mesh__body_part__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancel",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, cancel),
+    &mesh__cancel__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "query",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, query),
+    &mesh__query__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "query_reply",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, query_reply),
+    &mesh__query_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "window_grant",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, window_grant),
+    &mesh__window_grant__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fetch_request",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, fetch_request),
+    &mesh__fetch_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fetch_reply",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, fetch_reply),
+    &mesh__fetch_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ping",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, ping),
+    &mesh__ping__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pong",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, pong),
+    &mesh__pong__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "subscribe",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, subscribe),
+    &mesh__subscribe__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, members),
+    &mesh__members__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members_ack",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, members_ack),
+    &mesh__members_ack__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "push",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, push),
+    &mesh__fetch_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspect",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, suspect),
+    &mesh__suspect__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mesh__frame__field_indices_by_name[] = {
-  4,  /* field[4] = answer */
-  5,  /* field[5] = answer_body */
-  2,  /* field[2] = call */
-  3,  /* field[3] = call_body */
-  6,  /* field[6] = cancel */
-  11, /* field[11] = fetch_reply */
-  10, /* field[10] = fetch_request */
-  0,  /* field[0] = hello */
-  15, /* field[15] = members */
-  16, /* field[16] = members_ack */
-  12, /* field[12] = ping */
-  13, /* field[13] = pong */
-  17, /* field[17] = push */
-  7,  /* field[7] = query */
-  8,  /* field[8] = query_reply */
-  1,  /* field[1] = refusal */
-  14, /* field[14] = subscribe */
-  18, /* field[18] = suspect */
-  9,  /* field[9] = window_grant */
-};
-static const ProtobufCIntRange mesh__frame__number_ranges[1 + 1]
-    = { { 1, 0 }, { 0, 19 } };
-const ProtobufCMessageDescriptor mesh__frame__descriptor = {
+  4,   /* field[4] = answer */
+  5,   /* field[5] = answer_body */
+  2,   /* field[2] = call */
+  3,   /* field[3] = call_body */
+  6,   /* field[6] = cancel */
+  11,   /* field[11] = fetch_reply */
+  10,   /* field[10] = fetch_request */
+  0,   /* field[0] = hello */
+  15,   /* field[15] = members */
+  16,   /* field[16] = members_ack */
+  12,   /* field[12] = ping */
+  13,   /* field[13] = pong */
+  17,   /* field[17] = push */
+  7,   /* field[7] = query */
+  8,   /* field[8] = query_reply */
+  1,   /* field[1] = refusal */
+  14,   /* field[14] = subscribe */
+  18,   /* field[18] = suspect */
+  9,   /* field[9] = window_grant */
+};
+static const ProtobufCIntRange mesh__frame__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 19 }
+};
+const ProtobufCMessageDescriptor mesh__frame__descriptor =
+{
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
   "mesh.Frame",
   "Frame",
   "Mesh__Frame",
   "mesh",
-  sizeof (Mesh__Frame),
+  sizeof(Mesh__Frame),
   19,
   mesh__frame__field_descriptors,
   mesh__frame__field_indices_by_name,
-  1,
-  mesh__frame__number_ranges,
-  (ProtobufCMessageInit)mesh__frame__init,
-  NULL,
-  NULL,
-  NULL /* reserved[123] */
+  1,  mesh__frame__number_ranges,
+  (ProtobufCMessageInit) mesh__frame__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -1,8 +1,10 @@
 /* Tests of sidecars together with upstreams and the platform's store, under
    the faults that the platform may have.  */
 
+#include "dir/dir.h"
 #include "pfm_names.h"
 #include "support/sidecar_mesh.h"
+#include "wire/frm.h"
 
 #include <algorithm>
 #include <cstring>
@@ -646,6 +648,66 @@
   EXPECT_EQ (sup_request_count (vms[1].upstream), arrivals);
 }
 
+/* Returns the frames of a node that opens a link and sends its record, which
+   the receiver is to acknowledge with 9.  */
+static std::string
+make_record_frames (const struct mbr_member &record)
+{
+  Mesh__Hello hello = MESH__HELLO__INIT;
+  Mesh__Members members = MESH__MEMBERS__INIT;
+  Mesh__Frame frame = MESH__FRAME__INIT;
+  Mesh__Member message;
+  Mesh__Member *pointer = &message;
+  struct buf output = {};
+
+  mbr_member_to_wire (&record, &message);
+  hello.protocol = FRM_PROTOCOL;
+  hello.from = message.name;
+  hello.member = &message;
+  frame.body_case = MESH__FRAME__BODY_HELLO;
+  frame.hello = &hello;
+  EXPECT_EQ (frm_encode (&frame, &output), FRM_OK);
+  members.members = &pointer;
+  members.n_members = 1;
+  members.acknowledge = 9;
+  frame.body_case = MESH__FRAME__BODY_MEMBERS;
+  frame.members = &members;
+  EXPECT_EQ (frm_encode (&frame, &output), FRM_OK);
+  std::string data ((const char *)output.data, output.length);
+
+  buf_close (&output);
+  return data;
+}
+
+/* Guards against a departure that is acknowledged although no other node holds
+   it: a node whose clock was set back sends records that are older than those
+   of the process before it.  */
+TEST_F (Sidecars, AcknowledgeOnlyRecordsThatTheyHold)
+{
+  start_mesh ();
+  const json_t *stored = sst_get (store, "mesh-nodes", "vm-1");
+  struct mbr_member record;
+
+  ASSERT_TRUE (dir_from_json (stored, &record));
+  record.upstream_leaving = true;
+  record.sequence += 9;
+  record.incarnation -= 1;
+  Peer older = Peer::connect (address_of (0, links_port));
+
+  older.send (make_record_frames (record));
+  run_for (100);
+  older.receive ();
+  EXPECT_EQ (older.received, "");
+  record.incarnation += 2;
+  Peer newer = Peer::connect (address_of (0, links_port));
+
+  newer.send (make_record_frames (record));
+  EXPECT_TRUE (run_until ([&] {
+    newer.receive ();
+    return newer.received.size () > 0;
+  }));
+}
+
 /* Guards against an upstream that stays out of use after its node has started
    again, for as long as its next heartbeat takes.  */
 TEST_F (Sidecars, UseARestoredUpstreamBeforeItsNextHeartbeat)
