Give up an upstream that sends responses to other requests without end

Cause: the gate skips a response to an earlier request and waits for the next; nothing limited how many. Ruled out: memory (each is freed); the limits of one response, which a complete short one never reaches. Change: after 8 skipped responses the call ends as unknown, and the connection is closed.

--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -34,6 +34,7 @@
   clk_time deadline;
   clk_time started;
   uint64_t upstream; /* the one that runs it, see gat.upstream_count */
+  unsigned skipped;  /* responses to other requests that came before its own */
   struct cnx *connection;
   struct evl_timer timer; /* of the deadline while it runs */
 };
--- a/src/gat/gat_run.c
+++ b/src/gat/gat_run.c
@@ -21,6 +21,9 @@
 #define MIN_BODY_LIMIT (256u * 1024u)
 #define MAX_BODY_LIMIT FRM_MAX_BODY_LENGTH
 
+/* Responses to earlier requests that are skipped before the one to a call.  */
+#define MAX_SKIPPED 8
+
 /* Longest part of a body in one frame, in bytes.  */
 #define PART_SIZE (128u * 1024u)
 
@@ -236,6 +239,24 @@
                 != NULL;
 }
 
+/* Skips a response to another request.  Returns false while the one to CALL is
+   still awaited; an upstream that sends others without end is given up.  */
+static bool
+skip_response (struct gat_call *call)
+{
+  if (call->skipped++ < MAX_SKIPPED)
+    {
+      log_write (LOG_WARNING, "gat",
+                 "a response to another request was dropped");
+      return false;
+    }
+  cnx_close (call->connection);
+  call->connection = NULL;
+  learn (call, true);
+  gat_answer_unknown (call, "too many responses to other requests");
+  return true;
+}
+
 static bool
 on_response (void *context, struct cnx *connection,
              struct htp_message *message)
@@ -249,11 +270,7 @@
   /* A second response to an earlier request may come first.  Every response
      to this one repeats its id.  */
   if (call->id != NULL && (id == NULL || strcmp (id, call->id) != 0))
-    {
-      log_write (LOG_WARNING, "gat",
-                 "a response to another request was dropped");
-      return false;
-    }
+    return skip_response (call);
   learn_keep_time (gate, message);
   call->connection = NULL;
   keep_connection (call, connection);
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -842,6 +842,9 @@
       = "400\r\n" + std::string (1024, 'x') + "\r\n";
   static const std::string chunk_line = std::string (chunked) + "1;";
   static const std::string trailer = std::string (chunked) + "0\r\n";
+  static const char late_copy[]
+      = "HTTP/1.1 503 Busy\r\n" PFM_REQUEST_ID ": other\r\n" PFM_NOT_EXECUTED
+        ": 1\r\nContent-Length: 0\r\n\r\n";
   static const struct
   {
     bool with_head;
@@ -853,6 +856,7 @@
     { false, "HTTP/1.1 200 ", "x" },
     { false, "", "\r\n" },
     { false, "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { false, "", late_copy },
     { true, chunked, chunk.c_str () },
     { true, chunk_line.c_str (), "x" },
     { true, trailer.c_str (), "x: y\r\n" },
