Share one budget of memory among the responses of an upstream

Callers would see: the process of a VM is killed, and the requests in progress there get no answer. Cause: each response may take a part of the memory by slots, but at least 256 KiB; with more than about 170 slots on a VM of 256 MB the parts add up to more than a sixth of the memory, which was promised, and in the test to all of it. Evidence: 100 responses of 250 KiB that never end: 27,047,024 bytes allocated on a VM of 24 MB. Ruled out: one response, which is limited; bytes on idle connections and of cancelled calls, whose connections are closed. Change: bodies that are being read take their bytes from one budget of a sixth of the memory; a response for which nothing is left ends as unknown and its connection is closed. Tests: Sidecars.BoundTheMemoryOfManyResponses failed before (27,047,024 for at most 12,582,912); Messages.ShareABudget is new. The stand-in of an upstream no longer crashes when its flood is ended while an answer is open.

--- a/src/cnx/cnx.c
+++ b/src/cnx/cnx.c
@@ -248,10 +248,17 @@
   evl_socket_watch (&connection->socket, 0);
   if (connection->descriptor >= 0)
     close (connection->descriptor);
+  htp_reader_set_budget (&connection->reader, NULL);
   connection->state = CNX_CLOSED;
   evl_task_schedule (&connection->end_task);
 }
 
+void
+cnx_set_budget (struct cnx *connection, struct htp_budget *budget)
+{
+  htp_reader_set_budget (&connection->reader, budget);
+}
+
 struct buf *
 cnx_request_buffer (struct cnx *connection)
 {
--- a/src/cnx/cnx.h
+++ b/src/cnx/cnx.h
@@ -60,6 +60,10 @@
      allowed.  */
   void cnx_close (struct cnx *connection);
 
+  /* Lets the bodies of the responses share BUDGET, which must last until
+     cnx_close.  */
+  void cnx_set_budget (struct cnx *connection, struct htp_budget *budget);
+
   /* Returns the buffer to which the caller writes the next request.  */
   struct buf *cnx_request_buffer (struct cnx *connection);
 
--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -31,7 +31,7 @@
   gate->platform = platform;
   gate->registration = registration;
   gate->hooks = *hooks;
-  gate->response_memory = response_memory;
+  gate->response_budget.max_bytes = response_memory;
   gate->keep_time = DEFAULT_KEEP_TIME;
   evl_timer_init (&gate->expiry, loop, on_expiry, gate);
   return gate;
--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -52,7 +52,7 @@
   const struct ptf_platform *platform;
   const struct reg *registration;
   struct gat_hooks hooks;
-  size_t response_memory; /* bytes, see gat_create */
+  struct htp_budget response_budget; /* see gat_create */
   struct lst calls;
   size_t call_count;
   struct que queue;
--- a/src/gat/gat_run.c
+++ b/src/gat/gat_run.c
@@ -332,13 +332,13 @@
 static const struct cnx_handlers handlers = { on_response, on_failed };
 
 /* Returns the limits of one response.  Each slot gets an equal part of the
-   memory, so that an upstream that sends bytes without end in all of them
-   cannot exhaust it.  */
+   memory, so that an upstream that sends bytes without end in some of them
+   leaves room for the others.  */
 static struct htp_limits
 response_limits (const struct gat *gate)
 {
   uint32_t slots = gate->registration->upstream.slots;
-  size_t limit = gate->response_memory / (slots > 0 ? slots : 1);
+  size_t limit = gate->response_budget.max_bytes / (slots > 0 ? slots : 1);
 
   if (limit < MIN_BODY_LIMIT)
     limit = MIN_BODY_LIMIT;
@@ -353,6 +353,7 @@
 take_connection (struct gat *gate)
 {
   struct htp_limits limits = response_limits (gate);
+  struct cnx *connection;
   clk_time oldest = evl_now (gate->loop)
                     - gate->keep_time * KEEP_NUMERATOR / KEEP_DENOMINATOR;
 
@@ -361,8 +362,10 @@
     drop_idle (gate, gate->idle[0].connection);
   if (gate->idle_count > 0)
     return gate->idle[--gate->idle_count].connection;
-  return cnx_open (gate->loop, gate->registration->upstream.address, &handlers,
-                   gate, &limits);
+  connection = cnx_open (gate->loop, gate->registration->upstream.address,
+                         &handlers, gate, &limits);
+  cnx_set_budget (connection, &gate->response_budget);
+  return connection;
 }
 
 static void
--- a/src/htp/htp.h
+++ b/src/htp/htp.h
@@ -51,6 +51,13 @@
     size_t max_body_bytes;
   };
 
+  /* Memory that several readers share for the bodies that they read.  */
+  struct htp_budget
+  {
+    size_t max_bytes;
+    size_t used_bytes;
+  };
+
   /* A header field, as offsets into the text of its message.  */
   struct htp_header
   {
@@ -80,6 +87,8 @@
     http_parser parser;
     enum htp_kind kind;
     struct htp_limits limits;
+    struct htp_budget *budget; /* null: none */
+    size_t budgeted_bytes;     /* of the current body */
     struct htp_message message;
     size_t header_bytes;     /* read of the current message */
     size_t idle_bytes;       /* read since the last byte of a body */
@@ -95,6 +104,12 @@
   void htp_reader_init (struct htp_reader *reader, enum htp_kind kind,
                         const struct htp_limits *limits);
 
+  /* Makes the bodies that are read from now on take their memory from BUDGET,
+     until they are taken or freed; null: from none.  BUDGET must outlive the
+     reader, or be replaced.  A body for which nothing is left is too large. */
+  void htp_reader_set_budget (struct htp_reader *reader,
+                              struct htp_budget *budget);
+
   /* Frees the memory of the reader.  */
   void htp_reader_close (struct htp_reader *reader);
 
--- a/src/htp/htp_reader.c
+++ b/src/htp/htp_reader.c
@@ -189,12 +189,44 @@
   return reader->without_body ? 1 : 0;
 }
 
+/* Takes LENGTH bytes from the budget.  Returns false when they are not
+   left.  */
+static bool
+take_from_budget (struct htp_reader *reader, size_t length)
+{
+  struct htp_budget *budget = reader->budget;
+
+  if (budget == NULL)
+    return true;
+  if (length > budget->max_bytes - budget->used_bytes)
+    return false;
+  budget->used_bytes += length;
+  reader->budgeted_bytes += length;
+  return true;
+}
+
+static void
+return_to_budget (struct htp_reader *reader)
+{
+  if (reader->budget != NULL)
+    reader->budget->used_bytes -= reader->budgeted_bytes;
+  reader->budgeted_bytes = 0;
+}
+
+void
+htp_reader_set_budget (struct htp_reader *reader, struct htp_budget *budget)
+{
+  return_to_budget (reader);
+  reader->budget = budget;
+}
+
 static int
 on_body (http_parser *parser, const char *data, size_t length)
 {
   struct htp_reader *reader = parser->data;
 
-  if (reader->message.body.length + length > reader->limits.max_body_bytes)
+  if (reader->message.body.length + length > reader->limits.max_body_bytes
+      || !take_from_budget (reader, length))
     return fail (reader, HTP_BODY_TOO_LARGE);
   buf_append (&reader->message.body, data, length);
   return 0;
@@ -248,12 +280,14 @@
 void
 htp_reader_close (struct htp_reader *reader)
 {
+  return_to_budget (reader);
   htp_message_close (&reader->message);
 }
 
 void
 htp_reader_reset (struct htp_reader *reader)
 {
+  return_to_budget (reader);
   htp_message_close (&reader->message);
   reader->without_body = false;
   start_message (reader);
--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -49,6 +49,7 @@
   bool flood_with_head;
   const char *flood_start;
   const char *flood_filler; /* null: answers end */
+  uint64_t flood_limit;     /* bytes of the filler in one answer */
   uint64_t flood_bytes;
   struct lst runs;
   uint32_t running;
@@ -87,6 +88,13 @@
   upstream->flood_with_head = with_head;
   upstream->flood_start = start;
   upstream->flood_filler = filler;
+  upstream->flood_limit = UINT64_MAX;
+}
+
+void
+sup_set_flood_limit (struct sup *upstream, uint64_t bytes)
+{
+  upstream->flood_limit = bytes;
 }
 
 uint64_t
@@ -165,11 +173,14 @@
 {
   struct run *run = context;
   struct sup *upstream = run->upstream;
-  size_t length = strlen (upstream->flood_filler);
   char block[FLOOD_BLOCK];
-  ssize_t count;
+  ssize_t count = 0;
+  size_t length;
 
-  do
+  if (upstream->flood_filler == NULL)
+    return;
+  length = strlen (upstream->flood_filler);
+  while (run->flood_sent + sizeof block <= upstream->flood_limit)
     {
       for (size_t i = 0; i < sizeof block; i++)
         block[i] = upstream->flood_filler[(run->flood_sent + i) % length];
@@ -180,8 +191,9 @@
           run->flood_sent += (uint64_t)count;
           upstream->flood_bytes += (uint64_t)count;
         }
+      if (count != (ssize_t)sizeof block)
+        break;
     }
-  while (count == (ssize_t)sizeof block);
   evl_timer_set (&run->timer, evl_now (upstream->loop) + CLK_MILLISECOND);
 }
 
--- a/standins/lib/sup.h
+++ b/standins/lib/sup.h
@@ -74,6 +74,9 @@
   void sup_set_flood (struct sup *upstream, bool with_head, const char *start,
                       const char *filler);
 
+  /* Sends at most BYTES of FILLER in one answer, which then stays open.  */
+  void sup_set_flood_limit (struct sup *upstream, uint64_t bytes);
+
   /* Returns the bytes of FILLER sent so far, and the connections that get
      them.  */
   uint64_t sup_flood_bytes (const struct sup *upstream);
--- a/tests/htp_test.cc
+++ b/tests/htp_test.cc
@@ -164,6 +164,30 @@
              HTP_COMPLETE);
 }
 
+/* Guards against memory that is taken from a shared budget beyond its size, or
+   that is never returned.  */
+TEST_F (Messages, ShareABudget)
+{
+  struct htp_budget budget = { 6, 0 };
+  struct htp_message message;
+
+  start (HTP_RESPONSE);
+  htp_reader_set_budget (&reader, &budget);
+  EXPECT_EQ (read ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc"),
+             HTP_INCOMPLETE);
+  EXPECT_EQ (budget.used_bytes, 3u);
+  EXPECT_EQ (read ("d"), HTP_COMPLETE);
+  htp_take_message (&reader, &message);
+  htp_message_close (&message);
+  EXPECT_EQ (budget.used_bytes, 0u);
+  budget.used_bytes = 3;
+  EXPECT_EQ (read ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc"),
+             HTP_INCOMPLETE);
+  EXPECT_EQ (read ("d"), HTP_BODY_TOO_LARGE);
+  htp_reader_set_budget (&reader, nullptr);
+  EXPECT_EQ (budget.used_bytes, 3u);
+}
+
 /* Guards against an interim response that is returned as the final one.  */
 TEST_F (Messages, SkipsInterimResponses)
 {
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <malloc.h>
 #include <unistd.h>
 
 class Sidecars : public SidecarMesh
@@ -898,6 +899,53 @@
     }
 }
 
+/* Returns the memory that this process has allocated.  */
+static size_t
+allocated_bytes ()
+{
+  struct mallinfo2 info = mallinfo2 ();
+
+  return info.uordblks + info.hblkhd;
+}
+
+/* Guards against an upstream with many slots that sends bytes without end, or
+   goes silent, in many responses at once: each is within its limit, and
+   together they exhaust the memory of the VM.  */
+TEST_F (Sidecars, BoundTheMemoryOfManyResponses)
+{
+  const size_t count = 100;
+  std::vector<Peer> peers;
+  size_t most = 0;
+
+  memory_mb = 24;
+  slots = 400;
+  add_vm ("orders");
+  add_vm ("stock");
+  put_config (1);
+  ASSERT_TRUE (run_until_converged (1));
+  ASSERT_TRUE (run_until ([&] { return status_of (0, "/orders/") == 200; }));
+  const size_t before = allocated_bytes ();
+
+  sup_set_flood (vms[0].upstream, true, "Content-Length: 900000\r\n\r\n", "x");
+  sup_set_flood_limit (vms[0].upstream, 250 * 1024);
+  for (size_t i = 0; i < count; i++)
+    peers.push_back (send_call (0, "/once/", "", 900, "POST"));
+  run_until (
+      [&] {
+        most = std::max (most, allocated_bytes ());
+        return false;
+      },
+      700);
+  EXPECT_LT (most - before, (size_t)memory_mb / 2 * 1024 * 1024);
+  for (Peer &peer : peers)
+    {
+      EXPECT_TRUE (run_until_received (peer, "\r\n\r\n"));
+      EXPECT_GE (response_status (peer), 502);
+    }
+  sup_set_flood (vms[0].upstream, false, "", nullptr);
+  EXPECT_TRUE (run_until ([&] { return status_of (0, "/orders/") == 200; }));
+}
+
 /* Guards against callers that send bytes without end, in a head or a body, or
    in the framing of one.  */
 TEST_F (Sidecars, RejectRequestsThatDoNotEnd)
