End responses with too many bytes beside their body in the product's node

Callers would see: a gate's thread is busy until the call's deadline while the upstream sends interim responses, chunk extensions or trailers without end. Cause: the parser limits each head and each line, not their number. Ruled out: memory, which is bounded by the limits of a head, a line and a body. Change: the bytes beside the body are limited as a whole. Test, failed before for each of three floods: WholeAnswer.BytesBesideTheBodyEnd.

--- a/src/up/up_parse.c
+++ b/src/up/up_parse.c
@@ -11,6 +11,11 @@
 /* Longest line between chunks: a size, or a trailer field.  */
 #define MAX_LINE 4096u
 
+/* Most bytes of heads, chunk sizes and trailers: a fixed number, and some for
+   each byte of the body, which may come in small chunks.  */
+#define MAX_OVERHEAD (2u * UP_MAX_HEAD)
+#define MAX_OVERHEAD_PER_BYTE 16u
+
 void
 up_parser_init (struct up_parser *parser, bool head_request)
 {
@@ -311,6 +316,16 @@
   return status;
 }
 
+/* Counts USED bytes, by which the body has grown from BODY bytes.  Returns
+   whether the response may go on.  */
+static bool
+count_overhead (struct up_parser *parser, size_t used, size_t body)
+{
+  parser->overhead += used - (parser->body.length - body);
+  return parser->overhead
+         <= MAX_OVERHEAD + MAX_OVERHEAD_PER_BYTE * parser->body.length;
+}
+
 enum up_parse_status
 up_parser_feed (struct up_parser *parser, const uint8_t *data, size_t length)
 {
@@ -318,6 +333,7 @@
 
   while (length > 0 && status == UP_PARSE_MORE)
     {
+      size_t body = parser->body.length;
       size_t used = 0;
 
       switch (parser->stage)
@@ -336,6 +352,8 @@
         default:
           return fail ("is followed by more bytes");
         }
+      if (status == UP_PARSE_MORE && !count_overhead (parser, used, body))
+        return fail ("has too many bytes beside its body");
       data += used;
       length -= used;
     }
--- a/src/up/up_parse.h
+++ b/src/up/up_parse.h
@@ -48,6 +48,7 @@
     bool has_length;
     size_t length;
     size_t left;
+    size_t overhead; /* bytes read that are not of the body */
     struct buf line; /* the head, or one line between chunks */
     struct buf body;
     uint32_t status;
--- a/tests/gate_test.cc
+++ b/tests/gate_test.cc
@@ -347,6 +347,42 @@
       }
 }
 
+/* Guards against an upstream that keeps a thread busy until the deadline with
+   bytes without end beside the body of its response.  */
+TEST (WholeAnswer, BytesBesideTheBodyEnd)
+{
+  static const std::string chunked
+      = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  static const struct
+  {
+    std::string start;
+    std::string filler;
+  } floods[]
+      = { { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+          { chunked + "0\r\n", "x: y\r\n" },
+          { chunked, "0000001;" + std::string (1000, 'x') + "\r\na\r\n" } };
+
+  for (const auto &flood : floods)
+    {
+      struct up_parser parser;
+      enum up_parse_status status;
+      size_t sent = 0;
+
+      up_parser_init (&parser, false);
+      status = up_parser_feed (&parser, (const uint8_t *)flood.start.data (),
+                               flood.start.size ());
+      while (status == UP_PARSE_MORE && sent < 16 * UP_MAX_HEAD)
+        {
+          status
+              = up_parser_feed (&parser, (const uint8_t *)flood.filler.data (),
+                                flood.filler.size ());
+          sent += flood.filler.size ();
+        }
+      EXPECT_EQ (status, UP_PARSE_INVALID) << flood.filler;
+      up_parser_close (&parser);
+    }
+}
+
 /* Guards against hops that retry a call whose upstream says that the retries
    of its nested call are spent, and against outcomes that an upstream sets. */
 TEST (WholeAnswer, OnlySpentRetriesPassFromTheUpstream)
