Screen requests three seconds after the start of a shutdown

Callers would see: 504 while the upstream works on the request, which may not be sent again. Cause: requests that may outlive the process were refused from half of the grace period on; with 10 s that is 5 s, but callers know after 3 s. Ruled out: grace periods of up to 6 s, for which nothing changes; requests sent before 3 s, whose callers may not know yet. Change: the time is 3 s, or half of the grace period if that is less. Tests, failed before: Shutdown.ScreensRequestsOnceCallersKnow (5 s for 3 s), Sidecars.RefuseLateRequestsThatTheShutdownWouldCut (504 for 503, 1 run for 0).

--- a/src/stp/stp.c
+++ b/src/stp/stp.c
@@ -7,6 +7,9 @@
    and takes effect with its second failure.  */
 #define DRAIN_DELAY (2300 * CLK_MILLISECOND)
 
+/* Callers know of a shutdown after this time at the latest.  */
+#define CALLERS_KNOW_DELAY (3 * CLK_SECOND)
+
 /* The process ends this long before the end of the grace period, at which it
    is killed.  */
 #define KILL_MARGIN (400 * CLK_MILLISECOND)
@@ -22,9 +25,11 @@
 stp_begin (clk_time now, clk_time grace_period)
 {
   struct stp shutdown = { .drain_at = now + DRAIN_DELAY,
-                          .screen_at = now + grace_period / 2,
+                          .screen_at = now + CALLERS_KNOW_DELAY,
                           .stop_at = now + grace_period - KILL_MARGIN };
 
+  if (grace_period / 2 < CALLERS_KNOW_DELAY)
+    shutdown.screen_at = now + grace_period / 2;
   shutdown.answer_by = shutdown.stop_at - RESPONSE_MARGIN;
   return shutdown;
 }
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -1239,6 +1239,32 @@
   EXPECT_GT (peers.back ().first - start, served_time);
 }
 
+/* Guards against requests that come late in the grace period, are passed on,
+   and are broken off at its end, among them those that may run only once: with
+   a long grace period they came before half of it.  */
+TEST_F (Sidecars, RefuseLateRequestsThatTheShutdownWouldCut)
+{
+  grace = 8 * CLK_SECOND;
+  route_timeout_s = 6;
+  start_mesh ();
+  sup_set_service_time (vms[0].upstream, 5 * CLK_SECOND);
+  sup_set_service_time (vms[2].upstream, 5 * CLK_SECOND);
+  /* Keeps the node from ending early.  */
+  Peer other = send_call (1, "/once/", "", 6000, "POST");
+
+  sdc_terminate (vms[1].sidecar);
+  run_for (3200);
+  Peer peer = send_call (1, "/once/", "late", 6000, "POST");
+
+  EXPECT_TRUE (run_until_received (peer, "\r\n\r\n", 6000));
+  EXPECT_EQ (response_status (peer), 503);
+  EXPECT_NE (peer.received.find ("not run"), std::string::npos);
+  EXPECT_EQ (sup_runs_of (vms[0].upstream, "late"), 0u);
+  EXPECT_EQ (sup_runs_of (vms[2].upstream, "late"), 0u);
+  EXPECT_TRUE (run_until_received (other, "\r\n\r\n", 6000));
+  EXPECT_EQ (response_status (other), 200);
+}
+
 /* Guards against a shutdown that is longer than it takes callers to learn of
    it although they have left, and against requests of an upstream that are
    refused while it still runs calls.  */
--- a/tests/stp_test.cc
+++ b/tests/stp_test.cc
@@ -79,6 +79,18 @@
   EXPECT_FALSE (at (5500, 5300, 1, 0).stop);
 }
 
+/* Guards against requests that are accepted when their callers have long known
+   of the shutdown, and are broken off at its end: with a long grace period
+   half of it is later than that.  */
+TEST_F (Shutdown, ScreensRequestsOnceCallersKnow)
+{
+  EXPECT_EQ (shutdown.screen_at, start + 3 * CLK_SECOND);
+  EXPECT_EQ (stp_begin (start, 10 * CLK_SECOND).screen_at,
+             start + 3 * CLK_SECOND);
+  EXPECT_EQ (stp_begin (start, 4 * CLK_SECOND).screen_at,
+             start + 2 * CLK_SECOND);
+}
+
 /* Guards against a process that is still there when it is killed, and against
    requests that are accepted so late that they are cut off.  */
 TEST_F (Shutdown, EndsBeforeTheGracePeriod)
--- a/tests/support/sidecar_mesh.cc
+++ b/tests/support/sidecar_mesh.cc
@@ -143,6 +143,23 @@
   start_upstream (index);
 }
 
+/* Sets the timeout of all routes of a document.  */
+static void
+set_route_timeouts (json_t *document, double seconds)
+{
+  json_t *entries = json_object_get (document, PFM_RESOURCES);
+  size_t index;
+  json_t *entry;
+
+  json_array_foreach (entries, index, entry)
+  {
+    json_t *spec = json_object_get (entry, PFM_SPEC);
+
+    if (json_object_get (spec, PFM_TIMEOUT_S) != nullptr)
+      json_object_set_new (spec, PFM_TIMEOUT_S, json_real (seconds));
+  }
+}
+
 void
 SidecarMesh::put_config (uint64_t version,
                          const std::vector<std::string> &more_paths)
@@ -158,9 +175,13 @@
     services.push_back (service.c_str ());
   for (const std::string &path : more_paths)
     paths.push_back (path.c_str ());
-  sst_put (store, PFM_CONFIG_KIND, PFM_CONFIG_NAME,
-           scf_create_document (version, services.data (), services.size (),
-                                paths.data (), paths.size ()));
+  json_t *document
+      = scf_create_document (version, services.data (), services.size (),
+                             paths.data (), paths.size ());
+
+  if (route_timeout_s > 0)
+    set_route_timeouts (document, route_timeout_s);
+  sst_put (store, PFM_CONFIG_KIND, PFM_CONFIG_NAME, document);
 }
 
 bool
--- a/tests/support/sidecar_mesh.h
+++ b/tests/support/sidecar_mesh.h
@@ -93,6 +93,7 @@
   clk_time heartbeat = 200 * CLK_MILLISECOND;
   clk_time grace = 6 * CLK_SECOND;
   int64_t retry_slack = 100;
+  double route_timeout_s = 0; /* of all routes; 0: the stand-in's */
 
 private:
   uint64_t ids = 0;
