Start no call that the end of the process would cut

Callers of other nodes would see: 502 for calls that had waited at a node that shuts down, were started late, and were cut when its process ended. Cause: a draining gate refuses new calls but starts the waiting ones with the whole time of their senders. Evidence: of four calls of 0.9 s at an upstream with one slot, sent 1 s after the start of a shutdown of 4 s, two ended as 502. Ruled out: calls that ran before the shutdown (they go on, and most end in it). Change: gat_set_end shortens the deadlines of calls that start during a shutdown to its end; one that is not expected to end by then is refused as not run at once, and its sender places it elsewhere. Test, failed before: Sidecars.RefuseWaitingCallsThatTheShutdownWouldCut.

--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -33,6 +33,7 @@
   gate->hooks = *hooks;
   gate->response_budget.max_bytes = response_memory;
   gate->keep_time = DEFAULT_KEEP_TIME;
+  gate->latest = CLK_NEVER;
   evl_timer_init (&gate->expiry, loop, on_expiry, gate);
   return gate;
 }
@@ -112,13 +113,25 @@
   return GAT_NOT_REFUSED;
 }
 
-/* Runs a call that was waiting, or refuses it: the upstream may have been
-   replaced since the call was admitted.  */
+/* Returns whether the call would be cut off by the end of the process if it
+   started after WAIT.  */
+static bool
+would_be_cut (const struct gat_call *call, clk_time wait)
+{
+  return call->is_shortened
+         && evl_now (call->gate->loop) + wait + gat_service_of (call)
+                > call->deadline;
+}
+
+/* Runs a call that was waiting, or refuses it: since it was admitted the
+   upstream may have been replaced, or a shutdown may have begun.  */
 static void
 run_admitted (struct gat_call *call)
 {
   enum gat_refusal refusal = check_upstream (call->gate, call->frame->call);
 
+  if (refusal == GAT_NOT_REFUSED && would_be_cut (call, 0))
+    refusal = GAT_DRAINING;
   call->state = GAT_RECEIVING;
   if (refusal == GAT_NOT_REFUSED)
     gat_run (call);
@@ -230,7 +243,7 @@
   while ((call = que_expire (&gate->queue, evl_now (gate->loop))) != NULL)
     {
       call->state = GAT_RECEIVING;
-      gat_refuse (call, GAT_EXPIRED);
+      gat_refuse (call, call->is_shortened ? GAT_DRAINING : GAT_EXPIRED);
     }
   plan_expiry (gate);
 }
@@ -252,6 +265,11 @@
       return;
     }
   wait = gat_expect_wait (call);
+  if (would_be_cut (call, wait))
+    {
+      gat_refuse (call, GAT_DRAINING);
+      return;
+    }
   if (wait == 0 && has_free_slot (gate))
     {
       gat_run (call);
@@ -269,6 +287,18 @@
   plan_expiry (gate);
 }
 
+/* Ends the deadline of a call with the process.  */
+static void
+shorten_deadline (struct gat_call *call)
+{
+  if (call->deadline <= call->gate->latest)
+    return;
+  call->deadline = call->gate->latest;
+  call->is_shortened = true;
+  if (call->deadline < call->target)
+    call->target = call->deadline;
+}
+
 static struct gat_call *
 find_call (const struct gat *gate, const struct hub_inbound_link *origin,
            const Mesh__CallId *id)
@@ -320,6 +350,7 @@
   call->arrival = now;
   call->target = now + (clk_time)message->target_us * CLK_MICROSECOND;
   call->deadline = now + (clk_time)message->remaining_us * CLK_MICROSECOND;
+  shorten_deadline (call);
   lst_push_front (&gate->calls, &call->list);
   gate->call_count++;
   count_caller (call);
@@ -462,6 +493,18 @@
   gat_next (gate);
 }
 
+void
+gat_set_end (struct gat *gate, clk_time latest)
+{
+  gate->latest = latest;
+  for (struct gat_call *call = call_at (gate->calls.first); call != NULL;
+       call = call_at (call->list.next))
+    if (call->state != GAT_RUNNING)
+      shorten_deadline (call);
+  que_limit_deadlines (&gate->queue, latest);
+  plan_expiry (gate);
+}
+
 void
 gat_drain (struct gat *gate)
 {
--- a/src/gat/gat.h
+++ b/src/gat/gat.h
@@ -71,6 +71,10 @@
   /* Looks at the registration again after it has changed.  */
   void gat_apply_registration (struct gat *gate);
 
+  /* The process ends at LATEST: calls that start from now on end by then, and
+     those that are not expected to are refused as not run.  */
+  void gat_set_end (struct gat *gate, clk_time latest);
+
   /* Refuses new calls from now on; waiting and running ones go on.  */
   void gat_drain (struct gat *gate);
 
--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -32,6 +32,7 @@
   clk_time arrival;
   clk_time target;
   clk_time deadline;
+  bool is_shortened; /* the deadline is the end of the process */
   clk_time started;
   uint64_t upstream; /* the one that runs it, see gat.upstream_count */
   unsigned skipped;  /* responses to other requests that came before its own */
@@ -67,6 +68,7 @@
   char upstream[PTF_NAME_SIZE]; /* whose connections are kept */
   uint64_t upstream_start_ms;   /* since the epoch */
   uint64_t upstream_count;      /* upstreams so far, this one included */
+  clk_time latest;              /* see gat_set_end; CLK_NEVER: no end */
   bool is_dequeuing;            /* inside gat_next */
   bool stopping;
 };
--- a/src/que/que.c
+++ b/src/que/que.c
@@ -165,6 +165,20 @@
   return NULL;
 }
 
+void
+que_limit_deadlines (struct que *queue, clk_time latest)
+{
+  for (size_t i = 0; i < queue->count; i++)
+    {
+      struct que_item *item = &queue->items[i];
+
+      if (latest < item->deadline)
+        item->deadline = latest;
+      if (item->deadline < item->target_time)
+        item->target_time = item->deadline;
+    }
+}
+
 bool
 que_remove (struct que *queue, const void *call)
 {
--- a/src/que/que.h
+++ b/src/que/que.h
@@ -62,6 +62,9 @@
      more, null when there is none.  */
   void *que_expire (struct que *queue, clk_time now);
 
+  /* Ends all deadlines by LATEST.  */
+  void que_limit_deadlines (struct que *queue, clk_time latest);
+
   /* Removes a call.  Returns false when it does not wait.  */
   bool que_remove (struct que *queue, const void *call);
 
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -281,6 +281,7 @@
       = stp_begin (evl_now (sidecar->loop), sidecar->settings.grace_period);
   fwd_set_drain_deadline (sidecar->forwarder, sidecar->shutdown.answer_by,
                           sidecar->shutdown.screen_at);
+  gat_set_end (sidecar->gate, sidecar->shutdown.answer_by);
   srv_drain (sidecar->caller_server);
 }
 
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -1265,6 +1265,41 @@
   EXPECT_EQ (response_status (other), 200);
 }
 
+/* Guards against calls of other nodes that wait at a node that shuts down, are
+   started late, and are cut off by its end: their senders learn in time that
+   they have not run, and place them elsewhere.  */
+TEST_F (Sidecars, RefuseWaitingCallsThatTheShutdownWouldCut)
+{
+  std::vector<Peer> peers;
+
+  grace = 4 * CLK_SECOND;
+  route_timeout_s = 6;
+  slots = 1;
+  work = 900 * CLK_MILLISECOND;
+  add_vm ("stock");
+  add_vm ("orders");
+  put_config (1);
+  ASSERT_TRUE (run_until_converged (1));
+  ASSERT_TRUE (run_until (
+      [&] { return status_of (0, "/once/", "", 6000, "POST") == 200; }, 8000));
+  sdc_terminate (vms[1].sidecar);
+  run_for (1000);
+  for (int i = 0; i < 4; i++)
+    peers.push_back (send_call (0, "/once/", "", 6000, "POST"));
+  EXPECT_TRUE (
+      run_until ([&] { return sdc_has_stopped (vms[1].sidecar); }, 4000));
+  kill_sidecar (1);
+  for (Peer &peer : peers)
+    {
+      EXPECT_TRUE (run_until_received (peer, "\r\n\r\n", 6000));
+      if (response_status (peer) != 200)
+        {
+          EXPECT_EQ (response_status (peer), 503) << peer.received;
+        }
+    }
+  EXPECT_EQ (response_status (peers[0]), 200);
+}
+
 /* Guards against a shutdown that is longer than it takes callers to learn of
    it although they have left, and against requests of an upstream that are
    refused while it still runs calls.  */
