Let a request without an id take no response that has one

Cause: the gate compared ids only for requests that have one. Ruled out: copies on idle connections, which are closed. Change: a response must have the id of the request, or none as the request. Test, failed before: Sidecars.DropResponsesWithAnIdToARequestWithoutOne (status 200 with the id of another request).

--- a/src/gat/gat_run.c
+++ b/src/gat/gat_run.c
@@ -239,6 +239,17 @@
                 != NULL;
 }
 
+/* Returns whether a response with this id (null: none) is to CALL.  A second
+   response to an earlier request may come first; every response repeats the id
+   of its request, and has none when that had none.  */
+static bool
+is_response_to (const struct gat_call *call, const char *id)
+{
+  if (call->id == NULL || id == NULL)
+    return call->id == id;
+  return strcmp (id, call->id) == 0;
+}
+
 /* Skips a response to another request.  Returns false while the one to CALL is
    still awaited; an upstream that sends others without end is given up.  */
 static bool
@@ -267,9 +278,7 @@
       = htp_find_header (message, gate->platform->headers[PTF_CALL_ID]);
   const char *fault;
 
-  /* A second response to an earlier request may come first.  Every response
-     to this one repeats its id.  */
-  if (call->id != NULL && (id == NULL || strcmp (id, call->id) != 0))
+  if (!is_response_to (call, id))
     return skip_response (call);
   learn_keep_time (gate, message);
   call->connection = NULL;
--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -45,7 +45,9 @@
   struct srv *server;
   enum sup_fault fault;
   bool sends_late_copies;
-  char last_id[NAME_SIZE]; /* of the request answered last */
+  char last_id[NAME_SIZE]; /* of the request answered or refused last */
+  bool last_refused;
+  struct srv_connection *last_connection; /* null: it has closed */
   bool flood_with_head;
   const char *flood_start;
   const char *flood_filler; /* null: answers end */
@@ -243,17 +245,41 @@
 }
 
 static void
-send_copy (struct srv_connection *connection, const char *id)
+note_last (struct sup *upstream, struct srv_connection *connection,
+           const char *id, bool refused)
 {
+  snprintf (upstream->last_id, NAME_SIZE, "%s", id);
+  upstream->last_refused = refused;
+  upstream->last_connection = connection;
+}
+
+/* Sends a copy of the last answer or refusal.  */
+static void
+send_copy (const struct sup *upstream, struct srv_connection *connection)
+{
+  const char *id = upstream->last_id;
   char text[256];
 
-  snprintf (text, sizeof text,
-            "HTTP/1.1 200 OK\r\n" PFM_REQUEST_ID ": %s\r\n" PFM_SIGNATURE
-            ": standin\r\nContent-Length: %zu\r\n\r\n%s",
-            id, strlen (id), id);
+  if (upstream->last_refused)
+    snprintf (text, sizeof text,
+              "HTTP/1.1 503 Service Unavailable\r\n" PFM_REQUEST_ID
+              ": %s\r\n" PFM_NOT_EXECUTED ": 1\r\nContent-Length: 0\r\n\r\n",
+              id);
+  else
+    snprintf (text, sizeof text,
+              "HTTP/1.1 200 OK\r\n" PFM_REQUEST_ID ": %s\r\n" PFM_SIGNATURE
+              ": standin\r\nContent-Length: %zu\r\n\r\n%s",
+              id, strlen (id), id);
   send_raw (connection, text);
 }
 
+void
+sup_send_late_copy (struct sup *upstream)
+{
+  if (upstream->last_connection != NULL)
+    send_copy (upstream, upstream->last_connection);
+}
+
 static void
 on_done (void *context)
 {
@@ -268,7 +294,7 @@
       return;
     }
   memcpy (id, run->id, sizeof id);
-  memcpy (upstream->last_id, id, sizeof id);
+  note_last (upstream, connection, id, false);
   free_run (run);
   answer (upstream, connection, id);
 }
@@ -311,18 +337,25 @@
   upstream->arrivals++;
   upstream->last_arrival = evl_now (upstream->loop);
   if (id == NULL)
-    refuse (connection, 400, "");
+    {
+      if (upstream->sends_late_copies)
+        send_copy (upstream, connection);
+      refuse (connection, 400, "");
+    }
   else if (target != NULL && strcmp (target, upstream->name) != 0)
     refuse (connection, 421, id);
   else if (upstream->fault == SUP_SILENT)
     return;
   else if (upstream->fault == SUP_SHED
            || upstream->running >= upstream->settings.slots)
-    refuse (connection, 503, id);
+    {
+      note_last (upstream, connection, id, true);
+      refuse (connection, 503, id);
+    }
   else
     {
       if (upstream->sends_late_copies && upstream->last_id[0] != '\0')
-        send_copy (connection, upstream->last_id);
+        send_copy (upstream, connection);
       if (upstream->fault == SUP_EXTRA_RESPONSE)
         send_raw (connection, "HTTP/1.1 200 OK\r\n" PFM_SIGNATURE
                               ": other\r\nContent-Length: 5\r\n\r\nextra");
@@ -344,6 +377,8 @@
 {
   struct sup *upstream = context;
 
+  if (upstream->last_connection == connection)
+    upstream->last_connection = NULL;
   for (struct lst_entry *at = upstream->runs.first; at != NULL; at = at->next)
     if (LST_ITEM (at, struct run, list)->connection == connection)
       {
--- a/standins/lib/sup.h
+++ b/standins/lib/sup.h
@@ -63,10 +63,14 @@
   /* Sets the fault of the requests that follow.  */
   void sup_set_fault (struct sup *upstream, enum sup_fault fault);
 
-  /* Sends a whole copy of the answer before, with its id, when the next
-     request on a connection begins to run.  */
+  /* Sends a whole copy of the answer or refusal before, with its id, when the
+     next request begins to run, or has no id.  */
   void sup_set_late_copies (struct sup *upstream, bool on);
 
+  /* Sends such a copy now, on the connection of the request that was answered
+     or refused last.  */
+  void sup_send_late_copy (struct sup *upstream);
+
   /* Answers the requests that follow with START and then FILLER again and
      again, until the caller closes.  WITH_HEAD: a status line, the request's
      id and a signature come first.  Ends with FILLER null.  The texts must
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -1069,6 +1069,49 @@
     }
 }
 
+/* Guards against a refusal of an earlier request that is written once more on
+   a kept connection, before the response to the next request: the caller would
+   learn that its request has not run although it runs, and send it again.  */
+TEST_F (Sidecars, DropASecondCopyOfAnEarlierRefusal)
+{
+  add_vm ("stock");
+  add_vm ("orders");
+  put_config (1);
+  ASSERT_TRUE (run_until_converged (1));
+  ASSERT_TRUE (run_until ([&] { return status_of (0, "/orders/") == 200; }));
+  for (int i = 0; i < 20; i++)
+    {
+      std::string id = next_request_id ();
+
+      sup_set_fault (vms[1].upstream, SUP_SHED);
+      EXPECT_EQ (status_of (0, "/once/", "", 1000, "POST"), 503);
+      sup_set_fault (vms[1].upstream, SUP_HEALTHY);
+      sup_set_late_copies (vms[1].upstream, true);
+      run_for (260);
+      EXPECT_EQ (status_of (0, "/once/", id, 1000, "POST"), 200);
+      EXPECT_EQ (sup_runs_of (vms[1].upstream, id.c_str ()), 1u);
+      sup_set_late_copies (vms[1].upstream, false);
+    }
+}
+
+/* Guards against an answer of another request that reaches a caller whose
+   request has no id.  */
+TEST_F (Sidecars, DropResponsesWithAnIdToARequestWithoutOne)
+{
+  add_vm ("orders");
+  put_config (1);
+  ASSERT_TRUE (run_until_converged (1));
+  ASSERT_TRUE (run_until ([&] { return status_of (0, "/orders/") == 200; }));
+  sup_set_late_copies (vms[0].upstream, true);
+  Peer peer = Peer::connect (address_of (0, calls_port));
+
+  peer.send ("GET /orders/ HTTP/1.1\r\nHost: mesh.example\r\n"
+             "Content-Length: 0\r\n\r\n");
+  EXPECT_TRUE (run_until_received (peer, "\r\n\r\n"));
+  EXPECT_NE (response_status (peer), 200);
+  EXPECT_EQ (peer.received.find (PFM_REQUEST_ID), std::string::npos);
+}
+
 /* Guards against confusing a node with the one that had its address before:
    the former node then seems alive, and calls to it fail.  */
 TEST_F (Sidecars, HandleANewNodeAtAnAddress)
