Use no kept connection that has just ended

Callers saw: 502 for requests that had never been sent, when the upstream wrote bytes to an idle connection, or closed it, in the moment at which the request came; those that may run only once were not tried elsewhere. Cause: such a connection stays in the list of idle ones until the end of the loop iteration, where its failure is reported; a call that takes it meanwhile is reported as lost. Ruled out: connections that end after the request was sent. Change: the gate, and the client of the store, take only connections that are still idle.

--- a/src/gat/gat_run.c
+++ b/src/gat/gat_run.c
@@ -369,8 +369,15 @@
   /* The newest is at the end; the older ones are closed once too old.  */
   while (gate->idle_count > 0 && gate->idle[0].since < oldest)
     drop_idle (gate, gate->idle[0].connection);
-  if (gate->idle_count > 0)
-    return gate->idle[--gate->idle_count].connection;
+  while (gate->idle_count > 0)
+    {
+      connection = gate->idle[--gate->idle_count].connection;
+      if (cnx_is_idle (connection))
+        return connection;
+      /* It has ended or received bytes, which is reported later in this loop
+         iteration.  */
+      cnx_close (connection);
+    }
   connection = cnx_open (gate->loop, gate->registration->upstream.address,
                          &handlers, gate, &limits);
   cnx_set_budget (connection, &gate->response_budget);
--- a/src/sto/sto.c
+++ b/src/sto/sto.c
@@ -205,8 +205,15 @@
 static struct cnx *
 acquire_connection (struct sto *store)
 {
-  if (store->idle_count > 0)
-    return store->idle[--store->idle_count];
+  while (store->idle_count > 0)
+    {
+      struct cnx *connection = store->idle[--store->idle_count];
+
+      if (cnx_is_idle (connection))
+        return connection;
+      /* It has ended, which is reported later in this loop iteration.  */
+      cnx_close (connection);
+    }
   return open_connection (store);
 }
 
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -1094,6 +1094,23 @@
     }
 }
 
+/* Guards against the same on a connection that is idle, at the moment at which
+   the next request begins: its outcome would be unknown although it has not
+   been sent.  */
+TEST_F (Sidecars, UseNoIdleConnectionThatHasReceivedBytes)
+{
+  add_vm ("orders");
+  put_config (1);
+  ASSERT_TRUE (run_until_converged (1));
+  ASSERT_TRUE (run_until ([&] { return status_of (0, "/orders/") == 200; }));
+  for (int i = 0; i < 20; i++)
+    {
+      run_for (5);
+      sup_send_late_copy (vms[0].upstream);
+      EXPECT_EQ (status_of (0, "/once/", "", 1000, "POST"), 200);
+    }
+}
+
 /* Guards against an answer of another request that reaches a caller whose
    request has no id.  */
 TEST_F (Sidecars, DropResponsesWithAnIdToARequestWithoutOne)
