Count a request until its response has been sent

Cause: srv_finish_response counted the request as answered and the connection as idle once the response was in its buffer. Evidence: srv_request_count 0 while 64 MiB are being sent; 8,241,750 bytes of them arrive with an idle timeout of 0.3 s. Ruled out: the kill at the end of the grace period; the gate. Change: a request counts until its response is sent; the idle timeout runs from the last bytes that the caller has taken; a shutdown also waits for answers in the output of links to other nodes.

--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -218,6 +218,18 @@
     chn_send (link->channel, frame);
 }
 
+size_t
+hub_unsent_replies (const struct hub *hub)
+{
+  size_t bytes = 0;
+
+  for (const struct lst_entry *at = hub->inbound_links.first; at != NULL;
+       at = at->next)
+    bytes += chn_unsent_bytes (
+        LST_ITEM (at, struct hub_inbound_link, entry)->channel);
+  return bytes;
+}
+
 bool
 hub_can_send (const struct hub *hub, dir_handle peer)
 {
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -101,6 +101,9 @@
   void hub_reply (struct hub *hub, struct hub_inbound_link *link,
                   const Mesh__Frame *frame);
 
+  /* Returns the bytes of replies that were not sent yet, on all links.  */
+  size_t hub_unsent_replies (const struct hub *hub);
+
   /* Returns whether PEER is this node itself, or a known and healthy one.  */
   bool hub_can_send (const struct hub *hub, dir_handle peer);
 
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -352,7 +352,8 @@
           .last_request_at = srv_last_request_time (sidecar->caller_server),
           .is_accepting = srv_is_accepting (sidecar->caller_server),
           .request_count = srv_request_count (sidecar->caller_server),
-          .call_count = gat_in_progress (sidecar->gate) };
+          .call_count = gat_in_progress (sidecar->gate),
+          .unsent_bytes = hub_unsent_replies (sidecar->hub) };
 
   return stp_check (&sidecar->shutdown, &state);
 }
--- a/src/srv/srv.h
+++ b/src/srv/srv.h
@@ -58,8 +58,9 @@
     struct htp_limits sizes;
     clk_time header_timeout; /* from the first byte of a request to the end of
                                 its header */
-    clk_time idle_timeout;   /* between requests, and between two reads of a
-                                body */
+    clk_time idle_timeout;   /* between requests, between two reads of a body,
+                                and while a caller reads nothing of its
+                                response */
     size_t max_connections;  /* open at the same time; 0: no limit */
   };
 
@@ -90,7 +91,8 @@
   /* Returns whether new connections are accepted.  */
   bool srv_is_accepting (const struct srv *server);
 
-  /* Returns the number of requests without a response yet.  */
+  /* Returns the number of requests whose response is not completed or not
+     wholly sent.  */
   size_t srv_request_count (const struct srv *server);
 
   /* Returns when the last complete request arrived, 0 when none did.  */
--- a/src/srv/srv_connection.c
+++ b/src/srv/srv_connection.c
@@ -66,6 +66,8 @@
     return;
   if (connection->state == SRV_HANDLING)
     server->request_count--;
+  server->request_count -= connection->unsent_responses;
+  connection->unsent_responses = 0;
   if (connection->previous != NULL)
     connection->previous->next = connection->next;
   else
@@ -102,6 +104,15 @@
   update_events (connection);
 }
 
+/* Starts the time for which a connection may stay as it is.  */
+static void
+start_idle_timer (struct srv_connection *connection)
+{
+  evl_timer_set (&connection->timer,
+                 loop_now (connection)
+                     + connection->server->limits.idle_timeout);
+}
+
 /* Frees the output after all of it was sent.  After the last response a
    lingering close starts.  */
 static void
@@ -109,6 +120,8 @@
 {
   buf_close (&connection->output);
   connection->sent_length = 0;
+  connection->server->request_count -= connection->unsent_responses;
+  connection->unsent_responses = 0;
   if (connection->state == SRV_IDLE && connection->closing)
     start_lingering_close (connection);
 }
@@ -116,6 +129,8 @@
 bool
 srv_flush (struct srv_connection *connection)
 {
+  size_t before = connection->sent_length;
+
   while (connection->sent_length < connection->output.length)
     {
       ssize_t count = send (
@@ -133,8 +148,13 @@
           return false;
         }
     }
-  if (connection->output.length > 0
-      && connection->sent_length == connection->output.length)
+  if (connection->sent_length < connection->output.length)
+    {
+      /* A caller that reads its response is not idle.  */
+      if (connection->sent_length > before && connection->state == SRV_IDLE)
+        start_idle_timer (connection);
+    }
+  else if (connection->output.length > 0)
     handle_output_sent (connection);
   update_events (connection);
   return true;
@@ -153,9 +173,7 @@
 {
   connection->state = SRV_IDLE;
   connection->data = NULL;
-  evl_timer_set (&connection->timer,
-                 loop_now (connection)
-                     + connection->server->limits.idle_timeout);
+  start_idle_timer (connection);
 }
 
 void
@@ -169,7 +187,7 @@
   if (connection->closing)
     htp_put_header (&connection->output, "Connection", "close");
   htp_put_body (&connection->output, body, connection->is_head ? 0 : length);
-  server->request_count--;
+  connection->unsent_responses++;
   start_idle (connection);
   if (srv_flush (connection) && !connection->parsing)
     srv_parse (connection);
--- a/src/srv/srv_internal.h
+++ b/src/srv/srv_internal.h
@@ -27,12 +27,13 @@
   struct htp_reader reader;
   struct buf input; /* bytes read beyond the end of the current request */
   struct buf output;
-  size_t sent_length; /* bytes of OUTPUT that were sent */
-  void *data;         /* pointer of the handler */
-  bool keep_alive;    /* the caller allows a further request */
-  bool is_head;       /* the response must have no body */
-  bool closing;       /* no further request is read */
-  bool parsing;       /* inside handle_input, which parses all requests */
+  size_t sent_length;      /* bytes of OUTPUT that were sent */
+  size_t unsent_responses; /* completed, and not wholly sent */
+  void *data;              /* pointer of the handler */
+  bool keep_alive;         /* the caller allows a further request */
+  bool is_head;            /* the response must have no body */
+  bool closing;            /* no further request is read */
+  bool parsing;            /* inside handle_input, which parses all requests */
 };
 
 struct srv
--- a/src/stp/stp.c
+++ b/src/stp/stp.c
@@ -39,7 +39,8 @@
 static bool
 is_idle (const struct stp_state *state)
 {
-  return state->request_count == 0 && state->call_count == 0;
+  return state->request_count == 0 && state->call_count == 0
+         && state->unsent_bytes == 0;
 }
 
 static bool
--- a/src/stp/stp.h
+++ b/src/stp/stp.h
@@ -37,8 +37,10 @@
     clk_time now;
     clk_time last_request_at; /* arrival of the last request of a caller */
     bool is_accepting;        /* requests may still arrive */
-    size_t request_count;     /* requests of callers without a response */
+    size_t request_count;     /* requests of callers without a whole response
+                                 sent */
     size_t call_count;        /* calls at the upstream or waiting for it */
+    size_t unsent_bytes;      /* of answers to calls of other nodes */
   };
 
   /* What is due; each step stays due once it is.  */
--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -45,6 +45,7 @@
   struct srv *server;
   enum sup_fault fault;
   bool sends_late_copies;
+  size_t body_size;
   char last_id[NAME_SIZE]; /* of the request answered or refused last */
   bool last_refused;
   struct srv_connection *last_connection; /* null: it has closed */
@@ -216,6 +217,21 @@
   on_flood (run);
 }
 
+/* Sends the id, filled up to the size of bodies.  */
+static void
+send_body (const struct sup *upstream, struct srv_connection *connection,
+           const char *id)
+{
+  size_t length = strlen (id);
+  size_t size = length < upstream->body_size ? upstream->body_size : length;
+  char *body = mem_alloc (size, 1);
+
+  memset (body, '.', size);
+  memcpy (body, id, length);
+  srv_finish_response (connection, body, size);
+  free (body);
+}
+
 static void
 answer (struct sup *upstream, struct srv_connection *connection,
         const char *id)
@@ -241,7 +257,7 @@
     }
   start_answer (connection, upstream->fault == SUP_FAIL ? 500 : 200, id,
                 upstream->fault != SUP_UNSIGNED);
-  srv_finish_response (connection, id, strlen (id));
+  send_body (upstream, connection, id);
 }
 
 static void
@@ -546,6 +562,12 @@
   upstream->fault = fault;
 }
 
+void
+sup_set_body_size (struct sup *upstream, size_t bytes)
+{
+  upstream->body_size = bytes;
+}
+
 void
 sup_set_service_time (struct sup *upstream, clk_time work)
 {
--- a/standins/lib/sup.h
+++ b/standins/lib/sup.h
@@ -86,6 +86,9 @@
   uint64_t sup_flood_bytes (const struct sup *upstream);
   size_t sup_flood_count (const struct sup *upstream);
 
+  /* Sets the least size of the bodies of answers, in bytes.  */
+  void sup_set_body_size (struct sup *upstream, size_t bytes);
+
   /* Sets the time of the requests that follow, in ns.  */
   void sup_set_service_time (struct sup *upstream, clk_time work);
 
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -1299,6 +1299,36 @@
   EXPECT_GT (peers.back ().first - start, served_time);
 }
 
+/* Guards against answers that are cut by the end of the process while they are
+   being sent: to a caller, and to another node for its caller.  */
+TEST_F (Sidecars, SendAnswersWholeDuringAShutdown)
+{
+  /* More than the buffers of the sockets hold.  */
+  const size_t size = 12 * 1024 * 1024;
+  std::vector<Peer> peers;
+
+  memory_mb = 512;
+  start_mesh ();
+  for (Vm &vm : vms)
+    sup_set_body_size (vm.upstream, size);
+  for (int i = 0; i < 4; i++)
+    peers.push_back (send_call (i % 2, "/orders/", "", 1000));
+  run_for (500);
+  sdc_terminate (vms[0].sidecar);
+  run_for (3000);
+  EXPECT_FALSE (sdc_has_stopped (vms[0].sidecar));
+  for (Peer &peer : peers)
+    EXPECT_TRUE (run_until (
+        [&] {
+          peer.receive ();
+          return peer.received.size () > size;
+        },
+        500))
+        << peer.received.size ();
+  EXPECT_TRUE (
+      run_until ([&] { return sdc_has_stopped (vms[0].sidecar); }, 1500));
+}
+
 /* Guards against requests that come late in the grace period, are passed on,
    and are broken off at its end, among them those that may run only once: with
    a long grace period they came before half of it.  */
--- a/tests/srv_test.cc
+++ b/tests/srv_test.cc
@@ -194,3 +194,87 @@
   peer.receive ();
   EXPECT_EQ (peer.received.find ("done"), std::string::npos);
 }
+
+/* Sends a response that the socket buffers cannot hold.  */
+static void
+respond_with (struct srv_connection *connection, size_t length)
+{
+  std::string body (length, 'x');
+
+  srv_start_response (connection, 200);
+  srv_finish_response (connection, body.data (), body.size ());
+}
+
+#define LARGE_BODY (64u * 1024u * 1024u)
+
+/* Guards against a process that ends while it still sends responses, because
+   their requests count as answered.  */
+TEST_F (Server, CountsRequestsUntilTheirResponsesAreSent)
+{
+  respond_immediately = false;
+  Peer peer = Peer::connect (address);
+
+  peer.send (get);
+  ASSERT_TRUE (run_until ([&] { return pending.size () == 1; }));
+  respond_with (pending[0], LARGE_BODY);
+  pending.clear ();
+  run_for (50);
+  EXPECT_EQ (srv_request_count (server), 1u);
+  EXPECT_TRUE (run_until ([&] {
+    peer.receive ();
+    return srv_request_count (server) == 0;
+  }));
+  EXPECT_TRUE (run_until ([&] {
+    peer.receive ();
+    return peer.received.size () > LARGE_BODY;
+  }));
+}
+
+/* The same for a caller that disconnects before it has the response.  */
+TEST_F (Server, CountsNoRequestOfAClosedConnection)
+{
+  respond_immediately = false;
+  Peer peer = Peer::connect (address);
+
+  peer.send (get);
+  ASSERT_TRUE (run_until ([&] { return pending.size () == 1; }));
+  respond_with (pending[0], LARGE_BODY);
+  pending.clear ();
+  peer.close (true);
+  EXPECT_TRUE (run_until ([&] { return srv_request_count (server) == 0; }));
+}
+
+/* Guards against a response that is cut by the idle timeout although its
+   caller goes on reading.  */
+TEST_F (Server, KeepsAConnectionWhoseResponseIsBeingRead)
+{
+  respond_immediately = false;
+  Peer peer = Peer::connect (address);
+
+  peer.send (get);
+  ASSERT_TRUE (run_until ([&] { return pending.size () == 1; }));
+  respond_with (pending[0], LARGE_BODY);
+  pending.clear ();
+  for (int i = 0; i < 40 && peer.received.size () <= LARGE_BODY; i++)
+    {
+      run_for (150);
+      peer.receive ();
+    }
+  EXPECT_GT (peer.received.size (), LARGE_BODY);
+}
+
+/* Guards against a connection that stays open for good because its caller does
+   not read.  */
+TEST_F (Server, ClosesAConnectionWhoseResponseIsNotRead)
+{
+  respond_immediately = false;
+  Peer peer = Peer::connect (address);
+
+  peer.send (get);
+  ASSERT_TRUE (run_until ([&] { return pending.size () == 1; }));
+  respond_with (pending[0], LARGE_BODY);
+  pending.clear ();
+  EXPECT_TRUE (
+      run_until ([&] { return srv_connection_count (server) == 0; }, 1000));
+  EXPECT_EQ (srv_request_count (server), 0u);
+}
--- a/tests/stp_test.cc
+++ b/tests/stp_test.cc
@@ -79,6 +79,20 @@
   EXPECT_FALSE (at (5500, 5300, 1, 0).stop);
 }
 
+/* Guards against answers to calls of other nodes that are cut while they are
+   being sent.  */
+TEST_F (Shutdown, WaitsForUnsentAnswers)
+{
+  struct stp_state state = {};
+
+  state.now = start + 4 * CLK_SECOND;
+  state.last_request_at = start;
+  state.unsent_bytes = 1;
+  EXPECT_FALSE (stp_check (&shutdown, &state).stop);
+  state.unsent_bytes = 0;
+  EXPECT_TRUE (stp_check (&shutdown, &state).stop);
+}
+
 /* Guards against requests that are accepted when their callers have long known
    of the shutdown, and are broken off at its end: with a long grace period
    half of it is later than that.  */
