Take all parts of an answer from a link that was retired

Cause: the first frame ended the request on its link; a retired link without requests is closed, and the later parts are lost. Evidence: the test plays such a node; the caller gets 504. Ruled out: a repeat elsewhere (the call may run only once). Change: the request ends when the answer is whole. Test, failed before: Sidecars.TakeALongAnswerFromALinkThatWasRetired.

--- a/src/fwd/fwd_reply.c
+++ b/src/fwd/fwd_reply.c
@@ -27,10 +27,19 @@
   fwd_repeat (call);
 }
 
+/* Ends the try under way: nothing more is expected on its link, which is
+   closed now if it is no longer used.  */
 static void
-take_answer (struct fwd_call *call, const Mesh__Answer *answer)
+end_try (struct fwd_call *call)
 {
   call->number = 0;
+  hub_end_request (call->forwarder->parts.hub, call->link);
+}
+
+static void
+take_answer (struct fwd_call *call, const Mesh__Answer *answer)
+{
+  end_try (call);
   if (answer->outcome == OUT_ANSWERED)
     fwd_answer (call, answer);
   else if (answer->outcome == OUT_NOT_RUN)
@@ -49,7 +58,7 @@
     return;
   if (answer->body.len + part->data.len > FRM_MAX_BODY_LENGTH)
     {
-      call->number = 0;
+      end_try (call);
       take_unknown (call, call->peer, "the answer is too long");
       return;
     }
@@ -82,7 +91,6 @@
     return false;
   if (frame->answer->load != NULL)
     fwd_take_load (forwarder, peer, call->kind, frame->answer->load);
-  hub_end_request (forwarder->parts.hub, call->link);
   if (frame->answer->more)
     {
       frm_free (call->frame);
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -2,6 +2,7 @@
    the faults that the platform may have.  */
 
 #include "dir/dir.h"
+#include "out/out.h"
 #include "pfm_names.h"
 #include "support/sidecar_mesh.h"
 #include "wire/frm.h"
@@ -709,6 +710,105 @@
   }));
 }
 
+/* Returns the first frame of a kind in what a peer has received, null when
+   there is none; the caller frees it.  */
+static Mesh__Frame *
+find_frame (const std::string &data, Mesh__Frame__BodyCase kind)
+{
+  size_t at = 0;
+
+  while (at + FRM_HEADER_LENGTH <= data.size ())
+    {
+      const uint8_t *bytes = (const uint8_t *)data.data () + at;
+      size_t length = (size_t)bytes[0] << 24 | (size_t)bytes[1] << 16
+                      | (size_t)bytes[2] << 8 | bytes[3];
+      Mesh__Frame *frame = nullptr;
+
+      at += FRM_HEADER_LENGTH + length;
+      if (at > data.size ()
+          || frm_decode (bytes + FRM_HEADER_LENGTH, length, &frame) != FRM_OK)
+        return nullptr;
+      if (frame->body_case == kind)
+        return frame;
+      frm_free (frame);
+    }
+  return nullptr;
+}
+
+/* Returns an answer of two frames to the call NUMBER.  */
+static std::string
+make_long_answer (uint64_t number)
+{
+  Mesh__CallId id = MESH__CALL_ID__INIT;
+  Mesh__Answer answer = MESH__ANSWER__INIT;
+  Mesh__BodyPart part = MESH__BODY_PART__INIT;
+  Mesh__Frame frame = MESH__FRAME__INIT;
+  struct buf output = {};
+  char text[] = "firstlast";
+
+  id.number = number;
+  answer.id = &id;
+  answer.outcome = OUT_ANSWERED;
+  answer.status = 200;
+  answer.body = { 5, (uint8_t *)text };
+  answer.more = true;
+  frame.body_case = MESH__FRAME__BODY_ANSWER;
+  frame.answer = &answer;
+  EXPECT_EQ (frm_encode (&frame, &output), FRM_OK);
+  part.id = &id;
+  part.data = { 4, (uint8_t *)text + 5 };
+  frame.body_case = MESH__FRAME__BODY_ANSWER_BODY;
+  frame.answer_body = &part;
+  EXPECT_EQ (frm_encode (&frame, &output), FRM_OK);
+  std::string data ((const char *)output.data, output.length);
+
+  buf_close (&output);
+  return data;
+}
+
+/* Guards against an answer of several frames that loses its later parts: it
+   arrives on a link that is no longer used because its node answered no
+   ping.  */
+TEST_F (Sidecars, TakeALongAnswerFromALinkThatWasRetired)
+{
+  add_vm ("orders");
+  put_config (1, { "/slow/" });
+  ASSERT_TRUE (run_until_converged (1));
+  ASSERT_TRUE (run_until ([&] { return status_of (0, "/orders/") == 200; }));
+  kill_upstream (0);
+
+  /* A node of the test itself, with an upstream of the service.  */
+  struct mbr_member record = {};
+  struct net_address address = { 0x7f0001f0, (uint16_t)(base_port + 1) };
+  Listener listener (address);
+  Peer node;
+
+  ASSERT_TRUE (dir_from_json (sst_get (store, "mesh-nodes", "vm-0"), &record));
+  snprintf (record.name, sizeof record.name, "vm-test");
+  snprintf (record.upstream, sizeof record.upstream, "i-test");
+  record.address = address;
+  sst_put (store, "mesh-nodes", "vm-test", dir_to_json (&record));
+  ASSERT_TRUE (
+      run_until ([&] { return sdc_node_count (vms[0].sidecar) == 2; }));
+  Peer caller = send_call (0, "/once/", "", 1000, "POST");
+  Mesh__Frame *call = nullptr;
+
+  ASSERT_TRUE (run_until ([&] {
+    if (!node.is_open ())
+      listener.accept (&node);
+    else
+      node.receive ();
+    call = find_frame (node.received, MESH__FRAME__BODY_CALL);
+    return call != nullptr;
+  }));
+  run_for (500);
+  node.send (make_long_answer (call->call->id->number));
+  frm_free (call);
+  EXPECT_TRUE (run_until_received (caller, "\r\n\r\n"));
+  EXPECT_EQ (response_status (caller), 200);
+  EXPECT_TRUE (run_until_received (caller, "firstlast"));
+}
+
 /* Guards against an upstream that stays out of use after its node has started
    again, for as long as its next heartbeat takes.  */
 TEST_F (Sidecars, UseARestoredUpstreamBeforeItsNextHeartbeat)
