Reject large requests with 503 while the limits are not known

Cause: until a configuration is in effect, the server for callers has the limits of the internal servers and their statuses. Ruled out: limits of an earlier configuration; a process that starts has none. Change: what exceeds provisional limits is rejected with 503. Test, failed before (413 and 431 for 503): Sidecars.RejectLargeRequestsAsNotRunWithoutAConfiguration.

--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -232,6 +232,7 @@
                     sdc_handle_probe_result, sidecar);
   if (!start_servers (sidecar))
     return false;
+  srv_set_provisional (sidecar->caller_server, true);
   sdc_start_join (sidecar);
   return true;
 }
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -38,6 +38,7 @@
   if (configured->idle_timeout_ms > 0)
     limits.idle_timeout = configured->idle_timeout_ms * CLK_MILLISECOND;
   srv_set_limits (sidecar->caller_server, &limits);
+  srv_set_provisional (sidecar->caller_server, false);
 }
 
 void
--- a/src/srv/srv.c
+++ b/src/srv/srv.c
@@ -109,6 +109,12 @@
   server->limits = *limits;
 }
 
+void
+srv_set_provisional (struct srv *server, bool provisional)
+{
+  server->provisional = provisional;
+}
+
 void
 srv_drain (struct srv *server)
 {
--- a/src/srv/srv.h
+++ b/src/srv/srv.h
@@ -79,6 +79,11 @@
      time.  */
   void srv_set_limits (struct srv *server, const struct srv_limits *limits);
 
+  /* Sets whether the limits stand in for those that are not known yet: what
+     exceeds them is then rejected with 503, after which callers may come back,
+     in place of 413 or 431.  */
+  void srv_set_provisional (struct srv *server, bool provisional);
+
   /* Starts to drain: every later response closes its connection.  New
      connections are still accepted.  */
   void srv_drain (struct srv *server);
--- a/src/srv/srv_connection.c
+++ b/src/srv/srv_connection.c
@@ -212,8 +212,10 @@
 }
 
 static unsigned
-error_status (enum htp_status status)
+error_status (const struct srv *server, enum htp_status status)
 {
+  if (status != HTP_INVALID && server->provisional)
+    return 503;
   if (status == HTP_HEADER_TOO_LARGE)
     return 431;
   return status == HTP_BODY_TOO_LARGE ? 413 : 400;
@@ -281,7 +283,7 @@
   if (status == HTP_COMPLETE)
     dispatch (connection);
   else if (status != HTP_INCOMPLETE)
-    srv_reject (connection, error_status (status));
+    srv_reject (connection, error_status (connection->server, status));
   else
     {
       if (connection->reader.started)
--- a/src/srv/srv_internal.h
+++ b/src/srv/srv_internal.h
@@ -52,6 +52,7 @@
   struct srv_connection *closed; /* to be freed by free_task; list by next */
   struct evl_task free_task;     /* runs srv_free_closed */
   bool draining;
+  bool provisional; /* see srv_set_provisional */
 };
 
 /* Frees closed connections.  */
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -189,6 +189,34 @@
   EXPECT_EQ (probe_readiness (0), 200);
 }
 
+/* Guards against a rejection that callers do not repeat (413, 431) by a node
+   that does not know the limits yet.  */
+TEST_F (Sidecars, RejectLargeRequestsAsNotRunWithoutAConfiguration)
+{
+  const std::string start
+      = "POST /orders/ HTTP/1.1\r\nHost: mesh.example\r\n" PFM_REQUEST_ID
+        ": 1\r\n" PFM_TIMEOUT_MS ": 1000\r\n";
+
+  add_vm ("orders");
+  for (const std::string &rest :
+       { "Content-Length: 20000000\r\n\r\n" + std::string (100, 'x'),
+         "X: " + std::string (20000, 'x') + "\r\n\r\n" })
+    {
+      Peer peer = Peer::connect (address_of (0, calls_port));
+
+      peer.send (start + rest);
+      EXPECT_TRUE (run_until_received (peer, "\r\n\r\n"));
+      EXPECT_EQ (response_status (peer), 503);
+    }
+  put_config (1);
+  ASSERT_TRUE (run_until_converged (1));
+  Peer peer = Peer::connect (address_of (0, calls_port));
+
+  peer.send (start + "Content-Length: 20000000\r\n\r\n");
+  EXPECT_TRUE (run_until_received (peer, "\r\n\r\n"));
+  EXPECT_EQ (response_status (peer), 413);
+}
+
 /* Guards against requests that are rejected although the configuration of a
    newly started process arrives a moment later.  Without the wait, a restart
    of all processes of a mesh led to 1,200 rejected requests.  */
