Refuse bodies for which there is no memory

Cause: each body is limited, their sum is not, and each is in memory up to four times on its way. Evidence: 62,325,584 bytes allocated for 24 bodies of 900 KB on VMs of 16 MB. Ruled out: responses (they share a budget), a leak. Change: bodies of callers' requests share an eighth of the memory, those of calls at a gate another; what does not fit is refused as not run at once.

--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -23,7 +23,7 @@
 struct gat *
 gat_create (struct evl *loop, const struct ptf_platform *platform,
             const struct reg *registration, const struct gat_hooks *hooks,
-            size_t response_memory)
+            const struct gat_memory *memory)
 {
   struct gat *gate = mem_alloc (1, sizeof *gate);
 
@@ -31,7 +31,8 @@
   gate->platform = platform;
   gate->registration = registration;
   gate->hooks = *hooks;
-  gate->response_budget.max_bytes = response_memory;
+  gate->request_budget.max_bytes = memory->requests;
+  gate->response_budget.max_bytes = memory->responses;
   gate->keep_time = DEFAULT_KEEP_TIME;
   gate->latest = CLK_NEVER;
   evl_timer_init (&gate->expiry, loop, on_expiry, gate);
@@ -57,6 +58,7 @@
   gate->call_count--;
   lst_remove (&gate->calls, &call->list);
   evl_timer_stop (&call->timer);
+  htp_budget_return (&gate->request_budget, call->budgeted_bytes);
   frm_free (call->frame);
   free (call);
 }
@@ -326,6 +328,26 @@
                       XXH3_64bits (caller, strlen (caller)));
 }
 
+/* Takes memory for LENGTH more bytes of the call's body.  Refuses the call and
+   returns false when not enough is left.  */
+static bool
+take_memory (struct gat_call *call, size_t length)
+{
+  struct htp_budget *budget = &call->gate->request_budget;
+
+  if (htp_budget_take (budget, length))
+    {
+      call->budgeted_bytes += length;
+      return true;
+    }
+  log_write (LOG_WARNING, "gat",
+             "refused a call: its body does not fit into the memory for "
+             "bodies, of which %zu of %zu bytes are in use",
+             budget->used_bytes, budget->max_bytes);
+  gat_refuse (call, GAT_BUSY);
+  return false;
+}
+
 static void
 start_call (struct gat *gate, struct hub_inbound_link *origin,
             Mesh__Frame *frame)
@@ -355,6 +377,8 @@
   gate->call_count++;
   count_caller (call);
   evl_timer_init (&call->timer, gate->loop, NULL, call);
+  if (!take_memory (call, message->body.len))
+    return;
   if (!message->more)
     admit (call);
 }
@@ -376,6 +400,8 @@
       gat_refuse (call, GAT_BUSY);
       return;
     }
+  if (!take_memory (call, part->data.len))
+    return;
   message->body.data
       = mem_resize (message->body.data, message->body.len + part->data.len, 1);
   if (part->data.len > 0)
--- a/src/gat/gat.h
+++ b/src/gat/gat.h
@@ -47,14 +47,19 @@
     uint64_t (*config_version) (void *context);
   };
 
-  /* Creates a gate to the upstream of REGISTRATION, which must outlive it. The
-     bodies of all responses that are read at the same time take up to
-     RESPONSE_MEMORY bytes.  */
+  /* Memory for the bodies that are held at the same time, in bytes.  */
+  struct gat_memory
+  {
+    size_t requests;  /* of calls */
+    size_t responses; /* of responses that are being read */
+  };
+
+  /* Creates a gate to the upstream of REGISTRATION, which must outlive it.  */
   struct gat *gat_create (struct evl *loop,
                           const struct ptf_platform *platform,
                           const struct reg *registration,
                           const struct gat_hooks *hooks,
-                          size_t response_memory);
+                          const struct gat_memory *memory);
 
   /* Drops all calls without answers.  Null is allowed.  */
   void gat_destroy (struct gat *gate);
--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -29,6 +29,7 @@
   Mesh__Frame *frame; /* owns the call */
   const char *id;     /* the caller's, from its header; null: none */
   enum gat_state state;
+  size_t budgeted_bytes; /* of its body, taken from the gate's budget */
   clk_time arrival;
   clk_time target;
   clk_time deadline;
@@ -53,7 +54,8 @@
   const struct ptf_platform *platform;
   const struct reg *registration;
   struct gat_hooks hooks;
-  struct htp_budget response_budget; /* see gat_create */
+  struct htp_budget request_budget;
+  struct htp_budget response_budget;
   struct lst calls;
   size_t call_count;
   struct que queue;
--- a/src/htp/htp.h
+++ b/src/htp/htp.h
@@ -41,7 +41,8 @@
     HTP_COMPLETE,         /* the message is complete */
     HTP_INVALID,          /* not HTTP/1.x, or ambiguous framing */
     HTP_HEADER_TOO_LARGE, /* exceeds its limit or HTP_MAX_HEADERS */
-    HTP_BODY_TOO_LARGE    /* exceeds its limit */
+    HTP_BODY_TOO_LARGE,   /* exceeds its limit */
+    HTP_NO_MEMORY         /* the budget has not enough left for the body */
   };
 
   /* Largest sizes accepted.  */
@@ -51,13 +52,19 @@
     size_t max_body_bytes;
   };
 
-  /* Memory that several readers share for the bodies that they read.  */
+  /* Memory that the bodies of several messages share.  */
   struct htp_budget
   {
     size_t max_bytes;
     size_t used_bytes;
   };
 
+  /* Takes LENGTH bytes from BUDGET.  Returns false when they are not left.  */
+  bool htp_budget_take (struct htp_budget *budget, size_t length);
+
+  /* Gives LENGTH bytes back.  */
+  void htp_budget_return (struct htp_budget *budget, size_t length);
+
   /* A header field, as offsets into the text of its message.  */
   struct htp_header
   {
@@ -71,6 +78,9 @@
   {
     struct buf text; /* starts with the target of a request */
     struct buf body;
+    struct htp_budget *budget; /* of the body; null: none */
+    size_t budgeted_bytes;     /* taken from it; htp_message_close returns
+                                  them */
     struct htp_header *headers;
     unsigned header_count;
     unsigned header_capacity;
@@ -87,8 +97,7 @@
     http_parser parser;
     enum htp_kind kind;
     struct htp_limits limits;
-    struct htp_budget *budget; /* null: none */
-    size_t budgeted_bytes;     /* of the current body */
+    struct htp_budget *budget; /* of the bodies that are read; null: none */
     struct htp_message message;
     size_t header_bytes;     /* read of the current message */
     size_t idle_bytes;       /* read since the last byte of a body */
@@ -105,8 +114,9 @@
                         const struct htp_limits *limits);
 
   /* Makes the bodies that are read from now on take their memory from BUDGET,
-     until they are taken or freed; null: from none.  BUDGET must outlive the
-     reader, or be replaced.  A body for which nothing is left is too large. */
+     until their message is closed; null: from none.  What the current message
+     has taken is given back.  BUDGET must outlive the messages.  A request
+     with a Content-Length takes all of it before its body is read.  */
   void htp_reader_set_budget (struct htp_reader *reader,
                               struct htp_budget *budget);
 
--- a/src/htp/htp_message.c
+++ b/src/htp/htp_message.c
@@ -20,9 +20,26 @@
                                           "Proxy-Authenticate",
                                           "Proxy-Authorization" };
 
+bool
+htp_budget_take (struct htp_budget *budget, size_t length)
+{
+  if (length > budget->max_bytes - budget->used_bytes)
+    return false;
+  budget->used_bytes += length;
+  return true;
+}
+
+void
+htp_budget_return (struct htp_budget *budget, size_t length)
+{
+  budget->used_bytes -= length;
+}
+
 void
 htp_message_close (struct htp_message *message)
 {
+  if (message->budget != NULL)
+    htp_budget_return (message->budget, message->budgeted_bytes);
   buf_close (&message->text);
   buf_close (&message->body);
   free (message->headers);
--- a/src/htp/htp_reader.c
+++ b/src/htp/htp_reader.c
@@ -156,6 +156,22 @@
   return 0;
 }
 
+/* Makes the budget cover a body of LENGTH bytes in all.  Returns false when
+   not enough is left.  */
+static bool
+cover_body (struct htp_reader *reader, uint64_t length)
+{
+  struct htp_message *message = &reader->message;
+
+  if (reader->budget == NULL || length <= message->budgeted_bytes)
+    return true;
+  if (!htp_budget_take (reader->budget, length - message->budgeted_bytes))
+    return false;
+  message->budget = reader->budget;
+  message->budgeted_bytes = length;
+  return true;
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -186,37 +202,24 @@
       fail (reader, HTP_BODY_TOO_LARGE);
       return -1;
     }
+  if (reader->kind == HTP_REQUEST && (parser->flags & F_CONTENTLENGTH) != 0
+      && !cover_body (reader, parser->content_length))
+    {
+      fail (reader, HTP_NO_MEMORY);
+      return -1;
+    }
   return reader->without_body ? 1 : 0;
 }
 
-/* Takes LENGTH bytes from the budget.  Returns false when they are not
-   left.  */
-static bool
-take_from_budget (struct htp_reader *reader, size_t length)
-{
-  struct htp_budget *budget = reader->budget;
-
-  if (budget == NULL)
-    return true;
-  if (length > budget->max_bytes - budget->used_bytes)
-    return false;
-  budget->used_bytes += length;
-  reader->budgeted_bytes += length;
-  return true;
-}
-
-static void
-return_to_budget (struct htp_reader *reader)
-{
-  if (reader->budget != NULL)
-    reader->budget->used_bytes -= reader->budgeted_bytes;
-  reader->budgeted_bytes = 0;
-}
-
 void
 htp_reader_set_budget (struct htp_reader *reader, struct htp_budget *budget)
 {
-  return_to_budget (reader);
+  struct htp_message *message = &reader->message;
+
+  if (message->budget != NULL)
+    htp_budget_return (message->budget, message->budgeted_bytes);
+  message->budget = NULL;
+  message->budgeted_bytes = 0;
   reader->budget = budget;
 }
 
@@ -225,9 +228,12 @@
 {
   struct htp_reader *reader = parser->data;
 
-  if (reader->message.body.length + length > reader->limits.max_body_bytes
-      || !take_from_budget (reader, length))
+  size_t total = reader->message.body.length + length;
+
+  if (total > reader->limits.max_body_bytes)
     return fail (reader, HTP_BODY_TOO_LARGE);
+  if (!cover_body (reader, total))
+    return fail (reader, HTP_NO_MEMORY);
   buf_append (&reader->message.body, data, length);
   return 0;
 }
@@ -280,14 +286,12 @@
 void
 htp_reader_close (struct htp_reader *reader)
 {
-  return_to_budget (reader);
   htp_message_close (&reader->message);
 }
 
 void
 htp_reader_reset (struct htp_reader *reader)
 {
-  return_to_budget (reader);
   htp_message_close (&reader->message);
   reader->without_body = false;
   start_message (reader);
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -20,6 +20,12 @@
 #include "syn/syn.h"
 #include "wch/wch.h"
 
+/* The bodies of the requests of callers may take the sidecar's memory divided
+   by this, and so may those of the calls at its gate.  A body on its way is in
+   memory up to four times: as it was read, in frames, at the gate, and in the
+   request to the upstream.  */
+#define SDC_REQUEST_MEMORY_DIVISOR 8
+
 /* A draining heartbeat or a deregistration that is acknowledged when this
    node's record is durable.  */
 struct sdc_pending_ack
@@ -45,6 +51,7 @@
   struct gat *gate;
   struct fwd *forwarder;
   struct srv *caller_server;
+  struct htp_budget body_budget; /* of the requests of callers */
   struct srv *readiness_server;
   struct srv *control_server;
   struct srv *metrics_server;
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -198,6 +198,9 @@
   struct gat_hooks gate_hooks
       = { sidecar, send_reply, on_upstream_unreachable, get_config_version };
   struct syn_hooks sync_hooks = sdc_sync_hooks (sidecar);
+  size_t memory = (size_t)settings->memory_mb * 1024 * 1024;
+  struct gat_memory gate_memory = { memory / SDC_REQUEST_MEMORY_DIVISOR,
+                                    memory / RESPONSE_MEMORY_DIVISOR };
   struct fwd_options options
       = { .loop = loop,
           .platform = sidecar->platform,
@@ -215,9 +218,8 @@
                               sidecar->self, &sync_hooks);
   sidecar->store
       = sto_create (loop, settings->platform_address, sidecar->platform);
-  sidecar->gate = gat_create (
-      loop, sidecar->platform, &sidecar->registration, &gate_hooks,
-      (size_t)settings->memory_mb * 1024 * 1024 / RESPONSE_MEMORY_DIVISOR);
+  sidecar->gate = gat_create (loop, sidecar->platform, &sidecar->registration,
+                              &gate_hooks, &gate_memory);
   options.hub = sidecar->hub;
   sidecar->forwarder = fwd_create (&options);
   sidecar->publisher
@@ -233,6 +235,8 @@
   if (!start_servers (sidecar))
     return false;
   srv_set_provisional (sidecar->caller_server, true);
+  sidecar->body_budget.max_bytes = memory / SDC_REQUEST_MEMORY_DIVISOR;
+  srv_set_budget (sidecar->caller_server, &sidecar->body_budget);
   sdc_start_join (sidecar);
   return true;
 }
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -15,9 +15,6 @@
 static const struct srv_limits default_limits
     = { { 16384, 16u * 1024u * 1024u }, 5 * CLK_SECOND, 60 * CLK_SECOND, 0 };
 
-/* One body may take the sidecar's memory divided by this.  */
-#define BODY_MEMORY_DIVISOR 8
-
 static void
 apply_limits (struct sdc *sidecar)
 {
@@ -25,7 +22,7 @@
       = &sidecar->snapshot->document->caller_limits;
   struct srv_limits limits = default_limits;
   uint64_t max_body_bytes = (uint64_t)sidecar->settings.memory_mb * 1024 * 1024
-                            / BODY_MEMORY_DIVISOR;
+                            / SDC_REQUEST_MEMORY_DIVISOR;
 
   if (configured->max_header_bytes > 0)
     limits.sizes.max_header_bytes = configured->max_header_bytes;
--- a/src/srv/srv.c
+++ b/src/srv/srv.c
@@ -115,6 +115,12 @@
   server->provisional = provisional;
 }
 
+void
+srv_set_budget (struct srv *server, struct htp_budget *budget)
+{
+  server->budget = budget;
+}
+
 void
 srv_drain (struct srv *server)
 {
--- a/src/srv/srv.h
+++ b/src/srv/srv.h
@@ -84,6 +84,11 @@
      in place of 413 or 431.  */
   void srv_set_provisional (struct srv *server, bool provisional);
 
+  /* Lets the bodies of all requests that connections opened from now on read
+     share BUDGET, which must outlive the server and its messages.  A request
+     for which not enough is left is rejected with 503.  */
+  void srv_set_budget (struct srv *server, struct htp_budget *budget);
+
   /* Starts to drain: every later response closes its connection.  New
      connections are still accepted.  */
   void srv_drain (struct srv *server);
--- a/src/srv/srv_connection.c
+++ b/src/srv/srv_connection.c
@@ -2,6 +2,7 @@
 
 #include "srv/srv_internal.h"
 
+#include "base/log.h"
 #include "base/mem.h"
 
 #include <errno.h>
@@ -214,13 +215,27 @@
 static unsigned
 error_status (const struct srv *server, enum htp_status status)
 {
-  if (status != HTP_INVALID && server->provisional)
+  if (status == HTP_NO_MEMORY
+      || (status != HTP_INVALID && server->provisional))
     return 503;
   if (status == HTP_HEADER_TOO_LARGE)
     return 431;
   return status == HTP_BODY_TOO_LARGE ? 413 : 400;
 }
 
+/* Rejects a request that cannot be read.  */
+static void
+reject_unread (struct srv_connection *connection, enum htp_status status)
+{
+  if (status == HTP_NO_MEMORY)
+    log_write (LOG_WARNING, "srv",
+               "rejected a request: its body does not fit into the memory for "
+               "bodies, of which %zu of %zu bytes are in use",
+               connection->server->budget->used_bytes,
+               connection->server->budget->max_bytes);
+  srv_reject (connection, error_status (connection->server, status));
+}
+
 /* Passes a complete request to the handler.  */
 static void
 dispatch (struct srv_connection *connection)
@@ -283,7 +298,7 @@
   if (status == HTP_COMPLETE)
     dispatch (connection);
   else if (status != HTP_INCOMPLETE)
-    srv_reject (connection, error_status (connection->server, status));
+    reject_unread (connection, status);
   else
     {
       if (connection->reader.started)
@@ -396,6 +411,7 @@
   server->connections = connection;
   server->connection_count++;
   htp_reader_init (&connection->reader, HTP_REQUEST, &server->limits.sizes);
+  htp_reader_set_budget (&connection->reader, server->budget);
   evl_timer_init (&connection->timer, server->loop, on_timer, connection);
   evl_socket_init (&connection->socket, server->loop, descriptor, on_socket,
                    connection);
--- a/src/srv/srv_internal.h
+++ b/src/srv/srv_internal.h
@@ -52,7 +52,8 @@
   struct srv_connection *closed; /* to be freed by free_task; list by next */
   struct evl_task free_task;     /* runs srv_free_closed */
   bool draining;
-  bool provisional; /* see srv_set_provisional */
+  bool provisional;          /* see srv_set_provisional */
+  struct htp_budget *budget; /* see srv_set_budget; null: none */
 };
 
 /* Frees closed connections.  */
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -1074,6 +1074,53 @@
   EXPECT_TRUE (run_until ([&] { return status_of (0, "/orders/") == 200; }));
 }
 
+/* Guards against bodies within the limits that, sent at once, exhaust the
+   memory of the VM: the requests of all its callers would end with it.  Those
+   for which there is no memory are refused as not run.  */
+TEST_F (Sidecars, BoundTheMemoryOfManyRequests)
+{
+  const std::string body (900 * 1000, 'x');
+  std::vector<Peer> peers;
+  size_t most = 0;
+  size_t served = 0;
+
+  memory_mb = 16;
+  add_vm ("orders");
+  add_vm ("stock");
+  put_config (1);
+  ASSERT_TRUE (run_until_converged (1));
+  ASSERT_TRUE (run_until ([&] { return status_of (1, "/orders/") == 200; }));
+  const size_t before = allocated_bytes ();
+
+  for (size_t i = 0; i < 24; i++)
+    {
+      Peer peer = Peer::connect (address_of (i % 2, calls_port));
+
+      peer.send (
+          "POST /once/ HTTP/1.1\r\nHost: mesh.example\r\n" PFM_REQUEST_ID ": "
+          + next_request_id ()
+          + "\r\n" PFM_TIMEOUT_MS ": 1000\r\nContent-Length: "
+          + std::to_string (body.size ()) + "\r\n\r\n" + body);
+      peers.push_back (std::move (peer));
+    }
+  run_until (
+      [&] {
+        most = std::max (most, allocated_bytes ());
+        return false;
+      },
+      600);
+  EXPECT_LT (most - before, (size_t)memory_mb * 1024 * 1024);
+  for (Peer &peer : peers)
+    {
+      EXPECT_TRUE (run_until_received (peer, "\r\n\r\n"));
+      if (response_status (peer) == 200)
+        served++;
+      else
+        EXPECT_EQ (response_status (peer), 503) << peer.received;
+    }
+  EXPECT_GT (served, 0u);
+}
+
 /* Guards against callers that send bytes without end, in a head or a body, or
    in the framing of one.  */
 TEST_F (Sidecars, RejectRequestsThatDoNotEnd)
--- a/tests/srv_test.cc
+++ b/tests/srv_test.cc
@@ -278,3 +278,33 @@
       run_until ([&] { return srv_connection_count (server) == 0; }, 1000));
   EXPECT_EQ (srv_request_count (server), 0u);
 }
+
+/* Guards against bodies that together exhaust the memory of the process, and
+   against memory that is never given back.  */
+TEST_F (Server, RejectsABodyThatDoesNotFitBesideOthers)
+{
+  const std::string post
+      = "POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 600\r\n\r\n";
+  struct htp_budget budget = { 1000, 0 };
+
+  srv_set_budget (server, &budget);
+  Peer first = Peer::connect (address);
+  Peer second = Peer::connect (address);
+
+  first.send (post + "part");
+  run_for (20);
+  second.send (post);
+  EXPECT_TRUE (run_until_received (second, "HTTP/1.1 503"));
+  first.send (std::string (596, 'x'));
+  EXPECT_TRUE (run_until_received (first, "done"));
+  EXPECT_EQ (budget.used_bytes, 0u);
+  Peer third = Peer::connect (address);
+
+  third.send (post + "part");
+  run_for (20);
+  EXPECT_EQ (budget.used_bytes, 600u);
+  third.close (true);
+  EXPECT_TRUE (run_until ([&] { return budget.used_bytes == 0; }));
+  srv_destroy (server);
+  server = nullptr;
+}
