--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -222,14 +222,18 @@
 send_body (const struct sup *upstream, struct srv_connection *connection,
            const char *id)
 {
-  size_t length = strlen (id);
-  size_t size = length < upstream->body_size ? upstream->body_size : length;
-  char *body = mem_alloc (size, 1);
-
-  memset (body, '.', size);
-  memcpy (body, id, length);
-  srv_finish_response (connection, body, size);
-  free (body);
+  static const uint8_t filler[FLOOD_BLOCK];
+  struct buf body = { 0 };
+
+  buf_append (&body, id, strlen (id));
+  while (body.length < upstream->body_size)
+    {
+      size_t left = upstream->body_size - body.length;
+
+      buf_append (&body, filler, left < sizeof filler ? left : sizeof filler);
+    }
+  srv_finish_response (connection, body.data, body.length);
+  buf_close (&body);
 }
 
 static void
