--- a/src/sdc/sdc_confirm.c
+++ b/src/sdc/sdc_confirm.c
@@ -92,5 +92,5 @@
 
   if (registration->state == REG_UNCONFIRMED && sidecar->health_check == NULL
       && now - registration->updated_at >= CHECK_TIMEOUT)
-    stop_waiting (sidecar, "no health check is configured yet");
+    stop_waiting (sidecar, "no health check is known");
 }
