--- a/src/sdc/sdc_join.c
+++ b/src/sdc/sdc_join.c
@@ -217,8 +217,8 @@
       log_write (LOG_WARNING, "sdc", "ignored an invalid hello of a node");
       return;
     }
-  /* The watch of the store may bring the record later, when it is no news any
-     more.  */
+  /* The watch of the store may bring the record later, when it is not new
+     any more.  */
   if (sdc_handle_member (sidecar, &record))
     syn_publish (sidecar->sync, &record);
   if (!sidecar->joined && sidecar->next_join_step_at == CLK_NEVER)
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -631,8 +631,8 @@
 }
 
 /* Guards against a deregistration that is acknowledged and forgotten: it comes
-   while a process that was killed starts again, before the store has told the
-   process of its upstream.  */
+   while a process that was killed starts again, before the store has
+   answered with the record of its upstream.  */
 TEST_F (Sidecars, RememberADeregistrationThatComesDuringAStart)
 {
   uint64_t arrivals;
