--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -4,7 +4,7 @@
 packages=(build-essential cmake ninja-build pkg-config ccache curl
   liburcu-dev libprotobuf-c-dev protobuf-c-compiler libcivetweb-dev
   libev-dev libhttp-parser-dev liblog4c-dev libargtable2-dev libtomlplusplus-dev libjansson-dev
-  libcurl4-openssl-dev libzstd-dev libxxhash-dev libgtest-dev
+  libcurl4-openssl-dev libzstd-dev libxxhash-dev libsodium-dev libgtest-dev
   clang libclang-rt-14-dev clang-format clang-tidy cppcheck
   gnuplot-nox python3 git)
 missing=()
--- a/src/dir/dir_json.c
+++ b/src/dir/dir_json.c
@@ -13,7 +13,8 @@
 
   net_format (member->address, address);
   return json_pack (
-      "{s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:i, s:I, s:b, s:i, s:i}",
+      "{s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:i, s:I, s:b, s:i, s:i, "
+      "s:s}",
       "node", member->name, "data_centre", member->data_centre, "region",
       member->region, "address", address, "service", member->service,
       "upstream", member->upstream, "incarnation",
@@ -21,7 +22,8 @@
       (json_int_t)member->sequence, "slots", (int)member->slots,
       "upstream_born", (json_int_t)member->upstream_born, "upstream_leaving",
       (int)member->upstream_leaving, "platform_distance_ms",
-      (int)member->platform_distance, "capacity", (int)member->capacity);
+      (int)member->platform_distance, "capacity", (int)member->capacity,
+      "upstream_version", member->version);
 }
 
 static bool
@@ -52,6 +54,7 @@
   const char *address;
   const char *service;
   const char *upstream;
+  const char *version = "";
   json_int_t incarnation;
   json_int_t sequence;
   json_int_t start_ms;
@@ -63,19 +66,21 @@
   memset (member, 0, sizeof *member);
   if (json_unpack ((json_t *)content,
                    "{s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:i, s:I, s:b, "
-                   "s:i, s:i}",
+                   "s:i, s:i, s?s}",
                    "node", &name, "data_centre", &data_centre, "region",
                    &region, "address", &address, "service", &service,
                    "upstream", &upstream, "incarnation", &incarnation,
                    "sequence", &sequence, "slots", &slots, "upstream_born",
                    &start_ms, "upstream_leaving", &leaving,
-                   "platform_distance_ms", &rtt_ms, "capacity", &capacity)
+                   "platform_distance_ms", &rtt_ms, "capacity", &capacity,
+                   "upstream_version", &version)
           != 0
       || !copy_name (name, false, member->name)
       || !copy_name (data_centre, false, member->data_centre)
       || !copy_name (region, false, member->region)
       || !copy_name (service, true, member->service)
       || !copy_name (upstream, true, member->upstream)
+      || !copy_name (version, true, member->version)
       || !net_parse (address, &member->address) || member->address.port == 0
       || incarnation < 0 || incarnation > MAX_INCARNATION || sequence < 0
       || sequence > MAX_SEQUENCE || start_ms < 0 || slots < 0
--- a/src/dlt/dlt.h
+++ b/src/dlt/dlt.h
@@ -30,6 +30,9 @@
 /* Maximum number of routes in a document that a delta may yield.  */
 #define DLT_MAX_ROUTES 20000
 
+/* Maximum number of tenants in a document that a delta may yield.  */
+#define DLT_MAX_TENANTS 40000
+
   /* Returns a digest of the content of DOCUMENT, which does not depend on the
      order of its routes and services.  It leaves out the targets of health
      checks, all of which come with each delta.  */
--- a/src/dlt/dlt_apply.c
+++ b/src/dlt/dlt_apply.c
@@ -149,6 +149,7 @@
   route->target_latency_ms = message->target_ms;
   route->max_attempts = message->max_attempts;
   route->priority = message->priority;
+  route->is_public = message->is_public != 0;
   route->weighted_services
       = mem_alloc (message->n_shares, sizeof *route->weighted_services);
   route->weighted_service_count = message->n_shares;
@@ -209,6 +210,72 @@
   return DLT_OK;
 }
 
+static bool
+is_valid_tenant (const Mesh__Tenant *message)
+{
+  return message->name[0] != '\0'
+         && message->keys.len % sizeof (struct doc_key) == 0
+         && message->rate >= 0 && message->burst >= 0;
+}
+
+static void
+add_tenant (struct doc_document *result, const Mesh__Tenant *message)
+{
+  struct doc_tenant tenant
+      = { .name = message->name,
+          .keys = (struct doc_key *)message->keys.data,
+          .key_count = message->keys.len / sizeof (struct doc_key),
+          .priority = message->priority,
+          .rate = message->rate,
+          .burst = message->burst };
+
+  doc_copy_tenant (&tenant, &result->tenants[result->tenant_count++]);
+}
+
+/* Returns whether the delta changes or removes the tenant of this name.  */
+static bool
+replaces_tenant (const Mesh__DocumentDelta *delta, const char *name)
+{
+  for (size_t i = 0; i < delta->n_changed_tenants; i++)
+    if (strcmp (delta->changed_tenants[i]->name, name) == 0)
+      return true;
+  for (size_t i = 0; i < delta->n_removed_tenants; i++)
+    if (strcmp (delta->removed_tenants[i], name) == 0)
+      return true;
+  return false;
+}
+
+static enum dlt_status
+build_tenants (struct document_builder *builder)
+{
+  const Mesh__DocumentDelta *delta = builder->delta;
+  const struct doc_document *base = builder->base;
+  struct doc_document *result = builder->result;
+  size_t base_count = base != NULL ? base->tenant_count : 0;
+
+  if (base_count + delta->n_changed_tenants > DLT_MAX_TENANTS)
+    {
+      err_set ("a document of up to %zu tenants has too many",
+               base_count + delta->n_changed_tenants);
+      return DLT_TOO_LONG;
+    }
+  result->requires_keys = delta->requires_keys != 0;
+  result->tenants = mem_alloc (base_count + delta->n_changed_tenants,
+                               sizeof *result->tenants);
+  for (size_t i = 0; i < base_count; i++)
+    if (!replaces_tenant (delta, base->tenants[i].name))
+      doc_copy_tenant (&base->tenants[i],
+                       &result->tenants[result->tenant_count++]);
+  for (size_t i = 0; i < delta->n_changed_tenants; i++)
+    {
+      if (!is_valid_tenant (delta->changed_tenants[i]))
+        return invalid ("a field of a tenant is out of range");
+      add_tenant (result, delta->changed_tenants[i]);
+    }
+  doc_sort_tenants (result);
+  return DLT_OK;
+}
+
 static enum dlt_status
 build_document (struct document_builder *builder)
 {
@@ -234,7 +301,9 @@
                                     delta->header_ms, delta->idle_ms };
   build_services (builder);
   status = keep_routes (builder);
-  return status == DLT_OK ? add_routes (builder) : status;
+  if (status == DLT_OK)
+    status = add_routes (builder);
+  return status == DLT_OK ? build_tenants (builder) : status;
 }
 
 enum dlt_status
--- a/src/dlt/dlt_digest.c
+++ b/src/dlt/dlt_digest.c
@@ -5,6 +5,10 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Part of the digest of documents that require keys; an odd constant with as
+   many ones as zeros.  */
+#define REQUIRES_KEYS 0x9e3779b97f4a7c15u
+
 static uint64_t
 hash_string (const char *text, uint64_t seed)
 {
@@ -14,13 +18,11 @@
 static uint64_t
 hash_route (const struct doc_document *document, const struct doc_route *route)
 {
-  uint32_t fields[] = { route->methods,
-                        route->call_class,
-                        route->deadline_ms,
-                        route->target_latency_ms,
-                        route->max_attempts,
-                        route->priority,
-                        (uint32_t)route->weighted_service_count };
+  uint32_t fields[]
+      = { route->methods,      route->call_class,
+          route->deadline_ms,  route->target_latency_ms,
+          route->max_attempts, route->priority,
+          route->is_public,    (uint32_t)route->weighted_service_count };
   uint64_t hash = hash_string (route->host, 1);
 
   hash = hash_string (route->path, hash);
@@ -33,6 +35,17 @@
   return hash;
 }
 
+static uint64_t
+hash_tenant (const struct doc_tenant *tenant)
+{
+  double limits[] = { tenant->rate, tenant->burst };
+  uint64_t hash = hash_string (tenant->name, 3 + tenant->priority);
+
+  hash = XXH3_64bits_withSeed (limits, sizeof limits, hash);
+  return XXH3_64bits_withSeed (tenant->keys,
+                               tenant->key_count * sizeof *tenant->keys, hash);
+}
+
 uint64_t
 dlt_digest (const struct doc_document *document)
 {
@@ -45,5 +58,8 @@
     digest ^= hash_string (document->services[i].name, 2);
   for (size_t i = 0; i < document->route_count; i++)
     digest ^= hash_route (document, &document->routes[i]);
+  for (size_t i = 0; i < document->tenant_count; i++)
+    digest ^= hash_tenant (&document->tenants[i]);
+  digest ^= document->requires_keys ? REQUIRES_KEYS : 0;
   return digest;
 }
--- a/src/dlt/dlt_encode.c
+++ b/src/dlt/dlt_encode.c
@@ -16,6 +16,7 @@
   Mesh__DocumentDelta delta;
   Mesh__Route *routes; /* one for each entry of CHANGED and REMOVED */
   size_t route_count;
+  Mesh__Tenant *tenants; /* one for each entry of CHANGED_TENANTS */
 };
 
 static bool
@@ -51,6 +52,7 @@
          && before->target_latency_ms == after->target_latency_ms
          && before->max_attempts == after->max_attempts
          && before->priority == after->priority
+         && before->is_public == after->is_public
          && same_service (encoder, before->service, after->service)
          && same_weighted_services (encoder, before, after);
 }
@@ -99,6 +101,7 @@
   message->target_ms = route->target_latency_ms;
   message->max_attempts = route->max_attempts;
   message->priority = route->priority;
+  message->is_public = route->is_public;
   add_weighted_services (message, route);
   encoder->delta.changed[encoder->delta.n_changed++] = message;
 }
@@ -176,6 +179,45 @@
   encoder->delta.idle_ms = limits->idle_timeout_ms;
 }
 
+/* Adds the tenants that the base lacks or has otherwise, and the names of
+   those that the result lacks.  */
+static void
+add_tenants (struct encoder *encoder)
+{
+  const struct doc_document *base = encoder->base;
+  const struct doc_document *result = encoder->result;
+  Mesh__DocumentDelta *delta = &encoder->delta;
+  size_t base_count = base != NULL ? base->tenant_count : 0;
+
+  delta->requires_keys = result->requires_keys;
+  encoder->tenants = mem_alloc (result->tenant_count, sizeof (Mesh__Tenant));
+  delta->changed_tenants
+      = mem_alloc (result->tenant_count, sizeof (Mesh__Tenant *));
+  delta->removed_tenants = mem_alloc (base_count, sizeof (char *));
+  for (size_t i = 0; i < result->tenant_count; i++)
+    {
+      const struct doc_tenant *tenant = &result->tenants[i];
+      const struct doc_tenant *before
+          = base != NULL ? doc_find_tenant (base, tenant->name) : NULL;
+      Mesh__Tenant *message = &encoder->tenants[delta->n_changed_tenants];
+
+      if (before != NULL && doc_equal_tenants (before, tenant))
+        continue;
+      mesh__tenant__init (message);
+      message->name = tenant->name;
+      message->keys.data = (uint8_t *)tenant->keys;
+      message->keys.len = tenant->key_count * sizeof *tenant->keys;
+      message->priority = tenant->priority;
+      message->rate = tenant->rate;
+      message->burst = tenant->burst;
+      delta->changed_tenants[delta->n_changed_tenants++] = message;
+    }
+  for (size_t i = 0; i < base_count; i++)
+    if (doc_find_tenant (result, base->tenants[i].name) == NULL)
+      delta->removed_tenants[delta->n_removed_tenants++]
+          = base->tenants[i].name;
+}
+
 static void
 close_encoder (struct encoder *encoder)
 {
@@ -187,6 +229,9 @@
         free (route->shares[0]);
       free (route->shares);
     }
+  free (encoder->delta.changed_tenants);
+  free (encoder->delta.removed_tenants);
+  free (encoder->tenants);
   free (encoder->delta.services);
   free (encoder->delta.health_paths);
   free (encoder->delta.changed);
@@ -211,6 +256,7 @@
   find_removed (&encoder);
   add_services (&encoder);
   add_limits (&encoder);
+  add_tenants (&encoder);
   length = mesh__document_delta__get_packed_size (&encoder.delta);
   buf_reserve (output, length);
   mesh__document_delta__pack (&encoder.delta, output->data + output->length);
--- a/src/doc/doc.h
+++ b/src/doc/doc.h
@@ -119,14 +119,33 @@
     uint32_t max_attempts; /* upstreams that one call may be sent to; 0: the
                               program's limit */
     uint32_t priority;     /* rank under load; 0 is the highest */
+    bool is_public;        /* needs no key, also where tenants have keys */
     unsigned line;         /* where it starts in the text */
   };
 
+/* Size of the digest of a key, in bytes.  */
+#define DOC_KEY_SIZE 16
+
+  /* Digest of a secret key.  Documents hold no key itself, so that none can
+     end up in a log, a diff or a message to another node.  */
+  struct doc_key
+  {
+    uint8_t digest[DOC_KEY_SIZE];
+  };
+
+  /* A tenant, on whose behalf callers send requests.  */
   struct doc_tenant
   {
     char *name;
     uint32_t max_in_progress; /* at one gate */
-    unsigned line;            /* where it starts in the text */
+    struct doc_key *keys;     /* by which its callers are recognized */
+    size_t key_count;
+    uint32_t priority; /* rank under load, before that of the route; 0 is the
+                          highest */
+    double rate;       /* requests per second on all nodes together; 0: no
+                          limit */
+    double burst;      /* requests beyond the rate, on all nodes together */
+    unsigned line;     /* where it starts in the text */
   };
 
   struct doc_document
@@ -137,6 +156,8 @@
     size_t route_count;
     struct doc_tenant *tenants;
     size_t tenant_count;
+    bool requires_keys; /* requests on routes that are not public carry the key
+                           of a tenant */
     struct doc_caller_limits caller_limits;
     /* Classes by preference under load, the most important first.  */
     enum doc_class preference[DOC_CLASS_COUNT];
@@ -153,6 +174,25 @@
   /* Frees a document; null is allowed.  */
   void doc_destroy (struct doc_document *document);
 
+  /* Sets *KEY to the digest of LENGTH bytes of a secret key.  */
+  void doc_hash_key (const char *text, size_t length, struct doc_key *key);
+
+  /* Sorts the tenants by name, as doc_find_tenant needs it.  */
+  void doc_sort_tenants (struct doc_document *document);
+
+  /* Returns the tenant of this name, null when there is none.  The tenants
+     must be sorted.  */
+  const struct doc_tenant *
+  doc_find_tenant (const struct doc_document *document, const char *name);
+
+  /* Returns whether two tenants have the same name, keys and limits.  */
+  bool doc_equal_tenants (const struct doc_tenant *left,
+                          const struct doc_tenant *right);
+
+  /* Makes *COPY a copy of TENANT that doc_destroy frees with its document.  */
+  void doc_copy_tenant (const struct doc_tenant *tenant,
+                        struct doc_tenant *copy);
+
   /* Returns the bit of an HTTP method, 0 when it is not one of doc_method.  */
   uint32_t doc_method_bit (const char *method);
 
--- a/src/doc/doc_document.c
+++ b/src/doc/doc_document.c
@@ -99,7 +99,10 @@
       free (document->routes[i].weighted_services);
     }
   for (size_t i = 0; i < document->tenant_count; i++)
-    free (document->tenants[i].name);
+    {
+      free (document->tenants[i].name);
+      free (document->tenants[i].keys);
+    }
   free (document->services);
   free (document->routes);
   free (document->tenants);
--- a/src/fwd/fwd.c
+++ b/src/fwd/fwd.c
@@ -220,6 +220,11 @@
       fwd_fail (call, 404, "no route", 0);
       return;
     }
+  if (!fwd_find_tenant (call))
+    {
+      fwd_fail (call, 401, "the key is missing or unknown", 0);
+      return;
+    }
   if (!apply_route (call))
     {
       fwd_fail (call, 503, "not run: the node is stopping", STOPPING_RETRY);
--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -48,7 +48,8 @@
   struct snp_snapshot *snapshot;
   const struct doc_route *route;
   const char *service;
-  const char *id; /* the caller's; null: none */
+  const struct doc_tenant *tenant; /* of the caller's key; null: none */
+  const char *id;                  /* the caller's; null: none */
   clk_time arrival;
   clk_time target;   /* an answer by then is on time */
   clk_time deadline; /* the last moment for an answer */
@@ -128,6 +129,13 @@
    matches.  */
 bool fwd_find_route (struct fwd_call *call);
 
+/* Sets the tenant of a call.  Returns false when its route needs a key and the
+   call has none that a tenant holds.  */
+bool fwd_find_tenant (struct fwd_call *call);
+
+/* Returns the rank of a call under load: by its tenant, then by its route.  */
+uint32_t fwd_priority (const struct fwd_call *call);
+
 /* Places the call on a node and sends it, or answers that it was not run.  */
 void fwd_place (struct fwd_call *call);
 
--- a/src/fwd/fwd_send.c
+++ b/src/fwd/fwd_send.c
@@ -8,12 +8,21 @@
 /* Longest part of a body in one frame, in bytes.  */
 #define PART_SIZE (128u * 1024u)
 
-/* Returns whether the system sets this header field itself.  */
+/* Header fields that this node adds to a call: the caller's service and its
+   tenant.  */
+#define OWN_HEADERS 2
+
+/* Returns whether the system sets this header field of a call itself, or
+   withholds it from upstreams.  */
 static bool
-is_own_header (const struct fwd *forwarder, const char *name)
+is_own_header (const struct fwd_call *call, const char *name)
 {
-  const char *const *names = forwarder->parts.platform->headers;
+  const char *const *names = call->forwarder->parts.platform->headers;
 
+  if (call->snapshot->document->requires_keys
+      && (strcasecmp (name, names[PTF_TENANT]) == 0
+          || strcasecmp (name, names[PTF_CREDENTIALS]) == 0))
+    return true;
   return strcasecmp (name, names[PTF_REMAINING_MS]) == 0
          || strcasecmp (name, names[PTF_TARGET_UPSTREAM]) == 0
          || strcasecmp (name, names[PTF_CALLER_SERVICE]) == 0;
@@ -67,8 +76,8 @@
   struct fwd *forwarder = call->forwarder;
   const struct htp_message *request = &call->message;
   clk_time now = evl_now (forwarder->parts.loop);
-  Mesh__Header headers[HTP_MAX_HEADERS + 1];
-  Mesh__Header *pointers[HTP_MAX_HEADERS + 1];
+  Mesh__Header headers[HTP_MAX_HEADERS + OWN_HEADERS];
+  Mesh__Header *pointers[HTP_MAX_HEADERS + OWN_HEADERS];
   Mesh__CallId id = MESH__CALL_ID__INIT;
   Mesh__Call message = MESH__CALL__INIT;
   Mesh__Frame frame = MESH__FRAME__INIT;
@@ -80,16 +89,23 @@
   message.headers = pointers;
   for (unsigned i = 0; i < request->header_count; i++)
     if (!htp_is_hop_by_hop (htp_header_name (request, i))
-        && !is_own_header (forwarder, htp_header_name (request, i)))
+        && !is_own_header (call, htp_header_name (request, i)))
       add_header (&message, &headers[message.n_headers],
                   htp_header_name (request, i), htp_header_value (request, i));
   add_header (&message, &headers[message.n_headers],
               forwarder->parts.platform->headers[PTF_CALLER_SERVICE],
               forwarder->parts.service);
+  if (call->tenant != NULL)
+    {
+      add_header (&message, &headers[message.n_headers],
+                  forwarder->parts.platform->headers[PTF_TENANT],
+                  call->tenant->name);
+      message.tenant = call->tenant->name;
+    }
   message.remaining_us = left_us (call->deadline, now);
   message.target_us = left_us (call->target, now);
   message.max_wait_us = (uint32_t)(max_wait / CLK_MICROSECOND);
-  message.priority = call->route->priority;
+  message.priority = fwd_priority (call);
   message.repeat = call->runs > 0;
   message.service = (char *)call->service;
   message.route = call->kind;
--- /dev/null
+++ b/src/fwd/fwd_tenant.c
@@ -0,0 +1,30 @@
+/* Tenant of a call.  */
+
+#include "fwd/fwd_internal.h"
+
+#include "ten/ten.h"
+
+/* Ranks of routes; see doc_route.  The rank of a tenant goes before all of
+   them.  */
+#define ROUTE_PRIORITIES 1001u
+
+bool
+fwd_find_tenant (struct fwd_call *call)
+{
+  const struct snp_snapshot *snapshot = call->snapshot;
+
+  if (!snapshot->document->requires_keys)
+    return true;
+  return ten_authenticate (snapshot->tenants, call->forwarder->parts.platform,
+                           &call->message, &call->tenant)
+             == TEN_OK
+         || call->route->is_public;
+}
+
+uint32_t
+fwd_priority (const struct fwd_call *call)
+{
+  uint32_t tenant = call->tenant != NULL ? call->tenant->priority : 0;
+
+  return tenant * ROUTE_PRIORITIES + call->route->priority;
+}
--- a/src/mbr/mbr_member.c
+++ b/src/mbr/mbr_member.c
@@ -23,6 +23,7 @@
   message->upstream_leaving = member->upstream_leaving;
   message->platform_distance = member->platform_distance;
   message->capacity = member->capacity;
+  message->upstream_version = (char *)member->version;
 }
 
 static bool
@@ -56,7 +57,8 @@
          && copy_name (member->data_centre, message->data_centre)
          && copy_name (member->region, message->region)
          && copy_name (member->service, message->service)
-         && copy_name (member->upstream, message->upstream);
+         && copy_name (member->upstream, message->upstream)
+         && copy_name (member->version, message->upstream_version);
 }
 
 bool
@@ -68,6 +70,7 @@
          && strcmp (left->region, right->region) == 0
          && strcmp (left->service, right->service) == 0
          && strcmp (left->upstream, right->upstream) == 0
+         && strcmp (left->version, right->version) == 0
          && left->incarnation == right->incarnation
          && left->sequence == right->sequence
          && net_equal (left->address, right->address)
--- a/src/mbr/mbr_member.h
+++ b/src/mbr/mbr_member.h
@@ -34,6 +34,8 @@
     char region[MBR_NAME_SIZE];
     char service[MBR_NAME_SIZE]; /* "" while no upstream is announced */
     char upstream[MBR_NAME_SIZE];
+    char version[MBR_NAME_SIZE]; /* of the upstream's software; "" if it did
+                                    not say */
     uint64_t incarnation;
     uint64_t sequence;
     struct net_address address; /* mesh address, TCP and UDP */
--- a/src/ptf/ptf.h
+++ b/src/ptf/ptf.h
@@ -41,6 +41,8 @@
     PTF_NOT_RUN,         /* says that the upstream did not run the request */
     PTF_CALLER_SERVICE,  /* service of the VM where the request started */
     PTF_UPSTREAM_NAME,   /* name of the upstream that answers a health check */
+    PTF_TENANT,          /* tenant of the caller, set by the mesh */
+    PTF_CREDENTIALS,     /* scheme and key of the caller's tenant */
     PTF_HEADER_COUNT
   };
 
@@ -59,6 +61,7 @@
     char name[PTF_NAME_SIZE]; /* of the upstream; a later one may reuse it */
     char service[PTF_NAME_SIZE];
     char data_centre[PTF_NAME_SIZE];
+    char version[PTF_NAME_SIZE]; /* of its software; "" if missing */
     struct net_address address;
     uint32_t slots;       /* calls that it can run at the same time */
     bool leaving;         /* draining: takes no new calls */
@@ -71,6 +74,7 @@
   struct ptf_platform
   {
     const char *headers[PTF_HEADER_COUNT]; /* field names by ptf_header */
+    const char *key_scheme;   /* scheme of credentials that hold a key */
     const char *ready_target; /* request target of the readiness probe */
     const char *config_kind; /* kind of the operator's document in the store */
     const char *config_name; /* its name */
--- a/src/reg/reg.c
+++ b/src/reg/reg.c
@@ -56,6 +56,7 @@
   registration->state = announcement->leaving ? REG_LEAVING : REG_READY;
   if (same && before == registration->state
       && known.slots == announcement->slots
+      && strcmp (known.version, announcement->version) == 0
       && strcmp (known.service, announcement->service) == 0)
     return REG_RENEWED;
   return REG_CHANGED;
@@ -129,6 +130,7 @@
     return false;
   set_upstream (registration, record->upstream, record->upstream_born);
   memcpy (upstream->service, record->service, sizeof upstream->service);
+  memcpy (upstream->version, record->version, sizeof upstream->version);
   memcpy (upstream->data_centre, record->data_centre,
           sizeof upstream->data_centre);
   upstream->address = address;
@@ -177,6 +179,8 @@
           sizeof record->upstream);
   memcpy (record->service, registration->upstream.service,
           sizeof record->service);
+  memcpy (record->version, registration->upstream.version,
+          sizeof record->version);
   record->slots = registration->upstream.slots;
   record->upstream_born = registration->upstream.start_ms;
   record->upstream_leaving = registration->state == REG_LEAVING;
--- a/src/snp/snp.h
+++ b/src/snp/snp.h
@@ -29,6 +29,7 @@
   };
 
   struct rte_index;
+  struct ten_index;
 
   /* A snapshot; read-only after its creation.  */
   struct snp_snapshot
@@ -38,8 +39,9 @@
                    null byte; null when the snapshot has no text */
     size_t length;
     struct doc_document *document;
-    struct rte_index *index; /* of the document's routes; see rte_match */
-    int references;          /* atomic; see snp_retain and snp_release */
+    struct rte_index *index;   /* of the document's routes; see rte_match */
+    struct ten_index *tenants; /* of the document's keys; see ten_find */
+    int references;            /* atomic; see snp_retain and snp_release */
   };
 
   /* Validates TEXT and compiles a copy of it.  On SNP_OK the caller owns one
--- a/src/snp/snp_create.c
+++ b/src/snp/snp_create.c
@@ -4,6 +4,7 @@
 #include "base/mem.h"
 #include "rte/rte_index.h"
 #include "snp/snp.h"
+#include "ten/ten.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -25,6 +26,7 @@
   result->document = document;
   result->references = 1;
   result->index = rte_index_create (document);
+  result->tenants = ten_index_create (document);
   return result;
 }
 
@@ -64,6 +66,7 @@
       || __atomic_sub_fetch (&snapshot->references, 1, __ATOMIC_ACQ_REL) > 0)
     return;
   rte_index_destroy (snapshot->index);
+  ten_index_destroy (snapshot->tenants);
   doc_destroy (snapshot->document);
   free (snapshot->text);
   free (snapshot);
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -1042,6 +1042,51 @@
   assert(message->base.descriptor == &mesh__route__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mesh__tenant__init
+                     (Mesh__Tenant         *message)
+{
+  static const Mesh__Tenant init_value = MESH__TENANT__INIT;
+  *message = init_value;
+}
+size_t mesh__tenant__get_packed_size
+                     (const Mesh__Tenant *message)
+{
+  assert(message->base.descriptor == &mesh__tenant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mesh__tenant__pack
+                     (const Mesh__Tenant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mesh__tenant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mesh__tenant__pack_to_buffer
+                     (const Mesh__Tenant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mesh__tenant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mesh__Tenant *
+       mesh__tenant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mesh__Tenant *)
+     protobuf_c_message_unpack (&mesh__tenant__descriptor,
+                                allocator, len, data);
+}
+void   mesh__tenant__free_unpacked
+                     (Mesh__Tenant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mesh__tenant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mesh__document_delta__init
                      (Mesh__DocumentDelta         *message)
 {
@@ -1498,7 +1543,7 @@
   (ProtobufCMessageInit) mesh__stamp__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__member__field_descriptors[15] =
+static const ProtobufCFieldDescriptor mesh__member__field_descriptors[16] =
 {
   {
     "name",
@@ -1680,6 +1725,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "upstream_version",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Member, upstream_version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__member__field_indices_by_name[] = {
   14,   /* field[14] = capacity */
@@ -1697,11 +1754,12 @@
   9,   /* field[9] = upstream */
   11,   /* field[11] = upstream_born */
   12,   /* field[12] = upstream_leaving */
+  15,   /* field[15] = upstream_version */
 };
 static const ProtobufCIntRange mesh__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor mesh__member__descriptor =
 {
@@ -1711,7 +1769,7 @@
   "Mesh__Member",
   "mesh",
   sizeof(Mesh__Member),
-  15,
+  16,
   mesh__member__field_descriptors,
   mesh__member__field_indices_by_name,
   1,  mesh__member__number_ranges,
@@ -3467,7 +3525,7 @@
   (ProtobufCMessageInit) mesh__route_share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__route__field_descriptors[10] =
+static const ProtobufCFieldDescriptor mesh__route__field_descriptors[11] =
 {
   {
     "host",
@@ -3589,11 +3647,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_public",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Route, is_public),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__route__field_indices_by_name[] = {
   4,   /* field[4] = call_class */
   5,   /* field[5] = deadline_ms */
   0,   /* field[0] = host */
+  10,   /* field[10] = is_public */
   7,   /* field[7] = max_attempts */
   2,   /* field[2] = methods */
   1,   /* field[1] = path */
@@ -3605,7 +3676,7 @@
 static const ProtobufCIntRange mesh__route__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor mesh__route__descriptor =
 {
@@ -3615,14 +3686,104 @@
   "Mesh__Route",
   "mesh",
   sizeof(Mesh__Route),
-  10,
+  11,
   mesh__route__field_descriptors,
   mesh__route__field_indices_by_name,
   1,  mesh__route__number_ranges,
   (ProtobufCMessageInit) mesh__route__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__document_delta__field_descriptors[8] =
+static const ProtobufCFieldDescriptor mesh__tenant__field_descriptors[5] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Tenant, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Tenant, keys),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Tenant, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Tenant, rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "burst",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Tenant, burst),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mesh__tenant__field_indices_by_name[] = {
+  4,   /* field[4] = burst */
+  1,   /* field[1] = keys */
+  0,   /* field[0] = name */
+  2,   /* field[2] = priority */
+  3,   /* field[3] = rate */
+};
+static const ProtobufCIntRange mesh__tenant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mesh__tenant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mesh.Tenant",
+  "Tenant",
+  "Mesh__Tenant",
+  "mesh",
+  sizeof(Mesh__Tenant),
+  5,
+  mesh__tenant__field_descriptors,
+  mesh__tenant__field_indices_by_name,
+  1,  mesh__tenant__number_ranges,
+  (ProtobufCMessageInit) mesh__tenant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__document_delta__field_descriptors[11] =
 {
   {
     "services",
@@ -3720,21 +3881,60 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "changed_tenants",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__DocumentDelta, n_changed_tenants),
+    offsetof(Mesh__DocumentDelta, changed_tenants),
+    &mesh__tenant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed_tenants",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Mesh__DocumentDelta, n_removed_tenants),
+    offsetof(Mesh__DocumentDelta, removed_tenants),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requires_keys",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__DocumentDelta, requires_keys),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__document_delta__field_indices_by_name[] = {
   4,   /* field[4] = body_bytes */
   1,   /* field[1] = changed */
+  8,   /* field[8] = changed_tenants */
   3,   /* field[3] = header_bytes */
   5,   /* field[5] = header_ms */
   7,   /* field[7] = health_paths */
   6,   /* field[6] = idle_ms */
   2,   /* field[2] = removed */
+  9,   /* field[9] = removed_tenants */
+  10,   /* field[10] = requires_keys */
   0,   /* field[0] = services */
 };
 static const ProtobufCIntRange mesh__document_delta__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor mesh__document_delta__descriptor =
 {
@@ -3744,7 +3944,7 @@
   "Mesh__DocumentDelta",
   "mesh",
   sizeof(Mesh__DocumentDelta),
-  8,
+  11,
   mesh__document_delta__field_descriptors,
   mesh__document_delta__field_indices_by_name,
   1,  mesh__document_delta__number_ranges,
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -38,6 +38,7 @@
 typedef struct Mesh__FetchRequest Mesh__FetchRequest;
 typedef struct Mesh__RouteShare Mesh__RouteShare;
 typedef struct Mesh__Route Mesh__Route;
+typedef struct Mesh__Tenant Mesh__Tenant;
 typedef struct Mesh__DocumentDelta Mesh__DocumentDelta;
 typedef struct Mesh__FetchReply Mesh__FetchReply;
 typedef struct Mesh__Ping Mesh__Ping;
@@ -117,10 +118,14 @@
    * CPU capacity of the VM, millicores
    */
   uint32_t capacity;
+  /*
+   * version of the upstream's software
+   */
+  char *upstream_version;
 };
 #define MESH__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mesh__member__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -647,10 +652,38 @@
   uint32_t priority;
   size_t n_shares;
   Mesh__RouteShare **shares;
+  /*
+   * needs no key
+   */
+  protobuf_c_boolean is_public;
 };
 #define MESH__ROUTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mesh__route__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
+
+
+/*
+ * A tenant of the document.  KEYS holds the digests of its keys, DOC_KEY_SIZE
+ * bytes each.
+ */
+struct  Mesh__Tenant
+{
+  ProtobufCMessage base;
+  char *name;
+  ProtobufCBinaryData keys;
+  uint32_t priority;
+  /*
+   * requests per second on all nodes; 0: no limit
+   */
+  double rate;
+  /*
+   * requests beyond the rate
+   */
+  double burst;
+};
+#define MESH__TENANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mesh__tenant__descriptor) \
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0 }
 
 
 /*
@@ -687,10 +720,21 @@
    */
   size_t n_health_paths;
   char **health_paths;
+  /*
+   * that the base lacks or has otherwise
+   */
+  size_t n_changed_tenants;
+  Mesh__Tenant **changed_tenants;
+  size_t n_removed_tenants;
+  char **removed_tenants;
+  /*
+   * of the result
+   */
+  protobuf_c_boolean requires_keys;
 };
 #define MESH__DOCUMENT_DELTA__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mesh__document_delta__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 struct  Mesh__FetchReply
@@ -1322,6 +1366,25 @@
 void   mesh__route__free_unpacked
                      (Mesh__Route *message,
                       ProtobufCAllocator *allocator);
+/* Mesh__Tenant methods */
+void   mesh__tenant__init
+                     (Mesh__Tenant         *message);
+size_t mesh__tenant__get_packed_size
+                     (const Mesh__Tenant   *message);
+size_t mesh__tenant__pack
+                     (const Mesh__Tenant   *message,
+                      uint8_t             *out);
+size_t mesh__tenant__pack_to_buffer
+                     (const Mesh__Tenant   *message,
+                      ProtobufCBuffer     *buffer);
+Mesh__Tenant *
+       mesh__tenant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mesh__tenant__free_unpacked
+                     (Mesh__Tenant *message,
+                      ProtobufCAllocator *allocator);
 /* Mesh__DocumentDelta methods */
 void   mesh__document_delta__init
                      (Mesh__DocumentDelta         *message);
@@ -1564,6 +1627,9 @@
 typedef void (*Mesh__Route_Closure)
                  (const Mesh__Route *message,
                   void *closure_data);
+typedef void (*Mesh__Tenant_Closure)
+                 (const Mesh__Tenant *message,
+                  void *closure_data);
 typedef void (*Mesh__DocumentDelta_Closure)
                  (const Mesh__DocumentDelta *message,
                   void *closure_data);
@@ -1620,6 +1686,7 @@
 extern const ProtobufCMessageDescriptor mesh__fetch_request__descriptor;
 extern const ProtobufCMessageDescriptor mesh__route_share__descriptor;
 extern const ProtobufCMessageDescriptor mesh__route__descriptor;
+extern const ProtobufCMessageDescriptor mesh__tenant__descriptor;
 extern const ProtobufCMessageDescriptor mesh__document_delta__descriptor;
 extern const ProtobufCMessageDescriptor mesh__fetch_reply__descriptor;
 extern const ProtobufCMessageDescriptor mesh__ping__descriptor;
