--- a/tests/dlt_test.cc
+++ b/tests/dlt_test.cc
@@ -12,6 +12,28 @@
 #include <string>
 #include <vector>
 
+/* Adds a tenant with random limits and up to two keys.  */
+static void
+add_tenant (struct doc_document *document, const std::string &name,
+            struct rnd *random)
+{
+  struct doc_tenant *tenant = &document->tenants[document->tenant_count++];
+
+  tenant->name = mem_copy_string (name.c_str ());
+  tenant->priority = rnd_below (random, 2);
+  tenant->rate = rnd_below (random, 2) * 2.5;
+  tenant->burst = rnd_below (random, 2) * 7;
+  tenant->key_count = rnd_below (random, 3);
+  tenant->keys = static_cast<struct doc_key *> (
+      mem_alloc (tenant->key_count, sizeof *tenant->keys));
+  for (size_t i = 0; i < tenant->key_count; i++)
+    {
+      std::string key = name + std::to_string (rnd_below (random, 3) + 3 * i);
+
+      doc_hash_key (key.data (), key.size (), &tenant->keys[i]);
+    }
+}
+
 /* A random document of about COUNT routes.  */
 static struct doc_document *
 make_document (struct rnd *random, size_t count)
@@ -48,6 +70,7 @@
       route->target_latency_ms = rnd_below (random, 2);
       route->max_attempts = rnd_below (random, 3);
       route->priority = rnd_below (random, 2);
+      route->is_public = rnd_below (random, 2) > 0;
       if (rnd_below (random, 3) == 0)
         {
           route->weighted_service_count = 2;
@@ -60,6 +83,12 @@
                     1 + rnd_below (random, 2) };
         }
     }
+  document->requires_keys = rnd_below (random, 2) > 0;
+  document->tenants = static_cast<struct doc_tenant *> (
+      mem_alloc (8, sizeof *document->tenants));
+  for (size_t i = 0; i < 8; i++)
+    if (rnd_below (random, 3) > 0)
+      add_tenant (document, "tenant-" + std::to_string (i), random);
   document->caller_limits
       = { 100 + rnd_below (random, 2), 200, 300 + rnd_below (random, 2), 400 };
   return document;
@@ -109,6 +138,11 @@
       EXPECT_EQ (dlt_digest (copy), dlt_digest (result));
       EXPECT_EQ (dlt_digest (whole), dlt_digest (result));
       EXPECT_EQ (copy->route_count, result->route_count);
+      EXPECT_EQ (copy->requires_keys, result->requires_keys);
+      ASSERT_EQ (copy->tenant_count, result->tenant_count);
+      for (size_t i = 0; i < copy->tenant_count; i++)
+        EXPECT_TRUE (
+            doc_equal_tenants (&copy->tenants[i], &result->tenants[i]));
       EXPECT_EQ (copy->caller_limits.header_timeout_ms,
                  result->caller_limits.header_timeout_ms);
       doc_destroy (base);
@@ -164,6 +198,23 @@
   route->call_class = route->call_class == DOC_AT_MOST_ONCE ? DOC_IDEMPOTENT
                                                             : DOC_AT_MOST_ONCE;
   EXPECT_NE (dlt_digest (document), digest);
+  digest = dlt_digest (document);
+  route->is_public = !route->is_public;
+  EXPECT_NE (dlt_digest (document), digest);
+  ASSERT_GT (document->tenant_count, 0u);
+  struct doc_tenant *tenant = &document->tenants[0];
+  digest = dlt_digest (document);
+  tenant->rate += 1;
+  EXPECT_NE (dlt_digest (document), digest);
+  tenant->rate -= 1;
+  tenant->burst += 1;
+  EXPECT_NE (dlt_digest (document), digest);
+  tenant->burst -= 1;
+  tenant->priority++;
+  EXPECT_NE (dlt_digest (document), digest);
+  tenant->priority--;
+  document->requires_keys = !document->requires_keys;
+  EXPECT_NE (dlt_digest (document), digest);
   doc_destroy (document);
 }
 
