--- a/src/fwd/fwd_send.c
+++ b/src/fwd/fwd_send.c
@@ -101,6 +101,7 @@
                   forwarder->parts.platform->headers[PTF_TENANT],
                   call->tenant->name);
       message.tenant = call->tenant->name;
+      message.tenant_rate = (float)call->tenant->rate;
     }
   message.remaining_us = left_us (call->deadline, now);
   message.target_us = left_us (call->target, now);
--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -58,6 +58,7 @@
   gate->call_count--;
   lst_remove (&gate->calls, &call->list);
   evl_timer_stop (&call->timer);
+  shr_release (&gate->queue.shares, call->tenant);
   htp_budget_return (&gate->request_budget, call->budgeted_bytes);
   frm_free (call->frame);
   free (call);
@@ -212,7 +213,8 @@
                            .priority = call->frame->call->priority + 1,
                            .service_time = gat_service_of (call),
                            .target_time = call->target,
-                           .deadline = call->deadline };
+                           .deadline = call->deadline,
+                           .tenant = call->tenant };
 
   if (nested)
     {
@@ -348,6 +350,19 @@
   return false;
 }
 
+/* Returns the handle of the call's tenant, SHR_NONE when it has none.  */
+static uint32_t
+acquire_tenant (struct gat *gate, const Mesh__Call *message, clk_time now)
+{
+  const char *name = message->tenant;
+
+  if (name[0] == '\0')
+    return SHR_NONE;
+  return shr_acquire (&gate->queue.shares,
+                      (uint32_t)XXH3_64bits (name, strlen (name)),
+                      message->tenant_rate, now);
+}
+
 static void
 start_call (struct gat *gate, struct hub_inbound_link *origin,
             Mesh__Frame *frame)
@@ -369,6 +384,7 @@
   call->id = frm_find_header (message->headers, message->n_headers,
                               gate->platform->headers[PTF_CALL_ID]);
   call->state = GAT_RECEIVING;
+  call->tenant = acquire_tenant (gate, message, now);
   call->arrival = now;
   call->target = now + (clk_time)message->target_us * CLK_MICROSECOND;
   call->deadline = now + (clk_time)message->remaining_us * CLK_MICROSECOND;
--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -29,6 +29,7 @@
   Mesh__Frame *frame; /* owns the call */
   const char *id;     /* the caller's, from its header; null: none */
   enum gat_state state;
+  uint32_t tenant;       /* handle into the shares; SHR_NONE: none */
   size_t budgeted_bytes; /* of its body, taken from the gate's budget */
   clk_time arrival;
   clk_time target;
--- a/src/gat/gat_log.c
+++ b/src/gat/gat_log.c
@@ -36,6 +36,10 @@
   add_load (&entry, call);
   log_add_ms (&entry, "wait_ms", wait);
   log_add_number (&entry, "priority", call->frame->call->priority);
+  log_add_text (&entry, "tenant", call->frame->call->tenant);
+  log_add_text (&entry, "over_share",
+                shr_is_over (&call->gate->queue.shares, call->tenant) ? "yes"
+                                                                      : "no");
   log_add_ms (&entry, "left_ms", call->deadline - now_of (call));
   log_end (&entry);
 }
--- a/src/gat/gat_run.c
+++ b/src/gat/gat_run.c
@@ -425,6 +425,8 @@
   call->started = evl_now (gate->loop);
   call->upstream = gate->upstream_count;
   gate->running++;
+  shr_charge (&gate->queue.shares, call->tenant, gat_service_of (call),
+              call->started);
   gat_log_started (call);
   call->connection = take_connection (gate);
   cnx_set_data (call->connection, call);
--- a/src/que/que.c
+++ b/src/que/que.c
@@ -38,13 +38,12 @@
   return count;
 }
 
-/* Returns the wait of a late call that would wait for WAIT if late calls were
-   taken as soon as any.  */
+/* Returns the wait of a call that would wait for WAIT if its like did not miss
+   this part of the slots.  */
 static clk_time
-stretch (const struct que *queue, clk_time wait)
+stretch (clk_time wait, double skip_ratio)
 {
-  double denied = queue->late_skip_ratio < MOST_DENIED ? queue->late_skip_ratio
-                                                       : MOST_DENIED;
+  double denied = skip_ratio < MOST_DENIED ? skip_ratio : MOST_DENIED;
 
   return (clk_time)((double)wait / (1 - denied));
 }
@@ -53,8 +52,8 @@
 static clk_time
 late_wait (const struct que *queue, clk_time now)
 {
-  return stretch (queue,
-                  queue->dequeue_interval * (clk_time)count_late (queue, now));
+  return stretch (queue->dequeue_interval * (clk_time)count_late (queue, now),
+                  queue->late_skip_ratio);
 }
 
 /* Returns until when a call may wait: its deadline less the time that it
@@ -72,16 +71,20 @@
 
 /* Returns whether LEFT runs before RIGHT.  */
 static bool
-is_before (const struct que_item *left, const struct que_item *right,
-           clk_time now)
+is_before (const struct que *queue, const struct que_item *left,
+           const struct que_item *right, clk_time now)
 {
   bool left_on_time = que_can_be_on_time (left, now);
   bool right_on_time = que_can_be_on_time (right, now);
+  bool left_over = shr_is_over (&queue->shares, left->tenant);
+  bool right_over = shr_is_over (&queue->shares, right->tenant);
 
   if (left_on_time != right_on_time)
     return left_on_time;
   if (left->priority != right->priority)
     return left->priority < right->priority;
+  if (left_over != right_over)
+    return right_over;
   if (left_on_time)
     return left->target_time < right->target_time;
   return left->deadline < right->deadline;
@@ -113,17 +116,28 @@
   size_t best = 0;
 
   for (size_t i = 1; i < queue->count; i++)
-    if (is_before (&queue->items[i], &queue->items[best], now))
+    if (is_before (queue, &queue->items[i], &queue->items[best], now))
       best = i;
   return best;
 }
 
-/* Notes whether a late call got the slot, or would have got it.  */
+/* Notes whether a call of a kind got the slot, or would have got it.  */
 static void
-learn_denied (struct que *queue, bool denied)
+learn_denied (double *skip_ratio, bool denied)
 {
-  queue->late_skip_ratio
-      += ((denied ? 1. : 0.) - queue->late_skip_ratio) / DENIED_WEIGHT;
+  *skip_ratio += ((denied ? 1. : 0.) - *skip_ratio) / DENIED_WEIGHT;
+}
+
+/* Returns whether a call waits that can be on time and whose tenant is over
+   its share.  */
+static bool
+has_over_share (const struct que *queue, clk_time now)
+{
+  for (size_t i = 0; i < queue->count; i++)
+    if (shr_is_over (&queue->shares, queue->items[i].tenant)
+        && que_can_be_on_time (&queue->items[i], now))
+      return true;
+  return false;
 }
 
 void *
@@ -134,13 +148,18 @@
 
   if (queue->count == 0)
     {
-      learn_denied (queue, false);
+      learn_denied (&queue->late_skip_ratio, false);
+      learn_denied (&queue->over_skip_ratio, false);
       return NULL;
     }
+  shr_fade (&queue->shares, now);
   next = find_next (queue, now);
   on_time = que_can_be_on_time (&queue->items[next], now);
   if (count_late (queue, now) > 0)
-    learn_denied (queue, on_time);
+    learn_denied (&queue->late_skip_ratio, on_time);
+  if (has_over_share (queue, now))
+    learn_denied (&queue->over_skip_ratio,
+                  !shr_is_over (&queue->shares, queue->items[next].tenant));
   return take (queue, next);
 }
 
@@ -151,7 +170,11 @@
   size_t ahead = que_count_ahead (queue, item, now);
   clk_time wait = queue->dequeue_interval * (clk_time)(ahead + 1);
 
-  return que_can_be_on_time (item, now + wait) ? wait : stretch (queue, wait);
+  if (shr_is_over (&queue->shares, item->tenant))
+    wait = stretch (wait, queue->over_skip_ratio);
+  return que_can_be_on_time (item, now + wait)
+             ? wait
+             : stretch (wait, queue->late_skip_ratio);
 }
 
 void *
@@ -198,7 +221,7 @@
   size_t ahead = 0;
 
   for (size_t i = 0; i < queue->count; i++)
-    if (!is_before (item, &queue->items[i], now))
+    if (!is_before (queue, item, &queue->items[i], now))
       ahead++;
   return ahead;
 }
--- a/src/que/que.h
+++ b/src/que/que.h
@@ -8,12 +8,16 @@
    calls that are late already take what is left.  Thus a burst makes the calls
    late that are late in any case, instead of all of them a little.  While the
    burst lasts, late calls get few slots or none; the queue measures how many,
-   and a call that would wait beyond its deadline is turned away at once.  */
+   and a call that would wait beyond its deadline is turned away at once.
+   Within one priority, calls of tenants that use more than their share (see
+   shr.h) go after the others, so that one tenant's burst does not make the
+   calls of the others late.  */
 
 #ifndef MULBERRYSHIFT_QUE_QUE_H
 #define MULBERRYSHIFT_QUE_QUE_H
 
 #include "base/clk.h"
+#include "shr/shr.h"
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -35,6 +39,7 @@
     clk_time service_time; /* expected time in a slot, ns */
     clk_time target_time;  /* an answer by then is on time */
     clk_time deadline;     /* an answer after that is worth nothing */
+    uint32_t tenant;       /* handle into the shares; SHR_NONE: none */
   };
 
   /* The waiting calls, in order of arrival.  Zero-initialise.  */
@@ -42,10 +47,12 @@
   {
     struct que_item items[QUE_CAPACITY];
     size_t count;
+    struct shr shares; /* of the tenants in the slots */
     clk_time
         dequeue_interval; /* mean time between two calls that are taken, ns */
     double
         late_skip_ratio; /* recent part of these that late calls did not get */
+    double over_skip_ratio; /* the same of calls over their tenant's share */
   };
 
   /* Adds a call.  Returns false when the queue is full.  */
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -2521,7 +2521,7 @@
   (ProtobufCMessageInit) mesh__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__call__field_descriptors[23] =
+static const ProtobufCFieldDescriptor mesh__call__field_descriptors[24] =
 {
   {
     "id",
@@ -2799,6 +2799,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tenant_rate",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, tenant_rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__call__field_indices_by_name[] = {
   10,   /* field[10] = body */
@@ -2823,12 +2835,13 @@
   2,   /* field[2] = target */
   18,   /* field[18] = target_us */
   8,   /* field[8] = tenant */
+  23,   /* field[23] = tenant_rate */
   20,   /* field[20] = upstream */
 };
 static const ProtobufCIntRange mesh__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor mesh__call__descriptor =
 {
@@ -2838,7 +2851,7 @@
   "Mesh__Call",
   "mesh",
   sizeof(Mesh__Call),
-  23,
+  24,
   mesh__call__field_descriptors,
   mesh__call__field_indices_by_name,
   1,  mesh__call__number_ranges,
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -426,10 +426,14 @@
    * hash of the route
    */
   uint32_t route;
+  /*
+   * Rate of the tenant, its weight where slots are shared; 0: it has none.
+   */
+  float tenant_rate;
 };
 #define MESH__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mesh__call__descriptor) \
-    , NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/tests/que_test.cc
+++ b/tests/que_test.cc
@@ -18,8 +18,12 @@
         clk_time service = 10 * ms)
   {
     struct que_item item
-        = { reinterpret_cast<void *> (static_cast<intptr_t> (call)), priority,
-            service, target, deadline };
+        = { reinterpret_cast<void *> (static_cast<intptr_t> (call)),
+            priority,
+            service,
+            target,
+            deadline,
+            SHR_NONE };
 
     EXPECT_TRUE (que_push (queue.get (), &item));
   }
@@ -143,7 +147,7 @@
    count.  */
 TEST_F (Waiting, CountsTheCallsAhead)
 {
-  struct que_item item = { nullptr, 1, 10 * ms, 150 * ms, 500 * ms };
+  struct que_item item = { nullptr, 1, 10 * ms, 150 * ms, 500 * ms, SHR_NONE };
 
   push (1, 0, 500 * ms, 500 * ms);
   push (2, 1, 100 * ms, 500 * ms);
@@ -156,7 +160,7 @@
    taken out.  */
 TEST_F (Waiting, IsBounded)
 {
-  struct que_item item = { nullptr, 1, ms, ms, ms };
+  struct que_item item = { nullptr, 1, ms, ms, ms, SHR_NONE };
   int removed = 7;
 
   for (int i = 0; i < QUE_CAPACITY; i++)
--- a/tests/support/load_sim.cc
+++ b/tests/support/load_sim.cc
@@ -215,10 +215,12 @@
   {
     clk_time service = service_of (item, gate);
 
-    return { new std::shared_ptr<call> (item), item->kind->priority,
+    return { new std::shared_ptr<call> (item),
+             item->kind->priority,
              service > 0 ? service : gate.slot,
              item->start + ms (item->kind->target_ms),
-             item->start + ms (item->kind->deadline_ms) };
+             item->start + ms (item->kind->deadline_ms),
+             SHR_NONE };
   }
 
   clk_time
