--- a/src/cfg/cfg_sidecar.h
+++ b/src/cfg/cfg_sidecar.h
@@ -24,6 +24,7 @@
     bool first_start;
     int64_t memory_mb;
     double cores;
+    double link_mbps;
     struct net_address caller_address;
     struct net_address mesh_address;
     struct net_address readiness_address;
--- a/src/chn/chn.c
+++ b/src/chn/chn.c
@@ -291,6 +291,16 @@
   return true;
 }
 
+void
+chn_send_encoded (struct chn *channel, const void *data, size_t length)
+{
+  if (channel->state != CHN_CONNECTING && channel->state != CHN_OPEN)
+    return;
+  buf_append (&channel->output, data, length);
+  if (channel->state == CHN_OPEN)
+    evl_task_schedule (&channel->flush_task);
+}
+
 bool
 chn_is_open (const struct chn *channel)
 {
--- a/src/chn/chn.h
+++ b/src/chn/chn.h
@@ -47,6 +47,9 @@
      does nothing and returns true.  */
   bool chn_send (struct chn *channel, const Mesh__Frame *frame);
 
+  /* Does the same with LENGTH bytes that frm_encode has written.  */
+  void chn_send_encoded (struct chn *channel, const void *data, size_t length);
+
   /* Returns whether the connection is established.  */
   bool chn_is_open (const struct chn *channel);
 
--- a/src/dlt/dlt_apply.c
+++ b/src/dlt/dlt_apply.c
@@ -150,6 +150,7 @@
   route->max_attempts = message->max_attempts;
   route->priority = message->priority;
   route->is_public = message->is_public != 0;
+  route->is_bulk = message->is_bulk != 0;
   route->weighted_services
       = mem_alloc (message->n_shares, sizeof *route->weighted_services);
   route->weighted_service_count = message->n_shares;
--- a/src/dlt/dlt_digest.c
+++ b/src/dlt/dlt_digest.c
@@ -18,11 +18,15 @@
 static uint64_t
 hash_route (const struct doc_document *document, const struct doc_route *route)
 {
-  uint32_t fields[]
-      = { route->methods,      route->call_class,
-          route->deadline_ms,  route->target_latency_ms,
-          route->max_attempts, route->priority,
-          route->is_public,    (uint32_t)route->weighted_service_count };
+  uint32_t fields[] = { route->methods,
+                        route->call_class,
+                        route->deadline_ms,
+                        route->target_latency_ms,
+                        route->max_attempts,
+                        route->priority,
+                        route->is_public,
+                        route->is_bulk,
+                        (uint32_t)route->weighted_service_count };
   uint64_t hash = hash_string (route->host, 1);
 
   hash = hash_string (route->path, hash);
--- a/src/dlt/dlt_encode.c
+++ b/src/dlt/dlt_encode.c
@@ -53,6 +53,7 @@
          && before->max_attempts == after->max_attempts
          && before->priority == after->priority
          && before->is_public == after->is_public
+         && before->is_bulk == after->is_bulk
          && same_service (encoder, before->service, after->service)
          && same_weighted_services (encoder, before, after);
 }
@@ -102,6 +103,7 @@
   message->max_attempts = route->max_attempts;
   message->priority = route->priority;
   message->is_public = route->is_public;
+  message->is_bulk = route->is_bulk;
   add_weighted_services (message, route);
   encoder->delta.changed[encoder->delta.n_changed++] = message;
 }
--- a/src/doc/doc.h
+++ b/src/doc/doc.h
@@ -120,6 +120,7 @@
                               program's limit */
     uint32_t priority;     /* rank under load; 0 is the highest */
     bool is_public;        /* needs no key, also where tenants have keys */
+    bool is_bulk;          /* its bodies are long */
     unsigned line;         /* where it starts in the text */
   };
 
--- a/src/fwd/fwd_place.c
+++ b/src/fwd/fwd_place.c
@@ -168,6 +168,7 @@
                 : call->route->deadline_ms * CLK_MILLISECOND,
           .time_to_target = call->target - now,
           .time_to_deadline = call->deadline - now,
+          .is_bulk = call->route->is_bulk,
           .accept_any_wait = call->bounces >= MAX_BOUNCES };
 
   for (;;)
--- a/src/fwd/fwd_send.c
+++ b/src/fwd/fwd_send.c
@@ -108,6 +108,7 @@
   message.max_wait_us = (uint32_t)(max_wait / CLK_MICROSECOND);
   message.priority = fwd_priority (call);
   message.repeat = call->runs > 0;
+  message.is_bulk = call->route->is_bulk;
   message.service = (char *)call->service;
   message.route = call->kind;
   message.config_version = call->snapshot->stamp.version;
--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -19,6 +19,7 @@
 #define COLD_TIMES 2.
 
 static void on_expiry (void *context);
+static void on_link_time (void *context);
 
 struct gat *
 gat_create (struct evl *loop, const struct ptf_platform *platform,
@@ -36,6 +37,7 @@
   gate->keep_time = DEFAULT_KEEP_TIME;
   gate->latest = CLK_NEVER;
   evl_timer_init (&gate->expiry, loop, on_expiry, gate);
+  evl_timer_init (&gate->link_timer, loop, on_link_time, gate);
   return gate;
 }
 
@@ -56,6 +58,7 @@
   else if (call->state == GAT_WAITING)
     que_remove (&gate->queue, call);
   gate->call_count--;
+  gate->expected_bytes -= call->expected_bytes;
   lst_remove (&gate->calls, &call->list);
   evl_timer_stop (&call->timer);
   shr_release (&gate->queue.shares, call->tenant);
@@ -80,6 +83,7 @@
     }
   gat_close_idle (gate);
   evl_timer_stop (&gate->expiry);
+  evl_timer_stop (&gate->link_timer);
   free (gate);
 }
 
@@ -158,6 +162,7 @@
   if (gate->is_dequeuing)
     return;
   gate->is_dequeuing = true;
+  gat_check_link (gate);
   while (has_free_slot (gate)
          && (call = que_pop (&gate->queue, evl_now (gate->loop))) != NULL)
     run_admitted (call);
@@ -214,7 +219,8 @@
                            .service_time = gat_service_of (call),
                            .target_time = call->target,
                            .deadline = call->deadline,
-                           .tenant = call->tenant };
+                           .tenant = call->tenant,
+                           .is_bulk = gat_uses_link (call) };
 
   if (nested)
     {
@@ -224,20 +230,36 @@
   return item;
 }
 
-clk_time
-gat_expect_wait (const struct gat_call *call)
+/* Returns the expected wait of a call for a slot.  */
+static clk_time
+slot_wait (const struct gat_call *call)
 {
   struct gat *gate = call->gate;
   uint32_t slots = gate->registration->upstream.slots;
   struct que_item item = make_item ((struct gat_call *)call);
   clk_time slot = gate->slot > 0 ? gate->slot : item.service_time;
 
-  if (gate->running + gate->queue.count < slots || slots == 0)
+  if (slots == 0)
     return 0;
+  if (gate->running + que_count_runnable (&gate->queue) < slots)
+    return que_estimate_link_wait (&gate->queue, &item, evl_now (gate->loop));
   gate->queue.dequeue_interval = slot / slots;
   return que_estimate_wait (&gate->queue, &item, evl_now (gate->loop));
 }
 
+clk_time
+gat_expect_wait (const struct gat_call *call)
+{
+  return slot_wait (call) + gat_link_wait (call);
+}
+
+/* The link has sent enough of the long responses.  */
+static void
+on_link_time (void *context)
+{
+  gat_next (context);
+}
+
 static void
 on_expiry (void *context)
 {
@@ -288,7 +310,7 @@
     }
   call->state = GAT_WAITING;
   gat_log_queued (call, wait);
-  plan_expiry (gate);
+  gat_next (gate);
 }
 
 /* Ends the deadline of a call with the process.  */
--- a/src/gat/gat.h
+++ b/src/gat/gat.h
@@ -45,6 +45,12 @@
     void (*on_unreachable) (void *context);
     /* Returns the configuration version that this node holds.  */
     uint64_t (*config_version) (void *context);
+    /* Sends a part of a long answer back; other frames may overtake it.  */
+    void (*send_bulk_reply) (void *context, struct hub_inbound_link *origin,
+                             const Mesh__Frame *frame);
+    /* Returns the time after which BYTES more of long answers would have been
+       sent, in ns.  */
+    clk_time (*bulk_time) (void *context, size_t bytes);
   };
 
   /* Memory for the bodies that are held at the same time, in bytes.  */
--- /dev/null
+++ b/src/gat/gat_bulk.c
@@ -0,0 +1,71 @@
+/* Calls with long responses, which the link of the VM limits.  */
+
+#include "gat/gat_internal.h"
+
+/* Time in which the link sends the long responses of calls that run; while it
+   is longer, further ones wait.  */
+#define MAX_LINK_TIME (300 * CLK_MILLISECOND)
+
+/* Size of a long response, in bytes, before one was seen.  */
+#define ASSUMED_BULK_BYTES (64u * 1024u)
+
+/* Returns the size of a response that is expected to a call with a long
+   one.  */
+static size_t
+expect_bytes (const struct gat_call *call)
+{
+  double bytes = gat_kind_of (call)->bytes;
+
+  return bytes > 0 ? (size_t)bytes : ASSUMED_BULK_BYTES;
+}
+
+bool
+gat_uses_link (const struct gat_call *call)
+{
+  return call->frame->call->is_bulk && !hub_is_loopback (call->origin);
+}
+
+/* Returns the time in which the link has sent the long responses of the calls
+   that run, and BYTES more.  */
+static clk_time
+link_time (const struct gat *gate, size_t bytes)
+{
+  return gate->hooks.bulk_time (gate->hooks.context,
+                                gate->expected_bytes + bytes);
+}
+
+clk_time
+gat_link_wait (const struct gat_call *call)
+{
+  clk_time time;
+
+  if (!gat_uses_link (call))
+    return 0;
+  time = link_time (call->gate, expect_bytes (call));
+  return time > gat_service_of (call) ? time - gat_service_of (call) : 0;
+}
+
+void
+gat_expect_response (struct gat_call *call)
+{
+  struct gat *gate = call->gate;
+
+  if (!gat_uses_link (call))
+    return;
+  call->expected_bytes = expect_bytes (call);
+  gate->expected_bytes += call->expected_bytes;
+  gate->queue.bulk_interval
+      = gate->hooks.bulk_time (gate->hooks.context, call->expected_bytes)
+        - gate->hooks.bulk_time (gate->hooks.context, 0);
+}
+
+void
+gat_check_link (struct gat *gate)
+{
+  clk_time now = evl_now (gate->loop);
+  clk_time time = link_time (gate, 0);
+
+  gate->queue.is_link_full = time > MAX_LINK_TIME;
+  if (gate->queue.is_link_full)
+    evl_timer_set (&gate->link_timer, now + time - MAX_LINK_TIME + 1);
+}
--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -30,6 +30,7 @@
   const char *id;     /* the caller's, from its header; null: none */
   enum gat_state state;
   uint32_t tenant;       /* handle into the shares; SHR_NONE: none */
+  size_t expected_bytes; /* of a long response that is still to come */
   size_t budgeted_bytes; /* of its body, taken from the gate's budget */
   clk_time arrival;
   clk_time target;
@@ -60,11 +61,13 @@
   struct lst calls;
   size_t call_count;
   struct que queue;
-  struct evl_timer expiry; /* of waiting calls */
+  struct evl_timer expiry;     /* of waiting calls */
+  struct evl_timer link_timer; /* the link takes long responses again */
   uint32_t running;
   clk_time slot; /* mean time of any call in a slot, ns; 0: unknown */
   struct gat_kinds kinds;
-  double failed; /* recent share of calls that the upstream failed */
+  size_t expected_bytes; /* of long responses, of the calls that run */
+  double failed;         /* recent share of calls that the upstream failed */
   struct gat_idle idle[GAT_MAX_IDLE];
   size_t idle_count;
   clk_time keep_time; /* for which the upstream keeps idle connections */
@@ -82,6 +85,21 @@
 /* Returns the time that the call is expected to take in a slot, ns.  */
 clk_time gat_service_of (const struct gat_call *call);
 
+/* Returns whether the link of the VM limits the call: its response is long and
+   goes to another VM.  */
+bool gat_uses_link (const struct gat_call *call);
+
+/* Returns how much longer than its time in a slot a call with a long response
+   would take because of those of the calls that run.  */
+clk_time gat_link_wait (const struct gat_call *call);
+
+/* Keeps the long responses that the link has not sent few: while they are
+   many, further calls stay in the queue, where urgent ones overtake.  */
+void gat_check_link (struct gat *gate);
+
+/* Counts the long response of a call that starts to run.  */
+void gat_expect_response (struct gat_call *call);
+
 /* Returns the expected wait of a call like this one that comes now, ns.  */
 clk_time gat_expect_wait (const struct gat_call *call);
 
--- a/src/gat/gat_kinds.c
+++ b/src/gat/gat_kinds.c
@@ -64,6 +64,15 @@
     kind->service += (elapsed - kind->service) / SERVICE_WEIGHT;
 }
 
+void
+gat_learn_bytes (struct gat_kind *kind, size_t bytes)
+{
+  if (kind->bytes <= 0)
+    kind->bytes = (double)bytes;
+  else
+    kind->bytes += ((double)bytes - kind->bytes) / SERVICE_WEIGHT;
+}
+
 bool
 gat_is_nested (const struct gat_kind *kind)
 {
--- a/src/gat/gat_kinds.h
+++ b/src/gat/gat_kinds.h
@@ -8,6 +8,7 @@
 #include "base/clk.h"
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /* Kinds that a gate tells apart; the one unused for longest is replaced.  */
@@ -19,6 +20,7 @@
   uint32_t route;     /* hash of the route; 0: the place is free */
   clk_time service;   /* mean time in a slot, ns; 0: unknown */
   clk_time used;      /* last call */
+  double bytes;       /* mean body of a response to a bulk call; 0: unknown */
   uint64_t caller;    /* hash of the service that makes most calls */
   double caller_part; /* recent part of the calls that it makes */
   uint32_t count;     /* calls seen, up to a limit */
@@ -40,6 +42,9 @@
 /* Learns from a call that took ELAPSED in a slot.  */
 void gat_learn_service (struct gat_kind *kind, clk_time elapsed);
 
+/* Learns from the body of a response.  */
+void gat_learn_bytes (struct gat_kind *kind, size_t bytes);
+
 /* Returns whether the calls of a kind are made by upstreams.  */
 bool gat_is_nested (const struct gat_kind *kind);
 
--- a/src/gat/gat_run.c
+++ b/src/gat/gat_run.c
@@ -27,6 +27,9 @@
 /* Longest part of a body in one frame, in bytes.  */
 #define PART_SIZE (128u * 1024u)
 
+/* The same where other frames may come between two parts.  */
+#define BULK_PART_SIZE (16u * 1024u)
+
 /* Share of the upstream's idle time for which a connection is used again;
    later the upstream might close it while a call is on its way.  */
 #define KEEP_NUMERATOR 3
@@ -37,7 +40,17 @@
 {
   struct gat *gate = call->gate;
 
-  gate->hooks.send_reply (gate->hooks.context, call->origin, frame);
+  if (call->frame->call->is_bulk)
+    gate->hooks.send_bulk_reply (gate->hooks.context, call->origin, frame);
+  else
+    gate->hooks.send_reply (gate->hooks.context, call->origin, frame);
+}
+
+/* Returns the longest part of the call's answer in one frame, in bytes.  */
+static size_t
+part_size (const struct gat_call *call)
+{
+  return call->frame->call->is_bulk ? BULK_PART_SIZE : PART_SIZE;
 }
 
 /* Sends the parts of a body after the first.  */
@@ -50,9 +63,10 @@
   frame.body_case = MESH__FRAME__BODY_ANSWER_BODY;
   frame.answer_body = &part;
   part.id = call->frame->call->id;
-  for (size_t at = 0; at < length; at += PART_SIZE)
+  for (size_t at = 0; at < length; at += part_size (call))
     {
-      size_t size = length - at < PART_SIZE ? length - at : PART_SIZE;
+      size_t left = length - at;
+      size_t size = left < part_size (call) ? left : part_size (call);
 
       part.data.data = (uint8_t *)data + at;
       part.data.len = size;
@@ -66,6 +80,7 @@
              const struct buf *body)
 {
   struct gat *gate = call->gate;
+  size_t part = part_size (call);
   Mesh__Load load;
   Mesh__Frame frame = MESH__FRAME__INIT;
 
@@ -76,14 +91,14 @@
   if (body != NULL && body->length > 0)
     {
       answer->body.data = body->data;
-      answer->body.len = body->length < PART_SIZE ? body->length : PART_SIZE;
-      answer->more = body->length > PART_SIZE;
+      answer->body.len = body->length < part ? body->length : part;
+      answer->more = body->length > part;
     }
   frame.body_case = MESH__FRAME__BODY_ANSWER;
   frame.answer = answer;
   send_frame (call, &frame);
   if (answer->more && body != NULL)
-    send_parts (call, body->data + PART_SIZE, body->length - PART_SIZE);
+    send_parts (call, body->data + part, body->length - part);
 }
 
 void
@@ -291,6 +306,8 @@
     }
   fault = find_fault (gate, message);
   learn (call, fault != NULL || message->status >= 500);
+  if (call->frame->call->is_bulk && message->status / 100 == 2)
+    gat_learn_bytes (gat_kind_of (call), message->body.length);
   if (fault != NULL)
     gat_answer_unknown (call, fault);
   else
@@ -425,6 +442,7 @@
   call->started = evl_now (gate->loop);
   call->upstream = gate->upstream_count;
   gate->running++;
+  gat_expect_response (call);
   shr_charge (&gate->queue.shares, call->tenant, gat_service_of (call),
               call->started);
   gat_log_started (call);
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -34,6 +34,7 @@
 free_inbound_link (struct hub_inbound_link *link)
 {
   lst_remove (&link->hub->inbound_links, &link->entry);
+  hub_drop_bulk_frames (link->hub, link);
   chn_close (link->channel);
   free (link);
 }
@@ -123,6 +124,8 @@
   result->loopback_link.hub = result;
   result->next_link_number = LOOPBACK_LINK + 1;
   result->last_loopback_frame = &result->first_loopback_frame;
+  result->last_bulk_frame = &result->first_bulk_frame;
+  evl_timer_init (&result->bulk_timer, loop, hub_send_bulk_frames, result);
   evl_timer_init (&result->check_timer, loop, hub_check_links, result);
   evl_task_init (&result->loopback_task, loop, hub_deliver_loopback, result);
   evl_task_init (&result->link_event_task, loop, hub_report_link_events,
@@ -140,6 +143,8 @@
 
   if (hub == NULL)
     return;
+  hub_drop_bulk_frames (hub, NULL);
+  evl_timer_stop (&hub->bulk_timer);
   while ((entry = lst_pop_front (&hub->inbound_links)) != NULL)
     free_inbound_link (LST_ITEM (entry, struct hub_inbound_link, entry));
   while ((entry = lst_pop_front (&hub->outbound_links)) != NULL)
@@ -208,6 +213,12 @@
     chn_send (link->channel, frame);
 }
 
+bool
+hub_is_loopback (const struct hub_inbound_link *link)
+{
+  return link->channel == NULL;
+}
+
 void
 hub_reply (struct hub *hub, struct hub_inbound_link *link,
            const Mesh__Frame *frame)
@@ -221,7 +232,7 @@
 size_t
 hub_unsent_replies (const struct hub *hub)
 {
-  size_t bytes = 0;
+  size_t bytes = hub->bulk_bytes;
 
   for (const struct lst_entry *at = hub->inbound_links.first; at != NULL;
        at = at->next)
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -101,6 +101,22 @@
   void hub_reply (struct hub *hub, struct hub_inbound_link *link,
                   const Mesh__Frame *frame);
 
+  /* Returns whether LINK is the loopback of the node itself.  */
+  bool hub_is_loopback (const struct hub_inbound_link *link);
+
+  /* Sets the rate, in bytes per second, at which hub_reply_bulk sends on all
+     links together; 0: no limit, as at first.  */
+  void hub_set_bulk_rate (struct hub *hub, double bytes_per_second);
+
+  /* Does the same as hub_reply for a part of a long body.  All other frames
+     overtake it; frames of one link that are sent so keep their order.  */
+  void hub_reply_bulk (struct hub *hub, struct hub_inbound_link *link,
+                       const Mesh__Frame *frame);
+
+  /* Returns the time after which BYTES more of long bodies would have been
+     sent, in ns; 0 when the rate has no limit.  */
+  clk_time hub_bulk_time (const struct hub *hub, size_t bytes);
+
   /* Returns the bytes of replies that were not sent yet, on all links.  */
   size_t hub_unsent_replies (const struct hub *hub);
 
--- /dev/null
+++ b/src/hub/hub_bulk.c
@@ -0,0 +1,120 @@
+/* Replies with long bodies.  They are queued here and sent at a limited rate,
+   so that all other frames overtake them and the link of the VM does not
+   fill.  */
+
+#include "base/mem.h"
+#include "hub/hub_internal.h"
+
+#include <stdlib.h>
+
+/* A link with more unsent bytes than this gets no further bulk frame: its peer
+   reads slowly, and the others are not to wait for it.  */
+#define MAX_LINK_UNSENT (64u * 1024u)
+
+/* Time after which links that were passed over are looked at again.  */
+#define RETRY_TIME (5 * CLK_MILLISECOND)
+
+/* A frame that waits to be sent.  */
+struct hub_bulk_frame
+{
+  struct hub_inbound_link *link;
+  struct buf bytes;
+  struct hub_bulk_frame *next;
+};
+
+/* Removes the frame at *PLACE from the queue.  */
+static void
+remove_frame (struct hub *hub, struct hub_bulk_frame **place)
+{
+  struct hub_bulk_frame *frame = *place;
+
+  *place = frame->next;
+  if (frame->next == NULL)
+    hub->last_bulk_frame = place;
+  hub->bulk_bytes -= frame->bytes.length;
+  buf_close (&frame->bytes);
+  free (frame);
+}
+
+/* Returns whether LINK takes no further frame now.  */
+static bool
+is_full (const struct hub_inbound_link *link)
+{
+  return chn_unsent_bytes (link->channel) > MAX_LINK_UNSENT;
+}
+
+void
+hub_send_bulk_frames (void *context)
+{
+  struct hub *hub = context;
+  clk_time now = evl_now (hub->loop);
+  struct hub_bulk_frame **place = &hub->first_bulk_frame;
+  clk_time next = now + RETRY_TIME;
+
+  while (*place != NULL)
+    {
+      struct hub_bulk_frame *frame = *place;
+
+      if (!pac_may_send (&hub->pacer, now))
+        {
+          next = pac_next_time (&hub->pacer, now);
+          break;
+        }
+      if (is_full (frame->link))
+        {
+          place = &frame->next;
+          continue;
+        }
+      chn_send_encoded (frame->link->channel, frame->bytes.data,
+                        frame->bytes.length);
+      pac_count (&hub->pacer, frame->bytes.length);
+      remove_frame (hub, place);
+    }
+  evl_timer_set (&hub->bulk_timer,
+                 hub->first_bulk_frame != NULL ? next : CLK_NEVER);
+}
+
+void
+hub_drop_bulk_frames (struct hub *hub, const struct hub_inbound_link *link)
+{
+  struct hub_bulk_frame **place = &hub->first_bulk_frame;
+
+  while (*place != NULL)
+    if (link == NULL || (*place)->link == link)
+      remove_frame (hub, place);
+    else
+      place = &(*place)->next;
+}
+
+void
+hub_set_bulk_rate (struct hub *hub, double bytes_per_second)
+{
+  pac_init (&hub->pacer, bytes_per_second, evl_now (hub->loop));
+}
+
+void
+hub_reply_bulk (struct hub *hub, struct hub_inbound_link *link,
+                const Mesh__Frame *frame)
+{
+  struct hub_bulk_frame *entry;
+
+  if (link->channel == NULL || hub->pacer.rate <= 0)
+    {
+      hub_reply (hub, link, frame);
+      return;
+    }
+  entry = mem_alloc (1, sizeof *entry);
+  entry->link = link;
+  frm_encode (frame, &entry->bytes);
+  hub->bulk_bytes += entry->bytes.length;
+  *hub->last_bulk_frame = entry;
+  hub->last_bulk_frame = &entry->next;
+  if (hub->first_bulk_frame == entry)
+    hub_send_bulk_frames (hub);
+}
+
+clk_time
+hub_bulk_time (const struct hub *hub, size_t bytes)
+{
+  return pac_time_of (&hub->pacer, (double)(hub->bulk_bytes + bytes));
+}
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -6,6 +6,7 @@
 #include "base/lst.h"
 #include "chn/chn.h"
 #include "hub/hub.h"
+#include "pac/pac.h"
 
 struct hub_inbound_link
 {
@@ -82,6 +83,11 @@
   struct evl_task loopback_task; /* runs hub_deliver_loopback */
   struct hub_link_event *link_events;
   struct evl_task link_event_task; /* runs hub_report_link_events */
+  struct pac pacer;                /* of bulk frames */
+  struct hub_bulk_frame *first_bulk_frame;
+  struct hub_bulk_frame **last_bulk_frame;
+  size_t bulk_bytes;           /* of all bulk frames */
+  struct evl_timer bulk_timer; /* runs hub_send_bulk_frames */
 };
 
 /* Returns the outbound link that contains ENTRY; null for null.  */
@@ -122,6 +128,13 @@
 enum hub_status hub_send_loopback (struct hub *hub, const Mesh__Frame *frame,
                                    bool is_reply);
 
+/* Sends the bulk frames that the pacer allows.  */
+void hub_send_bulk_frames (void *context);
+
+/* Drops the bulk frames of LINK, those of all links when it is null.  */
+void hub_drop_bulk_frames (struct hub *hub,
+                           const struct hub_inbound_link *link);
+
 /* Passes the queued loopback frames to the handlers.  */
 void hub_deliver_loopback (void *context);
 
--- a/src/plc/plc.c
+++ b/src/plc/plc.c
@@ -6,8 +6,11 @@
 
 /* Costs are parts of a call's value.  */
 
-/* Crossing data centres or regions: what the bytes of a usual call cost.  */
+/* Crossing data centres or regions: what the bytes of a usual call cost, and
+   those of a call with long bodies.  Some hundreds of these fill the link
+   between regions, so one crosses it only where none could be served.  */
 static const double crossing_cost[PLC_LOCALITY_COUNT] = { 0., 0.08, 0.25 };
+static const double bulk_crossing_cost[PLC_LOCALITY_COUNT] = { 0., 0.08, 3. };
 
 /* An answer after the target latency, and none by the deadline.  */
 #define LATE_COST 0.7
@@ -167,6 +170,7 @@
       = (double)(load->running + load->sent_since_report) / load->slots;
   double end = (double)candidate->round_trip + wait + service;
   double spread = SPREAD * (wait + service) + (double)LEAST_SPREAD;
+  const double *crossing = call->is_bulk ? bulk_crossing_cost : crossing_cost;
   double time = end + (double)displaced_time (load, search)
                 + LOAD_COST * service * (busy < 1 ? busy : 1)
                 + FAILED_TIMES * failed * end;
@@ -176,7 +180,7 @@
          + MISSED_COST
                * miss_probability (end, (double)call->time_to_deadline, spread)
          + TIME_COST * time / (double)call->target_latency
-         + FAILED_COST * failed + crossing_cost[candidate->locality];
+         + FAILED_COST * failed + crossing[candidate->locality];
 }
 
 static double
--- a/src/plc/plc.h
+++ b/src/plc/plc.h
@@ -75,6 +75,7 @@
     clk_time time_to_target;   /* in which an answer is on time; may be past */
     clk_time time_to_deadline; /* in which an answer is worth anything */
     bool accept_any_wait; /* take the best server, whatever the wait there */
+    bool is_bulk;         /* its bodies are long */
   };
 
   struct plc_choice
--- a/src/que/que.c
+++ b/src/que/que.c
@@ -110,13 +110,35 @@
   return call;
 }
 
+/* Returns whether a call waits for the link, whatever slots are free.  */
+static bool
+is_blocked (const struct que *queue, const struct que_item *item)
+{
+  return queue->is_link_full && item->is_bulk;
+}
+
+size_t
+que_count_runnable (const struct que *queue)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < queue->count; i++)
+    if (!is_blocked (queue, &queue->items[i]))
+      count++;
+  return count;
+}
+
+/* Returns the index of the next call that can run, QUEUE->count when there is
+   none.  */
 static size_t
 find_next (const struct que *queue, clk_time now)
 {
-  size_t best = 0;
+  size_t best = queue->count;
 
-  for (size_t i = 1; i < queue->count; i++)
-    if (is_before (queue, &queue->items[i], &queue->items[best], now))
+  for (size_t i = 0; i < queue->count; i++)
+    if (!is_blocked (queue, &queue->items[i])
+        && (best == queue->count
+            || is_before (queue, &queue->items[i], &queue->items[best], now)))
       best = i;
   return best;
 }
@@ -154,6 +176,8 @@
     }
   shr_fade (&queue->shares, now);
   next = find_next (queue, now);
+  if (next == queue->count)
+    return NULL;
   on_time = que_can_be_on_time (&queue->items[next], now);
   if (count_late (queue, now) > 0)
     learn_denied (&queue->late_skip_ratio, on_time);
@@ -163,13 +187,31 @@
   return take (queue, next);
 }
 
+clk_time
+que_estimate_link_wait (const struct que *queue, const struct que_item *item,
+                        clk_time now)
+{
+  size_t ahead = 0;
+
+  if (!item->is_bulk)
+    return 0;
+  for (size_t i = 0; i < queue->count; i++)
+    if (queue->items[i].is_bulk
+        && !is_before (queue, item, &queue->items[i], now))
+      ahead++;
+  return queue->bulk_interval * (clk_time)ahead;
+}
+
 clk_time
 que_estimate_wait (const struct que *queue, const struct que_item *item,
                    clk_time now)
 {
   size_t ahead = que_count_ahead (queue, item, now);
   clk_time wait = queue->dequeue_interval * (clk_time)(ahead + 1);
+  clk_time link = que_estimate_link_wait (queue, item, now);
 
+  if (link > wait)
+    wait = link;
   if (shr_is_over (&queue->shares, item->tenant))
     wait = stretch (wait, queue->over_skip_ratio);
   return que_can_be_on_time (item, now + wait)
@@ -221,7 +263,8 @@
   size_t ahead = 0;
 
   for (size_t i = 0; i < queue->count; i++)
-    if (!is_before (queue, item, &queue->items[i], now))
+    if (!is_before (queue, item, &queue->items[i], now)
+        && (item->is_bulk || !is_blocked (queue, &queue->items[i])))
       ahead++;
   return ahead;
 }
--- a/src/que/que.h
+++ b/src/que/que.h
@@ -40,6 +40,7 @@
     clk_time target_time;  /* an answer by then is on time */
     clk_time deadline;     /* an answer after that is worth nothing */
     uint32_t tenant;       /* handle into the shares; SHR_NONE: none */
+    bool is_bulk;          /* its response is long, and the link limits it */
   };
 
   /* The waiting calls, in order of arrival.  Zero-initialise.  */
@@ -47,7 +48,9 @@
   {
     struct que_item items[QUE_CAPACITY];
     size_t count;
-    struct shr shares; /* of the tenants in the slots */
+    struct shr shares;      /* of the tenants in the slots */
+    bool is_link_full;      /* bulk calls wait also while a slot is free */
+    clk_time bulk_interval; /* mean time of a bulk response on the link, ns */
     clk_time
         dequeue_interval; /* mean time between two calls that are taken, ns */
     double
@@ -58,13 +61,21 @@
   /* Adds a call.  Returns false when the queue is full.  */
   bool que_push (struct que *queue, const struct que_item *item);
 
-  /* Removes and returns the next call to run, null when none waits.  */
+  /* Removes and returns the next call to run, null when none can run now.  */
   void *que_pop (struct que *queue, clk_time now);
 
   /* Returns the expected wait of a call that would be added now.  */
   clk_time que_estimate_wait (const struct que *queue,
                               const struct que_item *item, clk_time now);
 
+  /* Returns the time that the link takes for the bulk responses that go before
+     that of ITEM; 0 for a call that is not a bulk one.  */
+  clk_time que_estimate_link_wait (const struct que *queue,
+                                   const struct que_item *item, clk_time now);
+
+  /* Returns the number of calls that do not wait for the link.  */
+  size_t que_count_runnable (const struct que *queue);
+
   /* Removes and returns a call that is not expected to end by its deadline any
      more, null when there is none.  */
   void *que_expire (struct que *queue, clk_time now);
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -34,6 +34,11 @@
    Each is in memory twice while it is passed on.  */
 #define RESPONSE_MEMORY_DIVISOR 6
 
+/* Bytes of long bodies a second that a node sends on its links, for each
+   Mbit/s of the link of its VM: four fifths.  The rest is left to other frames
+   and to callers.  */
+#define BULK_BYTES_PER_MBIT (0.8 * 1e6 / 8)
+
 /* Number of malloc arenas; only one thread allocates much memory.  */
 #define MAX_ARENAS 1
 
@@ -129,6 +134,23 @@
   hub_reply (sidecar->hub, inbound, frame);
 }
 
+static void
+send_bulk_reply (void *context, struct hub_inbound_link *inbound,
+                 const Mesh__Frame *frame)
+{
+  struct sdc *sidecar = context;
+
+  hub_reply_bulk (sidecar->hub, inbound, frame);
+}
+
+static clk_time
+get_bulk_time (void *context, size_t bytes)
+{
+  struct sdc *sidecar = context;
+
+  return hub_bulk_time (sidecar->hub, bytes);
+}
+
 static void
 on_upstream_unreachable (void *context)
 {
@@ -195,8 +217,10 @@
 {
   const struct cfg_sidecar *settings = &sidecar->settings;
   struct evl *loop = sidecar->loop;
-  struct gat_hooks gate_hooks
-      = { sidecar, send_reply, on_upstream_unreachable, get_config_version };
+  struct gat_hooks gate_hooks = {
+    sidecar,         send_reply,   on_upstream_unreachable, get_config_version,
+    send_bulk_reply, get_bulk_time
+  };
   struct syn_hooks sync_hooks = sdc_sync_hooks (sidecar);
   size_t memory = (size_t)settings->memory_mb * 1024 * 1024;
   struct gat_memory gate_memory = { memory / SDC_REQUEST_MEMORY_DIVISOR,
@@ -214,6 +238,7 @@
                   sidecar->self, &hub_handlers, sidecar, &sidecar->hub)
       != HUB_OK)
     return false;
+  hub_set_bulk_rate (sidecar->hub, settings->link_mbps * BULK_BYTES_PER_MBIT);
   sidecar->sync = syn_create (loop, sidecar->hub, sidecar->directory,
                               sidecar->self, &sync_hooks);
   sidecar->store
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -2521,7 +2521,7 @@
   (ProtobufCMessageInit) mesh__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__call__field_descriptors[24] =
+static const ProtobufCFieldDescriptor mesh__call__field_descriptors[25] =
 {
   {
     "id",
@@ -2811,6 +2811,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_bulk",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, is_bulk),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__call__field_indices_by_name[] = {
   10,   /* field[10] = body */
@@ -2820,6 +2832,7 @@
   15,   /* field[15] = gate_incarnation */
   3,   /* field[3] = headers */
   0,   /* field[0] = id */
+  24,   /* field[24] = is_bulk */
   21,   /* field[21] = max_wait_us */
   1,   /* field[1] = method */
   11,   /* field[11] = more */
@@ -2841,7 +2854,7 @@
 static const ProtobufCIntRange mesh__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor mesh__call__descriptor =
 {
@@ -2851,7 +2864,7 @@
   "Mesh__Call",
   "mesh",
   sizeof(Mesh__Call),
-  24,
+  25,
   mesh__call__field_descriptors,
   mesh__call__field_indices_by_name,
   1,  mesh__call__number_ranges,
@@ -3538,7 +3551,7 @@
   (ProtobufCMessageInit) mesh__route_share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__route__field_descriptors[11] =
+static const ProtobufCFieldDescriptor mesh__route__field_descriptors[12] =
 {
   {
     "host",
@@ -3672,11 +3685,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_bulk",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Route, is_bulk),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__route__field_indices_by_name[] = {
   4,   /* field[4] = call_class */
   5,   /* field[5] = deadline_ms */
   0,   /* field[0] = host */
+  11,   /* field[11] = is_bulk */
   10,   /* field[10] = is_public */
   7,   /* field[7] = max_attempts */
   2,   /* field[2] = methods */
@@ -3689,7 +3715,7 @@
 static const ProtobufCIntRange mesh__route__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor mesh__route__descriptor =
 {
@@ -3699,7 +3725,7 @@
   "Mesh__Route",
   "mesh",
   sizeof(Mesh__Route),
-  11,
+  12,
   mesh__route__field_descriptors,
   mesh__route__field_indices_by_name,
   1,  mesh__route__number_ranges,
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -430,10 +430,14 @@
    * Rate of the tenant, its weight where slots are shared; 0: it has none.
    */
   float tenant_rate;
+  /*
+   * of a route whose bodies are long
+   */
+  protobuf_c_boolean is_bulk;
 };
 #define MESH__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mesh__call__descriptor) \
-    , NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
@@ -660,10 +664,14 @@
    * needs no key
    */
   protobuf_c_boolean is_public;
+  /*
+   * its bodies are long
+   */
+  protobuf_c_boolean is_bulk;
 };
 #define MESH__ROUTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mesh__route__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/tests/plc_test.cc
+++ b/tests/plc_test.cc
@@ -28,9 +28,9 @@
 protected:
   struct plc_choice
   choose (clk_time target = 250 * ms, clk_time left = 600 * ms,
-          bool insists = false)
+          bool insists = false, bool is_bulk = false)
   {
-    struct plc_call call = { target, target, left, insists };
+    struct plc_call call = { target, target, left, insists, is_bulk };
 
     return plc_choose_candidate (candidates.data (), candidates.size (), &call,
                                  CLK_SECOND, &random);
@@ -54,6 +54,19 @@
     EXPECT_EQ (choose ().index, 2u);
 }
 
+/* Guards against long bodies that fill the link between regions because a near
+   server has a queue, and against a call that is refused although a far server
+   could run it.  */
+TEST_F (Placement, KeepsLongBodiesInTheirRegion)
+{
+  candidates = { make_candidate (PLC_OTHER_REGION, 0),
+                 make_candidate (PLC_SAME_REGION, 6, 400 * ms) };
+  EXPECT_EQ (choose (250 * ms, 600 * ms).index, 0u);
+  EXPECT_EQ (choose (250 * ms, 600 * ms, false, true).index, 1u);
+  candidates[1].usable = false;
+  EXPECT_EQ (choose (250 * ms, 600 * ms, false, true).index, 0u);
+}
+
 /* Guards against calls that are late at a near server while a far one has
    room.  */
 TEST_F (Placement, CrossesRatherThanBeingLate)
@@ -121,7 +134,7 @@
 {
   struct rnd random;
   struct plc_candidate server = {};
-  struct plc_call wanted = { 60 * ms, 60 * ms, 180 * ms, false };
+  struct plc_call wanted = { 60 * ms, 60 * ms, 180 * ms, false, false };
   clk_time now = 100 * CLK_SECOND;
 
   rnd_init (&random, 1);
@@ -146,7 +159,7 @@
 {
   struct rnd random;
   struct plc_candidate server = {};
-  struct plc_call wanted = { 60 * ms, 60 * ms, 180 * ms, false };
+  struct plc_call wanted = { 60 * ms, 60 * ms, 180 * ms, false, false };
   clk_time now = 100 * CLK_SECOND;
 
   rnd_init (&random, 1);
--- a/tests/que_test.cc
+++ b/tests/que_test.cc
@@ -23,7 +23,8 @@
             service,
             target,
             deadline,
-            SHR_NONE };
+            SHR_NONE,
+            false };
 
     EXPECT_TRUE (que_push (queue.get (), &item));
   }
@@ -147,7 +148,8 @@
    count.  */
 TEST_F (Waiting, CountsTheCallsAhead)
 {
-  struct que_item item = { nullptr, 1, 10 * ms, 150 * ms, 500 * ms, SHR_NONE };
+  struct que_item item
+      = { nullptr, 1, 10 * ms, 150 * ms, 500 * ms, SHR_NONE, false };
 
   push (1, 0, 500 * ms, 500 * ms);
   push (2, 1, 100 * ms, 500 * ms);
@@ -156,11 +158,36 @@
   EXPECT_EQ (que_count_ahead (queue.get (), &item, 0), 2u);
 }
 
+/* Guards against a call with a long response that takes a slot while the link
+   is full, and against short calls that wait behind it.  */
+TEST_F (Waiting, BulkCallsWaitForTheLink)
+{
+  struct que_item bulk
+      = { nullptr, 1, 10 * ms, 400 * ms, 500 * ms, SHR_NONE, true };
+  struct que_item brief
+      = { nullptr, 1, 10 * ms, 400 * ms, 500 * ms, SHR_NONE, false };
+
+  bulk.call = reinterpret_cast<void *> (1);
+  EXPECT_TRUE (que_push (queue.get (), &bulk));
+  queue->dequeue_interval = 10 * ms;
+  queue->bulk_interval = 70 * ms;
+  queue->is_link_full = true;
+  EXPECT_EQ (que_count_runnable (queue.get ()), 0u);
+  EXPECT_EQ (que_pop (queue.get (), 0), nullptr);
+  EXPECT_EQ (que_estimate_wait (queue.get (), &bulk, 0), 70 * ms);
+  EXPECT_EQ (que_estimate_wait (queue.get (), &brief, 0), 10 * ms);
+  push (2, 1, 450 * ms, 500 * ms);
+  EXPECT_EQ (pop (0), 2);
+  EXPECT_EQ (pop (0), 0);
+  queue->is_link_full = false;
+  EXPECT_EQ (pop (0), 1);
+}
+
 /* Guards against a queue that grows without bound, and calls that cannot be
    taken out.  */
 TEST_F (Waiting, IsBounded)
 {
-  struct que_item item = { nullptr, 1, ms, ms, ms, SHR_NONE };
+  struct que_item item = { nullptr, 1, ms, ms, ms, SHR_NONE, false };
   int removed = 7;
 
   for (int i = 0; i < QUE_CAPACITY; i++)
--- a/tests/shr_test.cc
+++ b/tests/shr_test.cc
@@ -142,8 +142,8 @@
   arrive (uint32_t hash, double weight)
   {
     auto call = std::make_unique<Call> (Call{ hash, now });
-    struct que_item item
-        = { call.get (), 1, service, now + target, now + deadline, SHR_NONE };
+    struct que_item item = { call.get (),    1,        service, now + target,
+                             now + deadline, SHR_NONE, false };
 
     asked[hash]++;
     item.tenant = shr_acquire (&queue->shares, hash, weight, now);
--- a/tests/support/load_sim.cc
+++ b/tests/support/load_sim.cc
@@ -182,7 +182,7 @@
         = { ms (item->kind->target_ms),
             item->start + ms (item->kind->target_ms) - now,
             item->start + ms (item->kind->deadline_ms) - now,
-            item->bounces >= max_bounces };
+            item->bounces >= max_bounces, false };
 
     for (size_t i = 0; i < servers.size (); i++)
       {
@@ -220,7 +220,8 @@
              service > 0 ? service : gate.slot,
              item->start + ms (item->kind->target_ms),
              item->start + ms (item->kind->deadline_ms),
-             SHR_NONE };
+             SHR_NONE,
+             false };
   }
 
   clk_time
--- a/tests/support/sidecar_mesh.cc
+++ b/tests/support/sidecar_mesh.cc
@@ -79,6 +79,7 @@
   copy_name (settings.service, vm.service);
   settings.first_start = first_start;
   settings.memory_mb = memory_mb;
+  settings.link_mbps = link_mbps;
   settings.caller_address = address_of (index, calls_port);
   settings.mesh_address = address_of (index, links_port);
   settings.readiness_address = address_of (index, ready_port);
--- a/tests/support/sidecar_mesh.h
+++ b/tests/support/sidecar_mesh.h
@@ -90,6 +90,7 @@
   clk_time work = 5 * CLK_MILLISECOND;
   uint32_t slots = 4;
   int64_t memory_mb = 256; /* of each VM */
+  double link_mbps = 0;    /* of each VM; 0: unknown */
   clk_time heartbeat = 200 * CLK_MILLISECOND;
   clk_time grace = 6 * CLK_SECOND;
   int64_t retry_slack = 100;
