--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -20,6 +20,9 @@
 #define MAX_RUNS 65536
 #define FLOOD_BLOCK 16384
 
+/* Largest answer that a request can ask for, in bytes.  */
+#define MAX_WANTED_SIZE (64u * 1024u * 1024u)
+
 /* Time between two deregistrations.  */
 #define DEREGISTER_INTERVAL (50 * CLK_MILLISECOND)
 
@@ -31,7 +34,8 @@
   char id[NAME_SIZE];
   struct evl_timer timer;
   struct lst_entry list;
-  bool is_flood; /* it is answered without end */
+  size_t body_size; /* of its answer; from the request, else the setting */
+  bool is_flood;    /* it is answered without end */
   uint64_t flood_sent;
 };
 
@@ -217,18 +221,17 @@
   on_flood (run);
 }
 
-/* Sends the id, filled up to the size of bodies.  */
+/* Sends the id, filled up to BODY_SIZE bytes.  */
 static void
-send_body (const struct sup *upstream, struct srv_connection *connection,
-           const char *id)
+send_body (struct srv_connection *connection, const char *id, size_t body_size)
 {
   static const uint8_t filler[FLOOD_BLOCK];
   struct buf body = { 0 };
 
   buf_append (&body, id, strlen (id));
-  while (body.length < upstream->body_size)
+  while (body.length < body_size)
     {
-      size_t left = upstream->body_size - body.length;
+      size_t left = body_size - body.length;
 
       buf_append (&body, filler, left < sizeof filler ? left : sizeof filler);
     }
@@ -238,7 +241,7 @@
 
 static void
 answer (struct sup *upstream, struct srv_connection *connection,
-        const char *id)
+        const char *id, size_t body_size)
 {
   switch (upstream->fault)
     {
@@ -261,7 +264,7 @@
     }
   start_answer (connection, upstream->fault == SUP_FAIL ? 500 : 200, id,
                 upstream->fault != SUP_UNSIGNED);
-  send_body (upstream, connection, id);
+  send_body (connection, id, body_size);
 }
 
 static void
@@ -306,6 +309,7 @@
   struct run *run = context;
   struct sup *upstream = run->upstream;
   struct srv_connection *connection = run->connection;
+  size_t body_size = run->body_size;
   char id[NAME_SIZE];
 
   if (upstream->flood_filler != NULL)
@@ -316,7 +320,7 @@
   memcpy (id, run->id, sizeof id);
   note_last (upstream, connection, id, false);
   free_run (run);
-  answer (upstream, connection, id);
+  answer (upstream, connection, id, body_size);
 }
 
 static void
@@ -340,6 +344,21 @@
   srv_finish_response (connection, NULL, 0);
 }
 
+/* Returns the size of the answer in bytes: what the query "bytes=N" asks for,
+   else the setting.  */
+static size_t
+wanted_size (const struct sup *upstream, const char *target)
+{
+  static const char key[] = "?bytes=";
+  const char *query = strstr (target, key);
+  unsigned long size;
+
+  if (query == NULL)
+    return upstream->body_size;
+  size = strtoul (query + strlen (key), NULL, 10);
+  return size < MAX_WANTED_SIZE ? size : MAX_WANTED_SIZE;
+}
+
 static void
 on_request (void *context, struct srv_connection *connection,
             struct htp_message *message)
@@ -383,6 +402,7 @@
       run = mem_alloc (1, sizeof *run);
       run->upstream = upstream;
       run->connection = connection;
+      run->body_size = wanted_size (upstream, htp_target (message));
       snprintf (run->id, sizeof run->id, "%s", id);
       lst_push_front (&upstream->runs, &run->list);
       upstream->running++;
