--- a/src/base/buf.c
+++ b/src/base/buf.c
@@ -12,6 +12,10 @@
 /* Capacity after the first allocation, in bytes.  */
 #define INITIAL_CAPACITY 256
 
+/* buf_consume frees memory when less than the capacity divided by this is in
+   use.  */
+#define SHRINK_DIVISOR 4
+
 void
 buf_init (struct buf *buffer)
 {
@@ -49,6 +53,26 @@
   buffer->data[buffer->length] = '\0';
 }
 
+void
+buf_consume (struct buf *buffer, size_t length)
+{
+  size_t left = buffer->length - length;
+
+  if (length == 0)
+    return;
+  if (left == 0)
+    {
+      buf_close (buffer);
+      return;
+    }
+  memmove (buffer->data, buffer->data + length, left + 1);
+  buffer->length = left;
+  if (left + 1 > buffer->capacity / SHRINK_DIVISOR)
+    return;
+  buffer->capacity = left + 1;
+  buffer->data = mem_resize (buffer->data, buffer->capacity, 1);
+}
+
 void
 buf_printf (struct buf *buffer, const char *format, ...)
 {
--- a/src/base/buf.h
+++ b/src/base/buf.h
@@ -34,6 +34,10 @@
   /* Appends LENGTH bytes of DATA.  */
   void buf_append (struct buf *buffer, const void *data, size_t length);
 
+  /* Removes the first LENGTH bytes, and frees the memory that is no longer
+     needed when that is most of it.  */
+  void buf_consume (struct buf *buffer, size_t length);
+
   /* Appends printf-style text.  */
   void buf_printf (struct buf *buffer, const char *format, ...)
       __attribute__ ((format (printf, 2, 3)));
--- a/src/chn/chn.c
+++ b/src/chn/chn.c
@@ -21,6 +21,10 @@
    one large frame does not hold memory for the life of the channel.  */
 #define MAX_IDLE_INPUT_CAPACITY 4096u
 
+/* Sent bytes that are kept in the output buffer while it has others, so that
+   they are not moved too often.  */
+#define MAX_SENT_OUTPUT (256u * 1024u)
+
 enum chn_state
 {
   CHN_CONNECTING,
@@ -44,6 +48,7 @@
   struct buf output;
   size_t sent_length;
   clk_time last_receive_time;
+  clk_time last_send_time; /* or when the output was last empty */
 };
 
 static void
@@ -88,6 +93,7 @@
 flush (void *context)
 {
   struct chn *channel = context;
+  size_t before = channel->sent_length;
 
   while (channel->sent_length < channel->output.length)
     {
@@ -105,9 +111,13 @@
           return;
         }
     }
-  if (channel->sent_length == channel->output.length)
+  if (channel->sent_length > before)
+    channel->last_send_time = evl_now (channel->loop);
+  if (channel->sent_length == channel->output.length
+      || (channel->sent_length >= MAX_SENT_OUTPUT
+          && channel->sent_length >= channel->output.length / 2))
     {
-      buf_close (&channel->output);
+      buf_consume (&channel->output, channel->sent_length);
       channel->sent_length = 0;
     }
   update_events (channel);
@@ -284,6 +294,8 @@
 {
   if (channel->state != CHN_CONNECTING && channel->state != CHN_OPEN)
     return true;
+  if (channel->output.length == 0)
+    channel->last_send_time = evl_now (channel->loop);
   if (frm_encode (frame, &channel->output) != FRM_OK)
     return false;
   if (channel->state == CHN_OPEN)
@@ -303,6 +315,12 @@
   return channel->output.length - channel->sent_length;
 }
 
+clk_time
+chn_stalled_since (const struct chn *channel)
+{
+  return chn_unsent_bytes (channel) > 0 ? channel->last_send_time : CLK_NEVER;
+}
+
 clk_time
 chn_last_receive_time (const struct chn *channel)
 {
--- a/src/chn/chn.h
+++ b/src/chn/chn.h
@@ -53,6 +53,10 @@
   /* Returns the number of queued bytes that were not sent yet.  */
   size_t chn_unsent_bytes (const struct chn *channel);
 
+  /* Returns since when queued bytes make no progress; CLK_NEVER when none are
+     queued.  */
+  clk_time chn_stalled_since (const struct chn *channel);
+
   /* Returns when bytes were last received from the peer; before the first ones
      the time at which the connection was established or, until then, the
      channel was created.  */
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -230,6 +230,32 @@
   return bytes;
 }
 
+bool
+hub_is_loopback (const struct hub_inbound_link *link)
+{
+  return link->channel == NULL;
+}
+
+size_t
+hub_close_stalled (struct hub *hub, clk_time before)
+{
+  struct lst_entry *next;
+  size_t dropped = 0;
+
+  for (struct lst_entry *at = hub->inbound_links.first; at != NULL; at = next)
+    {
+      struct hub_inbound_link *link
+          = LST_ITEM (at, struct hub_inbound_link, entry);
+
+      next = at->next;
+      if (chn_stalled_since (link->channel) > before)
+        continue;
+      dropped += chn_unsent_bytes (link->channel);
+      on_inbound_closed (link, link->channel);
+    }
+  return dropped;
+}
+
 bool
 hub_can_send (const struct hub *hub, dir_handle peer)
 {
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -104,6 +104,14 @@
   /* Returns the bytes of replies that were not sent yet, on all links.  */
   size_t hub_unsent_replies (const struct hub *hub);
 
+  /* Returns whether LINK is the loopback of the node itself.  */
+  bool hub_is_loopback (const struct hub_inbound_link *link);
+
+  /* Closes the inbound links whose queued replies have made no progress since
+     BEFORE or earlier: their nodes read nothing.  Returns the bytes that were
+     dropped.  */
+  size_t hub_close_stalled (struct hub *hub, clk_time before);
+
   /* Returns whether PEER is this node itself, or a known and healthy one.  */
   bool hub_can_send (const struct hub *hub, dir_handle peer);
 
