--- a/src/cfg/cfg_print.c
+++ b/src/cfg/cfg_print.c
@@ -1,5 +1,6 @@
 /* Output of settings and of their reference.  */
 
+#include "cfg/cfg_sidecar.h"
 #include "cfg/cfg_table.h"
 
 #include <inttypes.h>
@@ -166,4 +167,8 @@
               "`--print-settings` prints those in effect. The table is "
               "generated from the program.\n\n");
   cfg_reference_schema (&cfg_node_schema, output);
+  buf_printf (output, "\n## Sidecar\n\n"
+                      "The same for `mulberryshift sidecar --settings FILE`, "
+                      "on the users' platform.\n\n");
+  cfg_print_sidecar_reference (output);
 }
--- a/src/cfg/cfg_sidecar.c
+++ b/src/cfg/cfg_sidecar.c
@@ -129,6 +129,26 @@
     .minimum = 100,
     .maximum = 3600000,
     .help = "window over which repeats are counted" },
+  { .table = "limits",
+    .key = "pipelined_requests",
+    .kind = CFG_INTEGER,
+    .offset = PLACE (pipelined_requests),
+    .fallback = "64",
+    .minimum = 1,
+    .maximum = 10000,
+    .unit = "requests",
+    .help = "requests of one caller's connection that are held at the same "
+            "time; further ones stay in the socket" },
+  { .table = "limits",
+    .key = "read_ahead_kb",
+    .kind = CFG_INTEGER,
+    .offset = PLACE (read_ahead_kb),
+    .fallback = "256",
+    .minimum = 1,
+    .maximum = 1048576,
+    .unit = "KiB",
+    .help = "requests behind an unanswered one that are held of one caller's "
+            "connection; further bytes stay in the socket" },
   { .table = "log",
     .key = "level",
     .kind = CFG_CHOICE,
@@ -155,6 +175,12 @@
   return cfg_read (&schema, name, text, length, settings, report);
 }
 
+void
+cfg_print_sidecar_reference (struct buf *output)
+{
+  cfg_reference_schema (&schema, output);
+}
+
 void
 cfg_print_sidecar (const struct cfg_sidecar *settings, struct buf *output)
 {
--- a/src/cfg/cfg_sidecar.h
+++ b/src/cfg/cfg_sidecar.h
@@ -36,7 +36,9 @@
     double retry_ratio;
     int64_t retry_slack;
     clk_time retry_window;
-    int64_t log_level; /* enum log_level */
+    int64_t pipelined_requests; /* of a connection; 0: the default of srv */
+    int64_t read_ahead_kb;      /* of a connection; 0: the default of srv */
+    int64_t log_level;          /* enum log_level */
   };
 
   /* Loads FILE; see cfg_load.  */
@@ -50,6 +52,9 @@
                                      struct cfg_sidecar *settings,
                                      struct buf *report);
 
+  /* Appends the reference of all settings, a table in Markdown.  */
+  void cfg_print_sidecar_reference (struct buf *output);
+
   /* Appends the settings in effect as TOML with units, defaults and ranges. */
   void cfg_print_sidecar (const struct cfg_sidecar *settings,
                           struct buf *output);
--- a/src/fwd/fwd.c
+++ b/src/fwd/fwd.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/mem.h"
 #include "fwd/fwd_log.h"
+#include "rte/rte.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -28,6 +29,11 @@
    after this time.  */
 #define UNREADY_RETRY (250 * CLK_MILLISECOND)
 
+/* Callers that are refused for want of memory are asked to come back after
+   this time, and up to twice as long, so that they do not all return at
+   once.  */
+#define MEMORY_RETRY (200 * CLK_MILLISECOND)
+
 /* Callers that are refused during a shutdown may come back after this time, to
    another node or to the process that follows.  */
 #define STOPPING_RETRY (250 * CLK_MILLISECOND)
@@ -53,9 +59,18 @@
   return link != NULL ? LST_ITEM (link, struct fwd_call, list) : NULL;
 }
 
+void
+fwd_return_parts (struct fwd_call *call)
+{
+  acc_return (call->forwarder->parts.account, ACC_PARTIAL,
+              call->partial_bytes);
+  call->partial_bytes = 0;
+}
+
 void
 fwd_free_call (struct fwd_call *call)
 {
+  fwd_return_parts (call);
   lst_remove (&call->forwarder->calls, &call->list);
   call->forwarder->call_count--;
   evl_timer_stop (&call->timer);
@@ -87,7 +102,7 @@
 static struct buf *
 start_answer (struct fwd_call *call, unsigned status)
 {
-  struct buf *output = srv_start_response (call->connection, status);
+  struct buf *output = srv_start_response (call->exchange, status);
 
   if (call->id != NULL)
     htp_put_header (output,
@@ -100,7 +115,7 @@
 fwd_fail (struct fwd_call *call, unsigned status, const char *reason,
           clk_time retry_after)
 {
-  struct srv_connection *connection = call->connection;
+  struct srv_exchange *exchange = call->exchange;
   struct buf *output = start_answer (call, status);
   char text[32];
 
@@ -114,22 +129,26 @@
       htp_put_header (output, "Retry-After", text);
     }
   fwd_free_call (call);
-  srv_finish_response (connection, reason, strlen (reason));
+  srv_finish_response (exchange, reason, strlen (reason));
 }
 
+/* Moves the body of ANSWER to the caller, without a copy of it.  */
 void
-fwd_answer (struct fwd_call *call, const Mesh__Answer *answer)
+fwd_answer (struct fwd_call *call, Mesh__Answer *answer)
 {
-  struct srv_connection *connection = call->connection;
-  struct buf *output = srv_start_response (connection, answer->status);
+  struct srv_exchange *exchange = call->exchange;
+  struct buf *output = srv_start_response (exchange, answer->status);
+  ProtobufCBinaryData body;
 
   fwd_log_answered (call, answer->status);
   for (size_t i = 0; i < answer->n_headers; i++)
     htp_put_header (output, answer->headers[i]->name,
                     answer->headers[i]->value);
   call->number = 0;
-  srv_finish_response (connection, answer->body.data, answer->body.len);
+  body = answer->body;
+  answer->body = (ProtobufCBinaryData){ 0 };
   fwd_free_call (call);
+  srv_give_response (exchange, body.data, body.len);
 }
 
 /* The route's time, or the caller's, or the wait for a configuration is
@@ -161,13 +180,13 @@
 }
 
 static struct fwd_call *
-start_call (struct fwd *forwarder, struct srv_connection *connection,
+start_call (struct fwd *forwarder, struct srv_exchange *exchange,
             struct htp_message *message)
 {
   struct fwd_call *call = mem_alloc (1, sizeof *call);
 
   call->forwarder = forwarder;
-  call->connection = connection;
+  call->exchange = exchange;
   call->message = *message;
   *message = (struct htp_message){ 0 };
   call->id = htp_find_header (&call->message,
@@ -178,7 +197,7 @@
   lst_push_front (&forwarder->calls, &call->list);
   forwarder->call_count++;
   evl_timer_init (&call->timer, forwarder->parts.loop, on_deadline, call);
-  srv_set_data (connection, call);
+  srv_set_data (exchange, call);
   return call;
 }
 
@@ -225,6 +244,15 @@
       fwd_fail (call, 401, "the key is missing or unknown", 0);
       return;
     }
+  if (acc_is_short (forwarder->parts.account))
+    {
+      fwd_log_short (call);
+      fwd_fail (call, 503, "not run: no memory for its answer",
+                MEMORY_RETRY
+                    + (clk_time)(rnd_unit (&forwarder->random)
+                                 * (double)MEMORY_RETRY));
+      return;
+    }
   if (!apply_route (call))
     {
       fwd_fail (call, 503, "not run: the node is stopping", STOPPING_RETRY);
@@ -250,11 +278,11 @@
 }
 
 static void
-on_request (void *context, struct srv_connection *connection,
+on_request (void *context, struct srv_exchange *exchange,
             struct htp_message *message)
 {
   struct fwd *forwarder = context;
-  struct fwd_call *call = start_call (forwarder, connection, message);
+  struct fwd_call *call = start_call (forwarder, exchange, message);
 
   if (forwarder->snapshot == NULL)
     await_configuration (call);
@@ -263,9 +291,9 @@
 }
 
 static void
-on_gone (void *context, struct srv_connection *connection)
+on_gone (void *context, struct srv_exchange *exchange)
 {
-  struct fwd_call *call = srv_data (connection);
+  struct fwd_call *call = srv_data (exchange);
 
   (void)context;
   if (call == NULL)
@@ -275,7 +303,23 @@
   fwd_free_call (call);
 }
 
-const struct srv_handlers fwd_handlers = { on_request, on_gone };
+/* A request without a route is only refused.  Whether a request has a key does
+   not matter: one without is refused too.  */
+static bool
+may_overlap (void *context, const struct htp_message *message)
+{
+  const struct fwd *forwarder = context;
+  const char *host = htp_find_header (message, "Host");
+  const struct doc_route *route;
+
+  if (forwarder->snapshot == NULL)
+    return false;
+  route = rte_match (forwarder->snapshot, host != NULL ? host : "",
+                     htp_target (message), htp_method (message));
+  return route == NULL || route->call_class == DOC_IDEMPOTENT;
+}
+
+const struct srv_handlers fwd_handlers = { on_request, on_gone, may_overlap };
 
 /* Begins the calls that came before the first configuration.  A call that
    ends at once leaves the list, so the next one is looked up before.  */
--- a/src/fwd/fwd.h
+++ b/src/fwd/fwd.h
@@ -6,6 +6,7 @@
 #ifndef MULBERRYSHIFT_FWD_FWD_H
 #define MULBERRYSHIFT_FWD_FWD_H
 
+#include "acc/acc.h"
 #include "bud/bud.h"
 #include "dir/dir.h"
 #include "evl/evl.h"
@@ -31,6 +32,7 @@
     dir_handle self;
     struct hub *hub;
     const char *service;      /* of the VM; requests begin on behalf of it */
+    struct acc *account;      /* of the parts of answers */
     struct bud_limits budget; /* NODES is kept up to date by fwd */
   };
 
--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -43,7 +43,7 @@
 {
   struct fwd *forwarder;
   struct lst_entry list;
-  struct srv_connection *connection;
+  struct srv_exchange *exchange;
   struct htp_message message;
   struct snp_snapshot *snapshot;
   const struct doc_route *route;
@@ -64,6 +64,7 @@
   uint32_t kind;        /* hash of the route */
   unsigned bounces;     /* gates that were too busy */
   unsigned usable;      /* nodes that take calls, when it was placed last */
+  size_t partial_bytes; /* of ANSWER, as charged to the account */
   Mesh__Answer *answer; /* its body is not complete; owned by FRAME */
   Mesh__Frame *frame;
 };
@@ -150,8 +151,12 @@
 void fwd_fail (struct fwd_call *call, unsigned status, const char *reason,
                clk_time retry_after);
 
-/* Passes an upstream's answer on and frees the call.  */
-void fwd_answer (struct fwd_call *call, const Mesh__Answer *answer);
+/* Passes an upstream's answer on and frees the call.  Takes the body out of
+   ANSWER.  */
+void fwd_answer (struct fwd_call *call, Mesh__Answer *answer);
+
+/* Returns what the parts of an answer took from the account.  */
+void fwd_return_parts (struct fwd_call *call);
 
 /* Frees a call.  */
 void fwd_free_call (struct fwd_call *call);
--- a/src/fwd/fwd_log.c
+++ b/src/fwd/fwd_log.c
@@ -203,3 +203,22 @@
     log_add_text (&entry, "cancelled_at", name_of (call, call->peer));
   log_end (&entry);
 }
+
+void
+fwd_log_short (const struct fwd_call *call)
+{
+  const struct acc *account = call->forwarder->parts.account;
+  struct log_entry entry;
+
+  count (call, "calls_without_memory_total", NULL, NULL);
+  if (!log_begin (&entry, LOG_WARNING, "fwd", "no memory for an answer",
+                  call->id))
+    return;
+  add_call_fields (&entry, call);
+  log_add_number (&entry, "answer_bytes", (int64_t)call->partial_bytes);
+  log_add_number (&entry, "partial_bytes",
+                  (int64_t)account->used[ACC_PARTIAL]);
+  log_add_number (&entry, "unsent_bytes", (int64_t)account->used[ACC_UNSENT]);
+  log_add_number (&entry, "max_bytes", (int64_t)account->limits.answers);
+  log_end (&entry);
+}
--- a/src/fwd/fwd_log.h
+++ b/src/fwd/fwd_log.h
@@ -37,4 +37,7 @@
                      const char *reason, clk_time retry_after);
 void fwd_log_gone (const struct fwd_call *call);
 
+/* The account of memory has no room for the call's answer.  */
+void fwd_log_short (const struct fwd_call *call);
+
 #endif
--- a/src/fwd/fwd_reply.c
+++ b/src/fwd/fwd_reply.c
@@ -16,11 +16,22 @@
   return call;
 }
 
+/* Frees an answer that will not be completed.  */
+static void
+drop_parts (struct fwd_call *call)
+{
+  fwd_return_parts (call);
+  frm_free (call->frame);
+  call->frame = NULL;
+  call->answer = NULL;
+}
+
 /* The call may have run, and its answer will not come.  */
 static void
 take_unknown (struct fwd_call *call, dir_handle peer, const char *reason)
 {
   fwd_log_lost (call, peer, reason);
+  drop_parts (call);
   fwd_exclude (call, peer);
   call->runs++;
   call->may_have_run = true;
@@ -37,7 +48,7 @@
 }
 
 static void
-take_answer (struct fwd_call *call, const Mesh__Answer *answer)
+take_answer (struct fwd_call *call, Mesh__Answer *answer)
 {
   end_try (call);
   if (answer->outcome == OUT_ANSWERED)
@@ -48,6 +59,22 @@
     take_unknown (call, call->peer, answer->reason);
 }
 
+/* Takes memory for LENGTH more bytes of the call's answer.  When not enough is
+   left the call ends: it has run.  */
+static bool
+take_part (struct fwd_call *call, size_t length)
+{
+  if (acc_take (call->forwarder->parts.account, ACC_PARTIAL, length))
+    {
+      call->partial_bytes += length;
+      return true;
+    }
+  fwd_log_short (call);
+  call->may_have_run = true;
+  fwd_fail (call, 502, "the answer does not fit into memory", 0);
+  return false;
+}
+
 /* Adds a part to an answer that came in several frames.  */
 static void
 add_body (struct fwd_call *call, const Mesh__BodyPart *part)
@@ -56,6 +83,8 @@
 
   if (answer == NULL)
     return;
+  if (!take_part (call, part->data.len))
+    return;
   if (answer->body.len + part->data.len > FRM_MAX_BODY_LENGTH)
     {
       end_try (call);
@@ -93,7 +122,9 @@
     fwd_take_load (forwarder, peer, call->kind, frame->answer->load);
   if (frame->answer->more)
     {
-      frm_free (call->frame);
+      drop_parts (call);
+      if (!take_part (call, frame->answer->body.len))
+        return false;
       call->frame = frame;
       call->answer = frame->answer;
       return true;
--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -268,6 +268,12 @@
       gat_refuse (call, refusal);
       return;
     }
+  /* Half of the room is kept for the calls that run.  */
+  if (!gat_has_room (call, 0))
+    {
+      gat_refuse (call, GAT_BUSY);
+      return;
+    }
   wait = gat_expect_wait (call);
   if (would_be_cut (call, wait))
     {
--- a/src/gat/gat.h
+++ b/src/gat/gat.h
@@ -41,6 +41,10 @@
     /* Sends an answer back.  */
     void (*send_reply) (void *context, struct hub_inbound_link *origin,
                         const Mesh__Frame *frame);
+    /* Returns whether LENGTH bytes of a reply fit beside those that wait to be
+       sent.  */
+    bool (*has_room) (void *context, const struct hub_inbound_link *origin,
+                      size_t length);
     /* The upstream refused a connection.  */
     void (*on_unreachable) (void *context);
     /* Returns the configuration version that this node holds.  */
--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -88,6 +88,10 @@
 /* Fills in the load as a call of this kind meets it.  */
 void gat_load (const struct gat_call *call, Mesh__Load *load);
 
+/* Returns whether a reply of LENGTH bytes can be queued for the call's
+   sender.  */
+bool gat_has_room (const struct gat_call *call, size_t length);
+
 /* Answers that the call was not run and frees it.  */
 void gat_refuse (struct gat_call *call, enum gat_refusal refusal);
 
--- a/src/gat/gat_run.c
+++ b/src/gat/gat_run.c
@@ -86,6 +86,14 @@
     send_parts (call, body->data + PART_SIZE, body->length - PART_SIZE);
 }
 
+bool
+gat_has_room (const struct gat_call *call, size_t length)
+{
+  const struct gat *gate = call->gate;
+
+  return gate->hooks.has_room (gate->hooks.context, call->origin, length);
+}
+
 void
 gat_refuse (struct gat_call *call, enum gat_refusal refusal)
 {
@@ -130,6 +138,11 @@
   Mesh__Header *pointers[HTP_MAX_HEADERS];
   struct gat *gate = call->gate;
 
+  if (!gat_has_room (call, response->body.length))
+    {
+      gat_answer_unknown (call, "the link takes no more replies");
+      return;
+    }
   answer.outcome = OUT_ANSWERED;
   answer.status = response->status;
   answer.headers = pointers;
--- a/src/sdc/sdc_control.c
+++ b/src/sdc/sdc_control.c
@@ -14,13 +14,13 @@
 #define ACK_TIMEOUT (850 * CLK_MILLISECOND)
 
 static void
-send_json_response (struct srv_connection *connection, unsigned status,
+send_json_response (struct srv_exchange *exchange, unsigned status,
                     const char *body)
 {
-  struct buf *output = srv_start_response (connection, status);
+  struct buf *output = srv_start_response (exchange, status);
 
   htp_put_header (output, "Content-Type", "application/json");
-  srv_finish_response (connection, body, strlen (body));
+  srv_finish_response (exchange, body, strlen (body));
 }
 
 /* Returns who holds this node's record with SEQUENCE, or a later one, so that
@@ -36,7 +36,7 @@
 /* Answers the departure that this node's record has since SEQUENCE.  HOLDER is
    null when it is not durable.  */
 static void
-answer_departure (const struct sdc *sidecar, struct srv_connection *connection,
+answer_departure (const struct sdc *sidecar, struct srv_exchange *exchange,
                   uint64_t sequence, const char *holder)
 {
   const struct ptf_heartbeat *upstream = &sidecar->registration.upstream;
@@ -52,14 +52,13 @@
         "did not acknowledge that upstream %s leaves: neither the store "
         "nor another node holds record %" PRIu64 " of this node",
         upstream->name, sequence);
-  send_json_response (connection, holder != NULL ? 200 : 503, "{}");
+  send_json_response (exchange, holder != NULL ? 200 : 503, "{}");
 }
 
 /* Acknowledges a draining heartbeat or a deregistration when this node's
    record is durable.  */
 static void
-acknowledge_when_durable (struct sdc *sidecar,
-                          struct srv_connection *connection)
+acknowledge_when_durable (struct sdc *sidecar, struct srv_exchange *exchange)
 {
   uint64_t sequence = sidecar->record.sequence;
   const char *holder = find_holder (sidecar, sequence);
@@ -67,11 +66,11 @@
 
   if (holder != NULL)
     {
-      answer_departure (sidecar, connection, sequence, holder);
+      answer_departure (sidecar, exchange, sequence, holder);
       return;
     }
   ack = mem_alloc (1, sizeof *ack);
-  ack->connection = connection;
+  ack->exchange = exchange;
   ack->sequence = sequence;
   ack->deadline = evl_now (sidecar->loop) + ACK_TIMEOUT;
   ack->next = sidecar->pending_acks;
@@ -95,19 +94,19 @@
           continue;
         }
       *position = ack->next;
-      answer_departure (sidecar, ack->connection, ack->sequence, holder);
+      answer_departure (sidecar, ack->exchange, ack->sequence, holder);
       free (ack);
     }
 }
 
 static void
-on_control_disconnected (void *context, struct srv_connection *connection)
+on_control_disconnected (void *context, struct srv_exchange *exchange)
 {
   struct sdc *sidecar = context;
 
   for (struct sdc_pending_ack **position = &sidecar->pending_acks;
        *position != NULL; position = &(*position)->next)
-    if ((*position)->connection == connection)
+    if ((*position)->exchange == exchange)
       {
         struct sdc_pending_ack *ack = *position;
 
@@ -148,7 +147,7 @@
 }
 
 static void
-handle_heartbeat (struct sdc *sidecar, struct srv_connection *connection,
+handle_heartbeat (struct sdc *sidecar, struct srv_exchange *exchange,
                   const struct ptf_heartbeat *heartbeat)
 {
   enum reg_result result;
@@ -159,7 +158,7 @@
                  "rejected a heartbeat of upstream %s: its address is not on "
                  "this VM or its service is not in the configuration",
                  heartbeat->name);
-      send_json_response (connection, 400, "{}");
+      send_json_response (exchange, 400, "{}");
       return;
     }
   result = reg_handle_heartbeat (&sidecar->registration, heartbeat,
@@ -170,13 +169,13 @@
       sdc_handle_registration_change (sidecar);
     }
   if (heartbeat->leaving)
-    acknowledge_when_durable (sidecar, connection);
+    acknowledge_when_durable (sidecar, exchange);
   else
-    send_json_response (connection, 200, "{}");
+    send_json_response (exchange, 200, "{}");
 }
 
 static void
-handle_deregistration (struct sdc *sidecar, struct srv_connection *connection,
+handle_deregistration (struct sdc *sidecar, struct srv_exchange *exchange,
                        const struct ptf_heartbeat *heartbeat)
 {
   enum reg_result result
@@ -193,11 +192,11 @@
                "upstream %s, which deregisters, has been replaced by upstream "
                "%s",
                heartbeat->name, sidecar->registration.upstream.name);
-  acknowledge_when_durable (sidecar, connection);
+  acknowledge_when_durable (sidecar, exchange);
 }
 
 static void
-on_control (void *context, struct srv_connection *connection,
+on_control (void *context, struct srv_exchange *exchange,
             struct htp_message *message)
 {
   struct sdc *sidecar = context;
@@ -210,18 +209,18 @@
       log_write (LOG_WARNING, "sdc",
                  "rejected an invalid heartbeat or deregistration: %s",
                  err_last ());
-      send_json_response (connection, 400, "{}");
+      send_json_response (exchange, 400, "{}");
     }
   else if (control == PTF_CONTROL_HEARTBEAT)
-    handle_heartbeat (sidecar, connection, &heartbeat);
+    handle_heartbeat (sidecar, exchange, &heartbeat);
   else if (control == PTF_CONTROL_DEREGISTER)
-    handle_deregistration (sidecar, connection, &heartbeat);
+    handle_deregistration (sidecar, exchange, &heartbeat);
   else
-    send_json_response (connection, 404, "{}");
+    send_json_response (exchange, 404, "{}");
 }
 
 const struct srv_handlers sdc_control_handlers
-    = { on_control, on_control_disconnected };
+    = { on_control, on_control_disconnected, NULL };
 
 bool
 sdc_is_ready (const struct sdc *sidecar)
@@ -230,7 +229,7 @@
 }
 
 static void
-on_ready (void *context, struct srv_connection *connection,
+on_ready (void *context, struct srv_exchange *exchange,
           struct htp_message *message)
 {
   const struct sdc *sidecar = context;
@@ -238,21 +237,22 @@
 
   if (strcmp (htp_target (message), sidecar->platform->ready_target) == 0)
     status = sdc_is_ready (sidecar) ? 200 : 503;
-  srv_start_response (connection, status);
-  srv_finish_response (connection, NULL, 0);
+  srv_start_response (exchange, status);
+  srv_finish_response (exchange, NULL, 0);
 }
 
 static void
-on_disconnected (void *context, struct srv_connection *connection)
+on_disconnected (void *context, struct srv_exchange *exchange)
 {
   (void)context;
-  (void)connection;
+  (void)exchange;
 }
 
-const struct srv_handlers sdc_ready_handlers = { on_ready, on_disconnected };
+const struct srv_handlers sdc_ready_handlers
+    = { on_ready, on_disconnected, NULL };
 
 static void
-on_metrics (void *context, struct srv_connection *connection,
+on_metrics (void *context, struct srv_exchange *exchange,
             struct htp_message *message)
 {
   struct buf text = { 0 };
@@ -261,11 +261,11 @@
   (void)context;
   (void)message;
   met_expose (&text);
-  output = srv_start_response (connection, 200);
+  output = srv_start_response (exchange, 200);
   htp_put_header (output, "Content-Type", "text/plain; version=0.0.4");
-  srv_finish_response (connection, text.data, text.length);
+  srv_finish_response (exchange, text.data, text.length);
   buf_close (&text);
 }
 
 const struct srv_handlers sdc_metrics_handlers
-    = { on_metrics, on_disconnected };
+    = { on_metrics, on_disconnected, NULL };
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -3,6 +3,7 @@
 #ifndef MULBERRYSHIFT_SDC_SDC_INTERNAL_H
 #define MULBERRYSHIFT_SDC_SDC_INTERNAL_H
 
+#include "acc/acc.h"
 #include "dir/dir.h"
 #include "evl/evl.h"
 #include "fwd/fwd.h"
@@ -20,17 +21,11 @@
 #include "syn/syn.h"
 #include "wch/wch.h"
 
-/* The bodies of the requests of callers may take the sidecar's memory divided
-   by this, and so may those of the calls at its gate.  A body on its way is in
-   memory up to four times: as it was read, in frames, at the gate, and in the
-   request to the upstream.  */
-#define SDC_REQUEST_MEMORY_DIVISOR 8
-
 /* A draining heartbeat or a deregistration that is acknowledged when this
    node's record is durable.  */
 struct sdc_pending_ack
 {
-  struct srv_connection *connection;
+  struct srv_exchange *exchange;
   uint64_t sequence; /* of the record that must be durable */
   clk_time deadline;
   struct sdc_pending_ack *next;
@@ -51,7 +46,7 @@
   struct gat *gate;
   struct fwd *forwarder;
   struct srv *caller_server;
-  struct htp_budget body_budget; /* of the requests of callers */
+  struct acc account; /* of the memory held for callers; see sdc_memory.c */
   struct srv *readiness_server;
   struct srv *control_server;
   struct srv *metrics_server;
@@ -102,6 +97,15 @@
 /* Returns the hooks of the propagation between nodes.  */
 struct syn_hooks sdc_sync_hooks (struct sdc *sidecar);
 
+/* Returns whether LENGTH bytes of a reply to ORIGIN fit beside those that wait
+   to be sent on links; 0: whether a further call may be taken.  */
+bool sdc_has_reply_room (void *context, const struct hub_inbound_link *origin,
+                         size_t length);
+
+/* Closes links that take no replies when memory for replies is short, and
+   updates the gauges of the account.  */
+void sdc_check_memory (struct sdc *sidecar, clk_time now);
+
 /* Starts joining the mesh, and takes the steps of the join that are due.  */
 void sdc_start_join (struct sdc *sidecar);
 void sdc_advance_join (struct sdc *sidecar, clk_time now);
--- /dev/null
+++ b/src/sdc/sdc_memory.c
@@ -0,0 +1,73 @@
+/* Memory that the sidecar holds for callers; see acc/acc.h.  */
+
+#include "base/log.h"
+#include "met/met.h"
+#include "sdc/sdc_internal.h"
+
+/* Further calls from other nodes are refused while queued replies take more
+   than their limit divided by this.  The rest is for the calls that run.  */
+#define TAKE_CALLS_DIVISOR 2
+
+/* A link on which queued replies make no progress for this long is closed when
+   further calls would be refused.  A node that pauses, or a link that loses
+   packets, goes on earlier.  */
+#define STALL_TIME CLK_SECOND
+
+bool
+sdc_has_reply_room (void *context, const struct hub_inbound_link *origin,
+                    size_t length)
+{
+  const struct sdc *sidecar = context;
+  size_t limit = sidecar->account.limits.replies;
+  size_t queued;
+
+  if (hub_is_loopback (origin))
+    return true;
+  queued = hub_unsent_replies (sidecar->hub);
+  if (length == 0)
+    return queued <= limit / TAKE_CALLS_DIVISOR;
+  return queued == 0 || queued + length <= limit;
+}
+
+static void
+close_stalled_links (struct sdc *sidecar, clk_time now, size_t queued)
+{
+  size_t dropped = hub_close_stalled (sidecar->hub, now - STALL_TIME);
+  struct log_entry entry;
+
+  if (dropped == 0)
+    return;
+  met_add (met_counter ("replies_dropped_bytes_total", ""), dropped);
+  if (!log_begin (&entry, LOG_WARNING, "sdc",
+                  "closed links whose nodes read no replies", NULL))
+    return;
+  log_add_number (&entry, "dropped_bytes", (int64_t)dropped);
+  log_add_number (&entry, "queued_bytes", (int64_t)queued);
+  log_add_number (&entry, "max_bytes",
+                  (int64_t)sidecar->account.limits.replies);
+  log_end (&entry);
+}
+
+static void
+set_gauges (const struct acc *account, size_t queued)
+{
+  met_set (met_counter ("held_bytes", "kind=\"unsent\""),
+           account->used[ACC_UNSENT]);
+  met_set (met_counter ("held_bytes", "kind=\"partial\""),
+           account->used[ACC_PARTIAL]);
+  met_set (met_counter ("held_bytes", "kind=\"read_ahead\""),
+           account->used[ACC_READ_AHEAD]);
+  met_set (met_counter ("held_bytes", "kind=\"bodies\""),
+           account->caller_bodies.used_bytes);
+  met_set (met_counter ("held_bytes", "kind=\"replies\""), queued);
+}
+
+void
+sdc_check_memory (struct sdc *sidecar, clk_time now)
+{
+  size_t queued = hub_unsent_replies (sidecar->hub);
+
+  if (queued > sidecar->account.limits.replies / TAKE_CALLS_DIVISOR)
+    close_stalled_links (sidecar, now, queued);
+  set_gauges (&sidecar->account, queued);
+}
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -30,17 +30,18 @@
    are still in transit arrive within seconds.  */
 #define DEAD_RECORD_LIFETIME (120 * CLK_SECOND)
 
-/* The responses of the upstream may take the sidecar's memory divided by this.
-   Each is in memory twice while it is passed on.  */
-#define RESPONSE_MEMORY_DIVISOR 6
-
 /* Number of malloc arenas; only one thread allocates much memory.  */
 #define MAX_ARENAS 1
 
+/* Blocks of at least this many bytes are returned to the system when they are
+   freed.  By default malloc raises this size with the largest block that was
+   freed, and then keeps the memory of long answers.  */
+#define MMAP_THRESHOLD (128 * 1024)
+
 /* Limits of the servers for heartbeats, readiness probes and metrics, and of
    the server for callers until a configuration is in effect.  */
 static const struct srv_limits internal_limits
-    = { { 16384, 256u * 1024u }, 5 * CLK_SECOND, 120 * CLK_SECOND, 256 };
+    = { { 16384, 256u * 1024u }, 5 * CLK_SECOND, 120 * CLK_SECOND, 256, 0, 0 };
 
 static bool
 on_request (void *context, struct hub_inbound_link *inbound,
@@ -196,20 +197,24 @@
   const struct cfg_sidecar *settings = &sidecar->settings;
   struct evl *loop = sidecar->loop;
   struct gat_hooks gate_hooks
-      = { sidecar, send_reply, on_upstream_unreachable, get_config_version };
+      = { sidecar, send_reply, sdc_has_reply_room, on_upstream_unreachable,
+          get_config_version };
   struct syn_hooks sync_hooks = sdc_sync_hooks (sidecar);
   size_t memory = (size_t)settings->memory_mb * 1024 * 1024;
-  struct gat_memory gate_memory = { memory / SDC_REQUEST_MEMORY_DIVISOR,
-                                    memory / RESPONSE_MEMORY_DIVISOR };
+  struct acc_limits limits = acc_limits_of (memory);
+  struct gat_memory gate_memory
+      = { limits.gate_bodies, limits.gate_responses };
   struct fwd_options options
       = { .loop = loop,
           .platform = sidecar->platform,
           .directory = sidecar->directory,
           .self = sidecar->self,
           .service = sidecar->settings.service,
+          .account = &sidecar->account,
           .budget = { settings->retry_ratio, (double)settings->retry_slack,
                       settings->retry_window, 0 } };
 
+  acc_init (&sidecar->account, memory);
   if (hub_create (loop, settings->mesh_address, sidecar->directory,
                   sidecar->self, &hub_handlers, sidecar, &sidecar->hub)
       != HUB_OK)
@@ -235,8 +240,8 @@
   if (!start_servers (sidecar))
     return false;
   srv_set_provisional (sidecar->caller_server, true);
-  sidecar->body_budget.max_bytes = memory / SDC_REQUEST_MEMORY_DIVISOR;
-  srv_set_budget (sidecar->caller_server, &sidecar->body_budget);
+  srv_set_budget (sidecar->caller_server, &sidecar->account.caller_bodies);
+  srv_set_account (sidecar->caller_server, &sidecar->account);
   sdc_start_join (sidecar);
   return true;
 }
@@ -416,6 +421,7 @@
   dir_purge_dead (sidecar->directory, now - DEAD_RECORD_LIFETIME);
   sdc_advance_join (sidecar, now);
   sdc_report_unreachable_nodes (sidecar, now);
+  sdc_check_memory (sidecar, now);
   if (read_settings_mtime (sidecar->file) != sidecar->settings_mtime_ns)
     reload_settings (sidecar);
   check_shutdown (sidecar, now);
@@ -485,6 +491,7 @@
   bool started;
 
   mallopt (M_ARENA_MAX, MAX_ARENAS);
+  mallopt (M_MMAP_THRESHOLD, MMAP_THRESHOLD);
   signal (SIGPIPE, SIG_IGN);
   sidecar = sdc_create (loop, settings, file, platform);
   started = sidecar != NULL;
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -12,8 +12,9 @@
 #include <string.h>
 
 /* Limits of callers that the configuration does not set.  */
-static const struct srv_limits default_limits
-    = { { 16384, 16u * 1024u * 1024u }, 5 * CLK_SECOND, 60 * CLK_SECOND, 0 };
+static const struct srv_limits default_limits = {
+  { 16384, 16u * 1024u * 1024u }, 5 * CLK_SECOND, 60 * CLK_SECOND, 0, 0, 0
+};
 
 static void
 apply_limits (struct sdc *sidecar)
@@ -21,9 +22,10 @@
   const struct doc_caller_limits *configured
       = &sidecar->snapshot->document->caller_limits;
   struct srv_limits limits = default_limits;
-  uint64_t max_body_bytes = (uint64_t)sidecar->settings.memory_mb * 1024 * 1024
-                            / SDC_REQUEST_MEMORY_DIVISOR;
+  uint64_t max_body_bytes = sidecar->account.limits.caller_bodies;
 
+  limits.max_pipelined = (size_t)sidecar->settings.pipelined_requests;
+  limits.max_read_ahead = (size_t)sidecar->settings.read_ahead_kb * 1024;
   if (configured->max_header_bytes > 0)
     limits.sizes.max_header_bytes = configured->max_header_bytes;
   if (configured->max_body_bytes > 0)
--- a/src/srv/srv.c
+++ b/src/srv/srv.c
@@ -95,9 +95,11 @@
 {
   if (server == NULL)
     return;
+  server->destroying = true;
   while (server->connections != NULL)
     srv_close_connection (server->connections);
   srv_stop_accepting (server);
+  srv_set_account (server, NULL);
   srv_free_closed (server);
   evl_task_cancel (&server->free_task);
   free (server);
@@ -121,6 +123,18 @@
   server->budget = budget;
 }
 
+void
+srv_set_account (struct srv *server, struct acc *account)
+{
+  if (server->account != NULL)
+    server->account->close_slowest = NULL;
+  server->account = account;
+  if (account == NULL)
+    return;
+  account->close_slowest = srv_close_slowest;
+  account->context = server;
+}
+
 void
 srv_drain (struct srv *server)
 {
@@ -137,7 +151,8 @@
     {
       /* Accepts the waiting connections first: they were made before their
          callers could know of the shutdown, and would be reset.  */
-      on_listener (server, EVL_READ);
+      if (!server->destroying)
+        on_listener (server, EVL_READ);
       evl_timer_stop (&server->accept_timer);
       evl_socket_watch (&server->socket, 0);
       close (server->listener);
@@ -147,7 +162,7 @@
        connection != NULL; connection = next)
     {
       next = connection->next;
-      if (connection->state == SRV_IDLE && connection->output.length == 0)
+      if (srv_is_unused (connection))
         srv_close_connection (connection);
     }
 }
--- a/src/srv/srv_connection.c
+++ b/src/srv/srv_connection.c
@@ -1,4 +1,4 @@
-/* Connection of a caller: reads requests and sends responses.  */
+/* Connection of a caller: reads requests.  */
 
 #include "srv/srv_internal.h"
 
@@ -14,14 +14,8 @@
 /* Most bytes that one recv reads.  */
 #define READ_SIZE (64u * 1024u)
 
-/* Bytes of later requests that are read while a request is handled; the rest
-   stays in the socket.  */
-#define MAX_READ_AHEAD (64u * 1024u)
-
-/* Longest wait of a lingering close for the caller to close the connection.
-   An immediate close could reset the connection, and the caller would lose the
-   response.  */
-#define LINGER_TIMEOUT CLK_SECOND
+/* Time in which a rejected request's response is to be sent.  */
+#define REJECT_TIMEOUT CLK_SECOND
 
 static clk_time
 loop_now (const struct srv_connection *connection)
@@ -29,46 +23,133 @@
   return evl_now (connection->server->loop);
 }
 
-static void
-update_events (struct srv_connection *connection)
+static size_t
+max_pipelined (const struct srv_connection *connection)
+{
+  size_t limit = connection->server->limits.max_pipelined;
+
+  return limit > 0 ? limit : SRV_MAX_PIPELINED;
+}
+
+/* Returns whether the bytes that are read ahead are within the bounds of the
+   connection and of the server.  */
+static bool
+has_read_ahead_left (const struct srv_connection *connection)
+{
+  const struct srv *server = connection->server;
+  size_t limit = server->limits.max_read_ahead;
+
+  if (limit == 0)
+    limit = SRV_MAX_READ_AHEAD;
+  return connection->request_bytes + connection->input.length < limit
+         && (server->account == NULL
+             || acc_fits (server->account, ACC_READ_AHEAD, 1));
+}
+
+bool
+srv_can_read (const struct srv_connection *connection)
+{
+  if (connection->state != SRV_OPEN || connection->last_read
+      || connection->closing)
+    return false;
+  return connection->unanswered == 0
+         || (!connection->server->draining
+             && connection->exchange_count < max_pipelined (connection)
+             && has_read_ahead_left (connection));
+}
+
+void
+srv_update_events (struct srv_connection *connection)
 {
   int events = 0;
 
-  if (connection->input.length < MAX_READ_AHEAD)
+  if (connection->state == SRV_CLOSED)
+    return;
+  if (connection->unanswered == 0 || connection->last_read
+      || has_read_ahead_left (connection))
     events |= EVL_READ;
-  if (connection->sent_length < connection->output.length)
+  if (connection->first != NULL && connection->first->state == SRV_SENDING)
     events |= EVL_WRITE;
   evl_socket_watch (&connection->socket, events);
 }
 
+static void
+free_exchange (struct srv_exchange *exchange)
+{
+  htp_message_close (&exchange->message);
+  buf_close (&exchange->head);
+  if (!exchange->is_borrowed)
+    free (exchange->body);
+  free (exchange);
+}
+
+static void
+free_connection (struct srv_connection *connection)
+{
+  const struct srv *server = connection->server;
+
+  while (connection->first != NULL)
+    {
+      struct srv_exchange *exchange = connection->first;
+
+      connection->first = exchange->next;
+      if (exchange->state == SRV_HANDLING && !server->destroying)
+        server->handlers->disconnected (server->context, exchange);
+      free_exchange (exchange);
+    }
+  free (connection);
+}
+
 void
 srv_free_closed (void *context)
 {
   struct srv *server = context;
 
+  while (server->ended != NULL)
+    {
+      struct srv_exchange *exchange = server->ended;
+
+      server->ended = exchange->next_ended;
+      free_exchange (exchange);
+    }
   while (server->closed != NULL)
     {
       struct srv_connection *connection = server->closed;
 
       server->closed = connection->next;
-      htp_reader_close (&connection->reader);
-      buf_close (&connection->input);
-      buf_close (&connection->output);
-      free (connection);
+      free_connection (connection);
     }
 }
 
-void
-srv_close_connection (struct srv_connection *connection)
+/* Gives back what the exchanges of a connection hold and counts them no
+   more.  */
+static void
+release_exchanges (struct srv_connection *connection)
+{
+  for (struct srv_exchange *exchange = connection->first; exchange != NULL;
+       exchange = exchange->next)
+    {
+      if (!exchange->is_rejection && exchange->state != SRV_ENDED)
+        connection->server->request_count--;
+      srv_release_response (exchange);
+      if (exchange->state >= SRV_FINISHED && !exchange->is_borrowed)
+        {
+          free (exchange->body);
+          exchange->body = NULL;
+        }
+      htp_message_close (&exchange->message);
+      connection->request_bytes -= exchange->request_bytes;
+      exchange->request_bytes = 0;
+    }
+  buf_close (&connection->input);
+  srv_charge_ahead (connection);
+}
+
+static void
+unlink_connection (struct srv_connection *connection)
 {
   struct srv *server = connection->server;
 
-  if (connection->state == SRV_CLOSED)
-    return;
-  if (connection->state == SRV_HANDLING)
-    server->request_count--;
-  server->request_count -= connection->unsent_responses;
-  connection->unsent_responses = 0;
   if (connection->previous != NULL)
     connection->previous->next = connection->next;
   else
@@ -76,140 +157,72 @@
   if (connection->next != NULL)
     connection->next->previous = connection->previous;
   server->connection_count--;
-  evl_socket_watch (&connection->socket, 0);
-  evl_timer_stop (&connection->timer);
-  close (connection->descriptor);
-  connection->state = SRV_CLOSED;
   connection->next = server->closed;
   server->closed = connection;
-  evl_task_schedule (&server->free_task);
-}
-
-/* Closes a connection whose caller has disconnected, and reports it.  */
-static void
-drop_connection (struct srv_connection *connection)
-{
-  struct srv *server = connection->server;
-
-  if (connection->state == SRV_HANDLING)
-    server->handlers->disconnected (server->context, connection);
-  srv_close_connection (connection);
-}
-
-static void
-start_lingering_close (struct srv_connection *connection)
-{
-  connection->state = SRV_LINGERING;
-  shutdown (connection->descriptor, SHUT_WR);
-  evl_timer_set (&connection->timer, loop_now (connection) + LINGER_TIMEOUT);
-  update_events (connection);
 }
 
-/* Starts the time for which a connection may stay as it is.  */
-static void
-start_idle_timer (struct srv_connection *connection)
+void
+srv_close_connection (struct srv_connection *connection)
 {
-  evl_timer_set (&connection->timer,
-                 loop_now (connection)
-                     + connection->server->limits.idle_timeout);
+  if (connection->state == SRV_CLOSED)
+    return;
+  connection->state = SRV_CLOSED;
+  release_exchanges (connection);
+  htp_reader_close (&connection->reader);
+  unlink_connection (connection);
+  evl_socket_watch (&connection->socket, 0);
+  evl_timer_stop (&connection->timer);
+  close (connection->descriptor);
+  connection->descriptor = -1;
+  evl_task_schedule (&connection->server->free_task);
 }
 
-/* Frees the output after all of it was sent.  After the last response a
-   lingering close starts.  */
-static void
-handle_output_sent (struct srv_connection *connection)
+bool
+srv_is_unused (const struct srv_connection *connection)
 {
-  buf_close (&connection->output);
-  connection->sent_length = 0;
-  connection->server->request_count -= connection->unsent_responses;
-  connection->unsent_responses = 0;
-  if (connection->state == SRV_IDLE && connection->closing)
-    start_lingering_close (connection);
+  return connection->state == SRV_OPEN && connection->first == NULL
+         && !connection->reader.started;
 }
 
-bool
-srv_flush (struct srv_connection *connection)
+void
+srv_restart_timer (struct srv_connection *connection)
 {
-  size_t before = connection->sent_length;
+  const struct srv_limits *limits = &connection->server->limits;
+  clk_time time = limits->idle_timeout;
 
-  while (connection->sent_length < connection->output.length)
+  if (connection->handling > 0)
     {
-      ssize_t count = send (
-          connection->descriptor,
-          connection->output.data + connection->sent_length,
-          connection->output.length - connection->sent_length, MSG_NOSIGNAL);
-
-      if (count >= 0)
-        connection->sent_length += (size_t)count;
-      else if (errno == EAGAIN || errno == EWOULDBLOCK)
-        break;
-      else if (errno != EINTR)
-        {
-          drop_connection (connection);
-          return false;
-        }
-    }
-  if (connection->sent_length < connection->output.length)
-    {
-      /* A caller that reads its response is not idle.  */
-      if (connection->sent_length > before && connection->state == SRV_IDLE)
-        start_idle_timer (connection);
+      evl_timer_stop (&connection->timer);
+      return;
     }
-  else if (connection->output.length > 0)
-    handle_output_sent (connection);
-  update_events (connection);
-  return true;
-}
-
-struct buf *
-srv_start_response (struct srv_connection *connection, unsigned status)
-{
-  htp_put_status (&connection->output, status);
-  return &connection->output;
+  if (connection->reading && !connection->reader.header_complete)
+    time = limits->header_timeout;
+  evl_timer_set (&connection->timer, loop_now (connection) + time);
 }
 
-/* Starts the wait for the next request.  */
+/* Sends 100 Continue to a caller that expects it before it sends the body.  */
 static void
-start_idle (struct srv_connection *connection)
-{
-  connection->state = SRV_IDLE;
-  connection->data = NULL;
-  start_idle_timer (connection);
-}
-
-void
-srv_finish_response (struct srv_connection *connection, const void *body,
-                     size_t length)
+send_continue (struct srv_connection *connection)
 {
-  struct srv *server = connection->server;
-
-  if (server->draining || !connection->keep_alive)
-    connection->closing = true;
-  if (connection->closing)
-    htp_put_header (&connection->output, "Connection", "close");
-  htp_put_body (&connection->output, body, connection->is_head ? 0 : length);
-  connection->unsent_responses++;
-  start_idle (connection);
-  if (srv_flush (connection) && !connection->parsing)
-    srv_parse (connection);
-}
+  static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
+  const char *expect = htp_find_header (&connection->reader.message, "Expect");
 
-void
-srv_abort (struct srv_connection *connection)
-{
-  srv_close_connection (connection);
+  if (expect == NULL || connection->first != NULL
+      || connection->reader.message.body.length > 0)
+    return;
+  send (connection->descriptor, interim, sizeof interim - 1, MSG_NOSIGNAL);
 }
 
 void
-srv_reject (struct srv_connection *connection, unsigned status)
+srv_end_wait (struct srv_connection *connection)
 {
-  connection->closing = true;
-  connection->state = SRV_IDLE;
-  htp_put_status (&connection->output, status);
-  htp_put_header (&connection->output, "Connection", "close");
-  htp_put_body (&connection->output, NULL, 0);
-  evl_timer_set (&connection->timer, loop_now (connection) + LINGER_TIMEOUT);
-  srv_flush (connection);
+  connection->reading = connection->reader.started && !connection->last_read;
+  srv_restart_timer (connection);
+  if (connection->last_read && connection->last != NULL
+      && connection->last->is_rejection)
+    evl_timer_set (&connection->timer, loop_now (connection) + REJECT_TIMEOUT);
+  if (connection->reading && connection->reader.header_complete)
+    send_continue (connection);
 }
 
 static unsigned
@@ -236,51 +249,20 @@
   srv_reject (connection, error_status (connection->server, status));
 }
 
-/* Passes a complete request to the handler.  */
-static void
-dispatch (struct srv_connection *connection)
-{
-  struct srv *server = connection->server;
-  struct htp_message message;
-
-  htp_take_message (&connection->reader, &message);
-  connection->state = SRV_HANDLING;
-  connection->keep_alive = message.keep_alive;
-  connection->is_head = message.method == HTTP_HEAD;
-  evl_timer_stop (&connection->timer);
-  server->request_count++;
-  server->last_request_time = loop_now (connection);
-  server->handlers->request (server->context, connection, &message);
-  htp_message_close (&message);
-}
-
-/* Sets the timeout of a request that was received in part.  */
-static void
-start_reading (struct srv_connection *connection)
-{
-  const struct srv_limits *limits = &connection->server->limits;
-  clk_time now = loop_now (connection);
-
-  if (connection->state == SRV_IDLE)
-    {
-      connection->state = SRV_READING;
-      evl_timer_set (&connection->timer, now + limits->header_timeout);
-    }
-  else if (connection->reader.header_complete)
-    evl_timer_set (&connection->timer, now + limits->idle_timeout);
-}
-
-/* Sends 100 Continue to a caller that expects it before it sends the body.  */
+/* Sets the timeout of a request that was received in part.  It starts when no
+   request before it is unanswered.  */
 static void
-send_continue (struct srv_connection *connection)
+note_partial (struct srv_connection *connection)
 {
-  static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
-  const char *expect = htp_find_header (&connection->reader.message, "Expect");
-
-  if (expect == NULL || connection->output.length > 0
-      || connection->reader.message.body.length > 0)
+  if (connection->unanswered > 0 || !connection->reader.started)
     return;
-  send (connection->descriptor, interim, sizeof interim - 1, MSG_NOSIGNAL);
+  if (connection->reading && connection->reader.header_complete)
+    srv_restart_timer (connection);
+  else if (!connection->reading)
+    evl_timer_set (&connection->timer,
+                   loop_now (connection)
+                       + connection->server->limits.header_timeout);
+  connection->reading = true;
 }
 
 /* Feeds up to LENGTH bytes to the reader.  Returns the number of bytes
@@ -296,55 +278,86 @@
   connection->reader.limits = connection->server->limits.sizes;
   status = htp_read (&connection->reader, data, length, &used);
   if (status == HTP_COMPLETE)
-    dispatch (connection);
+    {
+      srv_add_request (connection);
+      srv_start_requests (connection);
+    }
   else if (status != HTP_INCOMPLETE)
     reject_unread (connection, status);
   else
     {
-      if (connection->reader.started)
-        start_reading (connection);
+      note_partial (connection);
       if (!had_header && connection->reader.header_complete)
         send_continue (connection);
     }
   return used;
 }
 
-static bool
-can_read_request (const struct srv_connection *connection)
+size_t
+srv_parse (struct srv_connection *connection, const uint8_t *data,
+           size_t length)
 {
-  return !connection->closing
-         && (connection->state == SRV_IDLE
-             || connection->state == SRV_READING);
+  size_t used = 0;
+
+  while (used < length && srv_can_read (connection))
+    used += feed_reader (connection, data + used, length - used);
+  return used;
 }
 
-/* Parses LENGTH bytes and stores those that belong to later requests.  */
+/* Keeps bytes that cannot be parsed yet.  */
 static void
-handle_input (struct srv_connection *connection, const uint8_t *data,
-              size_t length)
+keep_input (struct srv_connection *connection, const uint8_t *data,
+            size_t length)
 {
-  size_t used = 0;
-
-  connection->parsing = true;
-  while (used < length && can_read_request (connection))
-    used += feed_reader (connection, data + used, length - used);
-  connection->parsing = false;
-  if (connection->closing || connection->state == SRV_CLOSED)
+  if (connection->state != SRV_OPEN || connection->last_read || length == 0)
     return;
-  if (used < length)
-    buf_append (&connection->input, data + used, length - used);
-  update_events (connection);
+  buf_append (&connection->input, data, length);
 }
 
-void
-srv_parse (struct srv_connection *connection)
+/* Parses the bytes that were kept.  Returns whether there was progress.  */
+static bool
+parse_input (struct srv_connection *connection)
 {
   struct buf input = connection->input;
+  size_t used;
 
-  if (input.length == 0)
-    return;
+  if (input.length == 0 || !srv_can_read (connection))
+    return false;
   buf_init (&connection->input);
-  handle_input (connection, input.data, input.length);
+  used = srv_parse (connection, input.data, input.length);
+  keep_input (connection, input.data + used, input.length - used);
   buf_close (&input);
+  return used > 0;
+}
+
+void
+srv_advance (struct srv_connection *connection)
+{
+  if (connection->advancing)
+    return;
+  connection->advancing = true;
+  while (connection->state == SRV_OPEN
+         && (srv_start_requests (connection) || parse_input (connection)))
+    ;
+  connection->advancing = false;
+  if (connection->state == SRV_CLOSED)
+    return;
+  srv_charge_ahead (connection);
+  srv_update_events (connection);
+}
+
+static void
+handle_input (struct srv_connection *connection, const uint8_t *data,
+              size_t length)
+{
+  size_t used = 0;
+
+  connection->advancing = true;
+  if (connection->input.length == 0)
+    used = srv_parse (connection, data, length);
+  keep_input (connection, data + used, length - used);
+  connection->advancing = false;
+  srv_advance (connection);
 }
 
 static void
@@ -356,22 +369,9 @@
   if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
     return;
   if (count <= 0)
-    {
-      drop_connection (connection);
-      return;
-    }
-  if (connection->state == SRV_LINGERING || connection->closing)
-    return;
-  if (connection->state == SRV_HANDLING || connection->input.length > 0)
-    {
-      buf_append (&connection->input, data, (size_t)count);
-      if (connection->state != SRV_HANDLING)
-        srv_parse (connection);
-      else
-        update_events (connection);
-      return;
-    }
-  handle_input (connection, data, (size_t)count);
+    srv_close_connection (connection);
+  else if (connection->state == SRV_OPEN && !connection->last_read)
+    handle_input (connection, data, (size_t)count);
 }
 
 static void
@@ -379,22 +379,29 @@
 {
   struct srv_connection *connection = context;
 
-  if ((events & EVL_WRITE) != 0 && !srv_flush (connection))
-    return;
-  if ((events & EVL_READ) != 0)
+  if ((events & EVL_WRITE) != 0)
+    {
+      if (!srv_flush (connection))
+        return;
+      srv_advance (connection);
+    }
+  if ((events & EVL_READ) != 0 && connection->state != SRV_CLOSED)
     read_socket (connection);
 }
 
 /* Handles a timeout: of a request that was not complete in time, of an idle
-   connection or of a lingering close.  */
+   connection, of a response that is not read, or of a lingering close.  */
 static void
 on_timer (void *context)
 {
   struct srv_connection *connection = context;
 
-  if (connection->state == SRV_READING)
+  if (connection->handling > 0)
+    return;
+  if (connection->reading && connection->state == SRV_OPEN
+      && connection->unanswered == 0 && !connection->last_read)
     srv_reject (connection, 408);
-  else if (connection->state != SRV_HANDLING)
+  else
     srv_close_connection (connection);
 }
 
@@ -415,27 +422,9 @@
   evl_timer_init (&connection->timer, server->loop, on_timer, connection);
   evl_socket_init (&connection->socket, server->loop, descriptor, on_socket,
                    connection);
-  start_idle (connection);
-  update_events (connection);
+  srv_restart_timer (connection);
+  srv_update_events (connection);
   /* The request usually arrives together with the connection: reading it now
      saves a loop iteration.  */
   read_socket (connection);
 }
-
-int
-srv_descriptor (const struct srv_connection *connection)
-{
-  return connection->descriptor;
-}
-
-void
-srv_set_data (struct srv_connection *connection, void *data)
-{
-  connection->data = data;
-}
-
-void *
-srv_data (const struct srv_connection *connection)
-{
-  return connection->data;
-}
--- a/standins/lib/sst.c
+++ b/standins/lib/sst.c
@@ -52,7 +52,7 @@
 struct waiting
 {
   struct sst *store;
-  struct srv_connection *connection; /* null: the caller is gone */
+  struct srv_exchange *exchange; /* null: the caller is gone */
   struct htp_message message;
   bool is_watch;
   bool is_late; /* a write whose answer was lost */
@@ -87,7 +87,7 @@
   size_t entry_text;
 };
 
-static void perform (struct sst *store, struct srv_connection *connection,
+static void perform (struct sst *store, struct srv_exchange *exchange,
                      struct htp_message *message);
 
 static json_t *
@@ -129,20 +129,20 @@
 }
 
 static void
-answer (const struct sst *store, struct srv_connection *connection,
+answer (const struct sst *store, struct srv_exchange *exchange,
         unsigned status, json_t *body)
 {
   char *text = body != NULL ? json_dumps (body, JSON_COMPACT) : NULL;
   struct buf content = { 0 };
   struct buf *output;
 
-  if (connection != NULL)
+  if (exchange != NULL)
     {
-      output = srv_start_response (connection, status);
+      output = srv_start_response (exchange, status);
       htp_put_header (output, "Content-Type", "application/json");
       if (text != NULL)
         replace_marks (store, text, &content);
-      srv_finish_response (connection, content.data, content.length);
+      srv_finish_response (exchange, content.data, content.length);
     }
   buf_close (&content);
   json_decref (body);
@@ -168,7 +168,7 @@
 /* Answers a watch with the changes after its revision.  Returns false when
    there are none yet.  */
 static bool
-answer_watch (struct sst *store, struct srv_connection *connection,
+answer_watch (struct sst *store, struct srv_exchange *exchange,
               const char *kind, uint64_t revision, bool even_empty)
 {
   json_t *events = json_array ();
@@ -182,7 +182,7 @@
       json_decref (events);
       return false;
     }
-  answer (store, connection, 200,
+  answer (store, exchange, 200,
           json_pack ("{s:o, s:I}", PFM_EVENTS, events, PFM_AS_OF,
                      (json_int_t)store->revision));
   return true;
@@ -197,9 +197,9 @@
        entry != NULL; entry = next)
     {
       next = waiting_at (entry->list.next);
-      if (entry->is_watch && entry->connection != NULL
+      if (entry->is_watch && entry->exchange != NULL
           && strcmp (entry->kind, kind) == 0
-          && answer_watch (store, entry->connection, kind, entry->revision,
+          && answer_watch (store, entry->exchange, kind, entry->revision,
                            false))
         free_waiting (entry);
     }
@@ -344,7 +344,7 @@
 }
 
 static void
-list (struct sst *store, struct srv_connection *connection, const char *kind,
+list (struct sst *store, struct srv_exchange *exchange, const char *kind,
       const char *target)
 {
   json_t *items = json_array ();
@@ -368,7 +368,7 @@
       if (is_stale && i + 1 >= store->stale_count)
         object = NULL;
     }
-  answer (store, connection, 200,
+  answer (store, exchange, 200,
           json_pack ("{s:o, s:b, s:I}", PFM_ITEMS, items, PFM_MORE,
                      object != NULL ? 1 : 0, PFM_AS_OF,
                      (json_int_t)store->revision));
@@ -381,7 +381,7 @@
 {
   struct waiting *entry = context;
   struct sst *store = entry->store;
-  struct srv_connection *connection = entry->connection;
+  struct srv_exchange *exchange = entry->exchange;
   struct htp_message message = entry->message;
   bool is_watch = entry->is_watch;
   uint64_t revision = entry->revision;
@@ -391,20 +391,20 @@
   entry->message = (struct htp_message){ 0 };
   free_waiting (entry);
   if (is_watch)
-    answer_watch (store, connection, kind, revision, true);
+    answer_watch (store, exchange, kind, revision, true);
   else
-    perform (store, connection, &message);
+    perform (store, exchange, &message);
   htp_message_close (&message);
 }
 
 static struct waiting *
-add_waiting (struct sst *store, struct srv_connection *connection,
+add_waiting (struct sst *store, struct srv_exchange *exchange,
              clk_time deadline)
 {
   struct waiting *entry = mem_alloc (1, sizeof *entry);
 
   entry->store = store;
-  entry->connection = connection;
+  entry->exchange = exchange;
   lst_push_front (&store->waiting, &entry->list);
   evl_timer_init (&entry->timer, store->loop, on_timer, entry);
   evl_timer_set (&entry->timer, deadline);
@@ -412,17 +412,17 @@
 }
 
 static void
-watch (struct sst *store, struct srv_connection *connection, const char *kind,
+watch (struct sst *store, struct srv_exchange *exchange, const char *kind,
        const char *target)
 {
   uint64_t revision = read_number (target, PFM_WATCH);
   struct waiting *entry;
 
   if (revision < store->oldest)
-    answer (store, connection, 410, NULL);
-  else if (!answer_watch (store, connection, kind, revision, false))
+    answer (store, exchange, 410, NULL);
+  else if (!answer_watch (store, exchange, kind, revision, false))
     {
-      entry = add_waiting (store, connection,
+      entry = add_waiting (store, exchange,
                            evl_now (store->loop)
                                + (clk_time)read_number (target, PFM_WAIT_MS)
                                      * CLK_MILLISECOND);
@@ -434,17 +434,17 @@
 
 /* Answers a write whose condition does not hold.  Returns whether it did.  */
 static bool
-refuse_condition (const struct sst *store, struct srv_connection *connection,
+refuse_condition (const struct sst *store, struct srv_exchange *exchange,
                   const struct object *object, uint64_t revision)
 {
   if (revision == 0 || object->revision == revision)
     return false;
-  answer (store, connection, 409, object_json (object));
+  answer (store, exchange, 409, object_json (object));
   return true;
 }
 
 static void
-write_object (struct sst *store, struct srv_connection *connection,
+write_object (struct sst *store, struct srv_exchange *exchange,
               const char *kind, const char *name,
               const struct htp_message *message)
 {
@@ -461,34 +461,34 @@
     name = json_string_value (json_object_get (metadata, PFM_NAME));
   object = name != NULL ? find_object (store, kind, name) : NULL;
   if (name == NULL || spec == NULL)
-    answer (store, connection, 400, NULL);
+    answer (store, exchange, 400, NULL);
   else if (create && object != NULL)
-    answer (store, connection, 409, object_json (object));
+    answer (store, exchange, 409, object_json (object));
   else if (!create && object == NULL)
-    answer (store, connection, 404, NULL);
-  else if (create || !refuse_condition (store, connection, object, revision))
-    answer (store, connection, 200,
+    answer (store, exchange, 404, NULL);
+  else if (create || !refuse_condition (store, exchange, object, revision))
+    answer (store, exchange, 200,
             object_json (put_object (store, kind, name, json_incref (spec))));
   json_decref (root);
 }
 
 static void
-remove_call (struct sst *store, struct srv_connection *connection,
+remove_call (struct sst *store, struct srv_exchange *exchange,
              struct object *object, const char *target)
 {
   if (object == NULL)
-    answer (store, connection, 404, NULL);
-  else if (!refuse_condition (store, connection, object,
+    answer (store, exchange, 404, NULL);
+  else if (!refuse_condition (store, exchange, object,
                               read_number (target, PFM_REVISION)))
     {
       remove_object (store, object);
-      answer (store, connection, 200, json_object ());
+      answer (store, exchange, 200, json_object ());
     }
 }
 
 /* Does what a call asks for; CONNECTION is null when its answer is lost.  */
 static void
-perform (struct sst *store, struct srv_connection *connection,
+perform (struct sst *store, struct srv_exchange *exchange,
          struct htp_message *message)
 {
   const char *target = htp_target (message);
@@ -498,7 +498,7 @@
 
   if (strncmp (target, PFM_OBJECTS_PATH, prefix) != 0)
     {
-      answer (store, connection, 404, NULL);
+      answer (store, exchange, 404, NULL);
       return;
     }
   snprintf (path, sizeof path, "%.*s", (int)strcspn (target + prefix, "?"),
@@ -510,31 +510,30 @@
       decode_escapes (name);
     }
   if (message->method == HTTP_POST || message->method == HTTP_PUT)
-    write_object (store, connection, path, name, message);
+    write_object (store, exchange, path, name, message);
   else if (message->method == HTTP_DELETE && name != NULL)
-    remove_call (store, connection, find_object (store, path, name), target);
+    remove_call (store, exchange, find_object (store, path, name), target);
   else if (name != NULL)
     {
       struct object *object = find_object (store, path, name);
 
-      answer (store, connection, object != NULL ? 200 : 404,
+      answer (store, exchange, object != NULL ? 200 : 404,
               object != NULL ? object_json (object) : NULL);
     }
   else if (strstr (target, PFM_WATCH "=") != NULL)
-    watch (store, connection, path, target);
+    watch (store, exchange, path, target);
   else
-    list (store, connection, path, target);
+    list (store, exchange, path, target);
 }
 
 /* Returns the IP address of the store that the caller has used.  */
 static uint32_t
-called_ip (const struct srv_connection *connection)
+called_ip (const struct srv_exchange *exchange)
 {
   struct sockaddr_in where = { 0 };
   socklen_t size = sizeof where;
 
-  if (getsockname (srv_descriptor (connection), (struct sockaddr *)&where,
-                   &size)
+  if (getsockname (srv_descriptor (exchange), (struct sockaddr *)&where, &size)
       != 0)
     return 0;
   return ntohl (where.sin_addr.s_addr);
@@ -551,12 +550,12 @@
 
 /* Does a write of which the caller hears nothing.  */
 static void
-lose (struct sst *store, struct srv_connection *connection,
+lose (struct sst *store, struct srv_exchange *exchange,
       struct htp_message *message, bool late)
 {
   struct waiting *entry;
 
-  srv_abort (connection);
+  srv_abort (exchange);
   if (!late)
     {
       perform (store, NULL, message);
@@ -569,7 +568,7 @@
 }
 
 static void
-on_request (void *context, struct srv_connection *connection,
+on_request (void *context, struct srv_exchange *exchange,
             struct htp_message *message)
 {
   struct sst *store = context;
@@ -579,58 +578,57 @@
   store->calls++;
   if (!is_read)
     store->writes++;
-  switch (fault_of (store, called_ip (connection)))
+  switch (fault_of (store, called_ip (exchange)))
     {
     case SST_NO_RESPONSE:
       return;
     case SST_BUSY:
-      answer (store, connection, 503, NULL);
+      answer (store, exchange, 503, NULL);
       return;
     case SST_RESET:
-      srv_abort (connection);
+      srv_abort (exchange);
       return;
     case SST_LOSE_RESPONSE:
     case SST_DELAY_WRITE:
       if (is_read)
         break;
-      lose (store, connection, message,
-            fault_of (store, called_ip (connection)) == SST_DELAY_WRITE);
+      lose (store, exchange, message,
+            fault_of (store, called_ip (exchange)) == SST_DELAY_WRITE);
       return;
     default:
       break;
     }
   if (store->delay == 0)
     {
-      perform (store, connection, message);
+      perform (store, exchange, message);
       return;
     }
-  entry
-      = add_waiting (store, connection, evl_now (store->loop) + store->delay);
+  entry = add_waiting (store, exchange, evl_now (store->loop) + store->delay);
   entry->message = *message;
   *message = (struct htp_message){ 0 };
 }
 
 static void
-on_gone (void *context, struct srv_connection *connection)
+on_gone (void *context, struct srv_exchange *exchange)
 {
   struct sst *store = context;
 
   for (struct waiting *entry = waiting_at (store->waiting.first);
        entry != NULL; entry = waiting_at (entry->list.next))
-    if (entry->connection == connection)
+    if (entry->exchange == exchange)
       {
         free_waiting (entry);
         return;
       }
 }
 
-static const struct srv_handlers handlers = { on_request, on_gone };
+static const struct srv_handlers handlers = { on_request, on_gone, NULL };
 
 struct sst *
 sst_create (struct evl *loop, struct net_address address)
 {
   static const struct srv_limits limits = {
-    { 16384, 2u * 1024u * 1024u }, 60 * CLK_SECOND, 600 * CLK_SECOND, 0
+    { 16384, 2u * 1024u * 1024u }, 60 * CLK_SECOND, 600 * CLK_SECOND, 0, 0, 0
   };
   struct sst *store = mem_alloc (1, sizeof *store);
 
@@ -671,17 +669,17 @@
   for (struct waiting *entry = waiting_at (store->waiting.first);
        entry != NULL; entry = next)
     {
-      struct srv_connection *connection = entry->connection;
+      struct srv_exchange *exchange = entry->exchange;
 
       next = waiting_at (entry->list.next);
-      if (connection == NULL || (ip != 0 && called_ip (connection) != ip))
+      if (exchange == NULL || (ip != 0 && called_ip (exchange) != ip))
         continue;
       if (fault == SST_NO_RESPONSE)
-        entry->connection = NULL;
+        entry->exchange = NULL;
       else if (fault == SST_BUSY || fault == SST_RESET)
         {
           free_waiting (entry);
-          srv_abort (connection);
+          srv_abort (exchange);
         }
     }
 }
@@ -721,14 +719,14 @@
   for (struct waiting *entry = waiting_at (store->waiting.first);
        entry != NULL; entry = next)
     {
-      struct srv_connection *connection = entry->connection;
+      struct srv_exchange *exchange = entry->exchange;
 
       next = waiting_at (entry->list.next);
       if (!entry->is_watch)
         continue;
       free_waiting (entry);
-      if (connection != NULL)
-        srv_abort (connection);
+      if (exchange != NULL)
+        srv_abort (exchange);
     }
 }
 
@@ -809,8 +807,8 @@
   const struct waiting *entry = waiting_at (store->waiting.first);
 
   while (entry != NULL
-         && (!entry->is_watch || entry->connection == NULL
-             || called_ip (entry->connection) != ip))
+         && (!entry->is_watch || entry->exchange == NULL
+             || called_ip (entry->exchange) != ip))
     entry = waiting_at (entry->list.next);
   return entry != NULL;
 }
--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -30,7 +30,7 @@
 struct run
 {
   struct sup *upstream;
-  struct srv_connection *connection;
+  struct srv_exchange *exchange;
   char id[NAME_SIZE];
   struct evl_timer timer;
   struct lst_entry list;
@@ -52,7 +52,7 @@
   size_t body_size;
   char last_id[NAME_SIZE]; /* of the request answered or refused last */
   bool last_refused;
-  struct srv_connection *last_connection; /* null: it has closed */
+  int last_descriptor; /* of its connection; -1: none yet */
   bool flood_with_head;
   const char *flood_start;
   const char *flood_filler; /* null: answers end */
@@ -155,16 +155,22 @@
 
 /* Writes bytes that the server would not.  */
 static void
-send_raw (struct srv_connection *connection, const char *text)
+send_text (int descriptor, const char *text)
 {
-  send (srv_descriptor (connection), text, strlen (text), MSG_NOSIGNAL);
+  send (descriptor, text, strlen (text), MSG_NOSIGNAL);
+}
+
+static void
+send_raw (const struct srv_exchange *exchange, const char *text)
+{
+  send_text (srv_descriptor (exchange), text);
 }
 
 static struct buf *
-start_answer (struct srv_connection *connection, unsigned status,
-              const char *id, bool is_signed)
+start_answer (struct srv_exchange *exchange, unsigned status, const char *id,
+              bool is_signed)
 {
-  struct buf *output = srv_start_response (connection, status);
+  struct buf *output = srv_start_response (exchange, status);
 
   if (id[0] != '\0')
     htp_put_header (output, PFM_REQUEST_ID, id);
@@ -191,7 +197,7 @@
     {
       for (size_t i = 0; i < sizeof block; i++)
         block[i] = upstream->flood_filler[(run->flood_sent + i) % length];
-      count = send (srv_descriptor (run->connection), block, sizeof block,
+      count = send (srv_descriptor (run->exchange), block, sizeof block,
                     MSG_NOSIGNAL | MSG_DONTWAIT);
       if (count > 0)
         {
@@ -211,11 +217,11 @@
 
   if (upstream->flood_with_head)
     {
-      send_raw (run->connection, "HTTP/1.1 200 OK\r\n" PFM_REQUEST_ID ": ");
-      send_raw (run->connection, run->id);
-      send_raw (run->connection, "\r\n" PFM_SIGNATURE ": standin\r\n");
+      send_raw (run->exchange, "HTTP/1.1 200 OK\r\n" PFM_REQUEST_ID ": ");
+      send_raw (run->exchange, run->id);
+      send_raw (run->exchange, "\r\n" PFM_SIGNATURE ": standin\r\n");
     }
-  send_raw (run->connection, upstream->flood_start);
+  send_raw (run->exchange, upstream->flood_start);
   run->is_flood = true;
   run->timer.callback = on_flood;
   on_flood (run);
@@ -223,7 +229,7 @@
 
 /* Sends the id, filled up to BODY_SIZE bytes.  */
 static void
-send_body (struct srv_connection *connection, const char *id, size_t body_size)
+send_body (struct srv_exchange *exchange, const char *id, size_t body_size)
 {
   static const uint8_t filler[FLOOD_BLOCK];
   struct buf body = { 0 };
@@ -235,50 +241,50 @@
 
       buf_append (&body, filler, left < sizeof filler ? left : sizeof filler);
     }
-  srv_finish_response (connection, body.data, body.length);
+  srv_finish_response (exchange, body.data, body.length);
   buf_close (&body);
 }
 
 static void
-answer (struct sup *upstream, struct srv_connection *connection,
-        const char *id, size_t body_size)
+answer (struct sup *upstream, struct srv_exchange *exchange, const char *id,
+        size_t body_size)
 {
   switch (upstream->fault)
     {
     case SUP_TRUNCATE:
-      send_raw (connection, "HTTP/1.1 200 OK\r\n" PFM_REQUEST_ID ": ");
-      send_raw (connection, id);
-      send_raw (connection, "\r\n" PFM_SIGNATURE ": standin\r\n"
-                            "Content-Length: 100\r\n\r\nshort");
-      srv_abort (connection);
+      send_raw (exchange, "HTTP/1.1 200 OK\r\n" PFM_REQUEST_ID ": ");
+      send_raw (exchange, id);
+      send_raw (exchange, "\r\n" PFM_SIGNATURE ": standin\r\n"
+                          "Content-Length: 100\r\n\r\nshort");
+      srv_abort (exchange);
       return;
     case SUP_MALFORMED:
-      send_raw (connection, "\x01\x02 this is no response\r\n\r\n");
-      srv_abort (connection);
+      send_raw (exchange, "\x01\x02 this is no response\r\n\r\n");
+      srv_abort (exchange);
       return;
     case SUP_LOSE_RESPONSE:
-      srv_abort (connection);
+      srv_abort (exchange);
       return;
     default:
       break;
     }
-  start_answer (connection, upstream->fault == SUP_FAIL ? 500 : 200, id,
+  start_answer (exchange, upstream->fault == SUP_FAIL ? 500 : 200, id,
                 upstream->fault != SUP_UNSIGNED);
-  send_body (connection, id, body_size);
+  send_body (exchange, id, body_size);
 }
 
 static void
-note_last (struct sup *upstream, struct srv_connection *connection,
-           const char *id, bool refused)
+note_last (struct sup *upstream, struct srv_exchange *exchange, const char *id,
+           bool refused)
 {
   snprintf (upstream->last_id, NAME_SIZE, "%s", id);
   upstream->last_refused = refused;
-  upstream->last_connection = connection;
+  upstream->last_descriptor = srv_descriptor (exchange);
 }
 
 /* Sends a copy of the last answer or refusal.  */
 static void
-send_copy (const struct sup *upstream, struct srv_connection *connection)
+send_copy (const struct sup *upstream, int descriptor)
 {
   const char *id = upstream->last_id;
   char text[256];
@@ -293,14 +299,14 @@
               "HTTP/1.1 200 OK\r\n" PFM_REQUEST_ID ": %s\r\n" PFM_SIGNATURE
               ": standin\r\nContent-Length: %zu\r\n\r\n%s",
               id, strlen (id), id);
-  send_raw (connection, text);
+  send_text (descriptor, text);
 }
 
 void
 sup_send_late_copy (struct sup *upstream)
 {
-  if (upstream->last_connection != NULL)
-    send_copy (upstream, upstream->last_connection);
+  if (upstream->last_descriptor >= 0)
+    send_copy (upstream, upstream->last_descriptor);
 }
 
 static void
@@ -308,7 +314,7 @@
 {
   struct run *run = context;
   struct sup *upstream = run->upstream;
-  struct srv_connection *connection = run->connection;
+  struct srv_exchange *exchange = run->exchange;
   size_t body_size = run->body_size;
   char id[NAME_SIZE];
 
@@ -318,30 +324,30 @@
       return;
     }
   memcpy (id, run->id, sizeof id);
-  note_last (upstream, connection, id, false);
+  note_last (upstream, exchange, id, false);
   free_run (run);
-  answer (upstream, connection, id, body_size);
+  answer (upstream, exchange, id, body_size);
 }
 
 static void
-refuse (struct srv_connection *connection, unsigned status, const char *id)
+refuse (struct srv_exchange *exchange, unsigned status, const char *id)
 {
-  struct buf *output = start_answer (connection, status, id, false);
+  struct buf *output = start_answer (exchange, status, id, false);
 
   htp_put_header (output, PFM_NOT_EXECUTED, "1");
-  srv_finish_response (connection, NULL, 0);
+  srv_finish_response (exchange, NULL, 0);
 }
 
 static void
-answer_health_check (struct sup *upstream, struct srv_connection *connection)
+answer_health_check (struct sup *upstream, struct srv_exchange *exchange)
 {
   bool healthy = !upstream->draining && !upstream->deregistering
                  && !upstream->health_failing;
-  struct buf *output = srv_start_response (connection, healthy ? 200 : 503);
+  struct buf *output = srv_start_response (exchange, healthy ? 200 : 503);
 
   upstream->health_checks++;
   htp_put_header (output, PFM_INSTANCE_ID, upstream->name);
-  srv_finish_response (connection, NULL, 0);
+  srv_finish_response (exchange, NULL, 0);
 }
 
 /* Returns the size of the answer in bytes: what the query "bytes=N" asks for,
@@ -360,7 +366,7 @@
 }
 
 static void
-on_request (void *context, struct srv_connection *connection,
+on_request (void *context, struct srv_exchange *exchange,
             struct htp_message *message)
 {
   struct sup *upstream = context;
@@ -370,7 +376,7 @@
 
   if (strcmp (htp_target (message), SCF_HEALTH_PATH) == 0)
     {
-      answer_health_check (upstream, connection);
+      answer_health_check (upstream, exchange);
       return;
     }
   upstream->arrivals++;
@@ -378,30 +384,30 @@
   if (id == NULL)
     {
       if (upstream->sends_late_copies)
-        send_copy (upstream, connection);
-      refuse (connection, 400, "");
+        send_copy (upstream, srv_descriptor (exchange));
+      refuse (exchange, 400, "");
     }
   else if (target != NULL && strcmp (target, upstream->name) != 0)
-    refuse (connection, 421, id);
+    refuse (exchange, 421, id);
   else if (upstream->fault == SUP_SILENT)
     return;
   else if (upstream->fault == SUP_SHED
            || upstream->running >= upstream->settings.slots)
     {
-      note_last (upstream, connection, id, true);
-      refuse (connection, 503, id);
+      note_last (upstream, exchange, id, true);
+      refuse (exchange, 503, id);
     }
   else
     {
       if (upstream->sends_late_copies && upstream->last_id[0] != '\0')
-        send_copy (upstream, connection);
+        send_copy (upstream, srv_descriptor (exchange));
       if (upstream->fault == SUP_EXTRA_RESPONSE)
-        send_raw (connection, "HTTP/1.1 200 OK\r\n" PFM_SIGNATURE
-                              ": other\r\nContent-Length: 5\r\n\r\nextra");
+        send_raw (exchange, "HTTP/1.1 200 OK\r\n" PFM_SIGNATURE
+                            ": other\r\nContent-Length: 5\r\n\r\nextra");
       note_run (upstream, id);
       run = mem_alloc (1, sizeof *run);
       run->upstream = upstream;
-      run->connection = connection;
+      run->exchange = exchange;
       run->body_size = wanted_size (upstream, htp_target (message));
       snprintf (run->id, sizeof run->id, "%s", id);
       lst_push_front (&upstream->runs, &run->list);
@@ -413,21 +419,19 @@
 }
 
 static void
-on_gone (void *context, struct srv_connection *connection)
+on_gone (void *context, struct srv_exchange *exchange)
 {
   struct sup *upstream = context;
 
-  if (upstream->last_connection == connection)
-    upstream->last_connection = NULL;
   for (struct lst_entry *at = upstream->runs.first; at != NULL; at = at->next)
-    if (LST_ITEM (at, struct run, list)->connection == connection)
+    if (LST_ITEM (at, struct run, list)->exchange == exchange)
       {
         free_run (LST_ITEM (at, struct run, list));
         return;
       }
 }
 
-static const struct srv_handlers handlers = { on_request, on_gone };
+static const struct srv_handlers handlers = { on_request, on_gone, NULL };
 
 static bool
 on_acknowledged (void *context, struct cnx *connection,
@@ -531,7 +535,7 @@
 sup_create (struct evl *loop, const struct sup_settings *settings)
 {
   static const struct srv_limits limits = {
-    { 16384, 64u * 1024u * 1024u }, 60 * CLK_SECOND, 10 * CLK_SECOND, 0
+    { 16384, 64u * 1024u * 1024u }, 60 * CLK_SECOND, 10 * CLK_SECOND, 0, 0, 0
   };
   struct sup *upstream = mem_alloc (1, sizeof *upstream);
 
@@ -539,6 +543,7 @@
   upstream->settings = *settings;
   if (settings->announced_address.port == 0)
     upstream->settings.announced_address = settings->address;
+  upstream->last_descriptor = -1;
   upstream->born = clk_wall_ms ();
   snprintf (upstream->name, NAME_SIZE, "%s", settings->name);
   snprintf (upstream->service, NAME_SIZE, "%s", settings->service);
--- a/tests/srv_test.cc
+++ b/tests/srv_test.cc
@@ -10,9 +10,11 @@
 class Server : public LoopTest
 {
 protected:
-  Server ()
+  explicit Server (bool overlaps = false)
   {
-    EXPECT_EQ (srv_create (loop, address, &handlers, this, &limits, &server),
+    EXPECT_EQ (srv_create (loop, address,
+                           overlaps ? &overlapping_handlers : &handlers, this,
+                           &limits, &server),
                SRV_OK);
   }
   ~Server () override
@@ -21,7 +23,7 @@
     run_for (5);
   }
   static void
-  on_request (void *context, struct srv_connection *connection,
+  on_request (void *context, struct srv_exchange *connection,
               struct htp_message *message)
   {
     Server *self = static_cast<Server *> (context);
@@ -32,7 +34,7 @@
       self->respond ();
   }
   static void
-  on_disconnected (void *context, struct srv_connection *connection)
+  on_disconnected (void *context, struct srv_exchange *connection)
   {
     Server *self = static_cast<Server *> (context);
 
@@ -44,25 +46,34 @@
   void
   respond ()
   {
-    struct srv_connection *connection = pending.front ();
+    struct srv_exchange *connection = pending.front ();
 
     pending.erase (pending.begin ());
     srv_start_response (connection, 200);
     srv_finish_response (connection, "done", 4);
   }
+  static bool
+  may_overlap (void *, const struct htp_message *message)
+  {
+    return std::strncmp (htp_target (message), "/once", 5) != 0;
+  }
   static constexpr struct srv_handlers handlers
-      = { on_request, on_disconnected };
-  struct srv_limits limits
-      = { { 1000, 1000 }, 100 * CLK_MILLISECOND, 300 * CLK_MILLISECOND, 0 };
+      = { on_request, on_disconnected, nullptr };
+  static constexpr struct srv_handlers overlapping_handlers
+      = { on_request, on_disconnected, may_overlap };
+  struct srv_limits limits = {
+    { 1000, 1000 }, 100 * CLK_MILLISECOND, 300 * CLK_MILLISECOND, 0, 0, 0
+  };
   struct net_address address = allocate_address ();
   struct srv *server = nullptr;
   std::vector<std::string> targets;
-  std::vector<struct srv_connection *> pending;
+  std::vector<struct srv_exchange *> pending;
   int disconnected_count = 0;
   bool respond_immediately = true;
 };
 
 constexpr struct srv_handlers Server::handlers;
+constexpr struct srv_handlers Server::overlapping_handlers;
 
 static const char get[] = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
 
@@ -197,7 +208,7 @@
 
 /* Sends a response that the socket buffers cannot hold.  */
 static void
-respond_with (struct srv_connection *connection, size_t length)
+respond_with (struct srv_exchange *connection, size_t length)
 {
   std::string body (length, 'x');
 
@@ -316,3 +327,429 @@
   srv_destroy (server);
   server = nullptr;
 }
+
+/* A server that handles requests of a connection at the same time, except
+   those to /once.  */
+class Pipeline : public Server
+{
+protected:
+  Pipeline () : Server (true) { respond_immediately = false; }
+
+  static std::string
+  request (const std::string &target, const std::string &fields = "")
+  {
+    return "GET " + target + " HTTP/1.1\r\n" + fields + "\r\n";
+  }
+  bool
+  run_until_pending (size_t count)
+  {
+    return run_until ([&] { return pending.size () == count; });
+  }
+  /* Answers the pending request INDEX with TEXT.  */
+  void
+  respond_to (size_t index, const std::string &text)
+  {
+    struct srv_exchange *exchange = pending[index];
+
+    pending.erase (pending.begin () + (long)index);
+    srv_start_response (exchange, 200);
+    srv_finish_response (exchange, text.data (), text.size ());
+  }
+  static size_t
+  count_of (const std::string &text, const std::string &part)
+  {
+    size_t count = 0;
+
+    for (size_t at = text.find (part); at != std::string::npos;
+         at = text.find (part, at + 1))
+      count++;
+    return count;
+  }
+};
+
+/* Guards against look-ups that wait for the one before, and against answers
+   in the order in which they end.  */
+TEST_F (Pipeline, HandlesRequestsAtTheSameTimeAndAnswersInOrder)
+{
+  Peer peer = Peer::connect (address);
+
+  peer.send (request ("/1") + request ("/2") + request ("/3"));
+  ASSERT_TRUE (run_until_pending (3));
+  EXPECT_EQ (srv_request_count (server), 3u);
+  respond_to (2, "third");
+  respond_to (1, "second");
+  run_for (20);
+  peer.receive ();
+  EXPECT_TRUE (peer.received.empty ());
+  respond_to (0, "first");
+  ASSERT_TRUE (run_until_received (peer, "third"));
+  EXPECT_LT (peer.received.find ("first"), peer.received.find ("second"));
+  EXPECT_LT (peer.received.find ("second"), peer.received.find ("third"));
+  EXPECT_EQ (peer.received.find ("Connection"), std::string::npos);
+  EXPECT_EQ (srv_request_count (server), 0u);
+}
+
+/* Guards against a request that may run only once and starts although the
+   connection may still end before its turn.  */
+TEST_F (Pipeline, StartsAnAtMostOnceRequestInItsTurn)
+{
+  Peer peer = Peer::connect (address);
+
+  peer.send (request ("/1") + request ("/2") + request ("/once"));
+  ASSERT_TRUE (run_until_pending (2));
+  respond_to (1, "second");
+  run_for (20);
+  EXPECT_EQ (targets.size (), 2u);
+  respond_to (0, "first");
+  ASSERT_TRUE (run_until_pending (1));
+  EXPECT_EQ (targets[2], "/once");
+  respond_to (0, "third");
+  EXPECT_TRUE (run_until_received (peer, "third"));
+}
+
+/* Guards against a request that may run only once and starts behind a response
+   that closes the connection, or behind one that never comes: its caller sends
+   it again.  */
+TEST_F (Pipeline, StartsNothingBehindAClose)
+{
+  Peer peer = Peer::connect (address);
+  Peer other = Peer::connect (address);
+
+  peer.send (request ("/1", "Connection: close\r\n") + request ("/once")
+             + request ("/2"));
+  ASSERT_TRUE (run_until_pending (1));
+  respond_to (0, "first");
+  EXPECT_TRUE (run_until_received (peer, "Connection: close\r\n"));
+  EXPECT_TRUE (run_until_disconnected (peer));
+  other.send (request ("/3") + request ("/4") + request ("/once"));
+  ASSERT_TRUE (run_until_pending (2));
+  srv_abort (pending[0]);
+  EXPECT_TRUE (run_until_disconnected (other));
+  EXPECT_TRUE (run_until ([&] { return disconnected_count == 1; }));
+  EXPECT_EQ (targets, (std::vector<std::string>{ "/1", "/3", "/4" }));
+  EXPECT_EQ (srv_request_count (server), 0u);
+}
+
+/* Guards against a shutdown that answers a part of the requests that were
+   read, closes before the last of them, or reads more.  */
+TEST_F (Pipeline, AnswersAllThatWasReadOnShutdown)
+{
+  Peer peer = Peer::connect (address);
+
+  peer.send (request ("/1") + request ("/once") + "GET /3");
+  ASSERT_TRUE (run_until_pending (1));
+  srv_drain (server);
+  peer.send (" HTTP/1.1\r\n\r\n" + request ("/4"));
+  run_for (20);
+  srv_stop_accepting (server);
+  EXPECT_EQ (srv_request_count (server), 2u);
+  respond_to (0, "first");
+  ASSERT_TRUE (run_until_pending (1));
+  ASSERT_TRUE (run_until_received (peer, "first"));
+  EXPECT_EQ (peer.received.find ("Connection"), std::string::npos);
+  respond_to (0, "second");
+  EXPECT_TRUE (run_until_disconnected (peer));
+  EXPECT_EQ (count_of (peer.received, "Connection: close\r\n"), 1u);
+  EXPECT_NE (peer.received.find ("second"), std::string::npos);
+  EXPECT_EQ (targets.size (), 2u);
+  EXPECT_EQ (srv_request_count (server), 0u);
+}
+
+/* Guards against an error that overtakes the answers to good requests, or
+   replaces them.  */
+TEST_F (Pipeline, RejectsABadRequestInItsTurn)
+{
+  const struct
+  {
+    std::string text;
+    const char *status;
+  } bad[] = { { "\x01\x02\r\n\r\n", "HTTP/1.1 400 " },
+              { request ("/", "A: " + std::string (2000, 'x') + "\r\n"),
+                "HTTP/1.1 431 " },
+              { "POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n",
+                "HTTP/1.1 413 " } };
+
+  for (const auto &item : bad)
+    {
+      Peer peer = Peer::connect (address);
+
+      peer.send (request ("/1") + request ("/2") + item.text + request ("/3"));
+      ASSERT_TRUE (run_until_pending (2));
+      respond_to (1, "second");
+      run_for (20);
+      peer.receive ();
+      EXPECT_TRUE (peer.received.empty ());
+      respond_to (0, "first");
+      ASSERT_TRUE (run_until_disconnected (peer));
+      EXPECT_LT (peer.received.find ("second"),
+                 peer.received.find (item.status));
+      EXPECT_NE (peer.received.find (item.status), std::string::npos);
+      EXPECT_EQ (count_of (peer.received, "Connection: close\r\n"), 1u);
+      EXPECT_EQ (srv_request_count (server), 0u);
+    }
+  EXPECT_EQ (targets.size (), 6u);
+}
+
+/* Guards against work for requests whose caller has left.  */
+TEST_F (Pipeline, CancelsAllRequestsOfACallerThatLeaves)
+{
+  Peer peer = Peer::connect (address);
+
+  peer.send (request ("/1") + request ("/2") + request ("/once"));
+  ASSERT_TRUE (run_until_pending (2));
+  respond_to (1, "second");
+  peer.close (true);
+  EXPECT_TRUE (run_until ([&] { return disconnected_count == 1; }));
+  run_for (20);
+  EXPECT_EQ (disconnected_count, 1);
+  EXPECT_EQ (targets.size (), 2u);
+  EXPECT_EQ (srv_request_count (server), 0u);
+  EXPECT_EQ (srv_connection_count (server), 0u);
+}
+
+/* Guards against a handler that ends an exchange of a connection that was
+   closed in the same loop iteration.  */
+TEST_F (Pipeline, IgnoresResponsesOfAClosedConnection)
+{
+  Peer peer = Peer::connect (address);
+
+  peer.send (request ("/1") + request ("/2") + request ("/3"));
+  ASSERT_TRUE (run_until_pending (3));
+  srv_abort (pending[0]);
+  respond_to (1, "second");
+  run_for (20);
+  EXPECT_EQ (disconnected_count, 1);
+  EXPECT_EQ (srv_request_count (server), 0u);
+}
+
+/* Guards against a caller that makes the server hold any number of
+   requests.  */
+TEST_F (Pipeline, BoundsTheRequestsOfAConnection)
+{
+  Peer peer = Peer::connect (address);
+  std::string text;
+
+  limits.max_pipelined = 3;
+  srv_set_limits (server, &limits);
+  for (int i = 0; i < 10; i++)
+    text += request ("/" + std::to_string (i));
+  peer.send (text);
+  ASSERT_TRUE (run_until_pending (3));
+  run_for (20);
+  EXPECT_EQ (targets.size (), 3u);
+  for (int i = 0; i < 10; i++)
+    {
+      ASSERT_TRUE (run_until ([&] { return !pending.empty (); }));
+      respond_to (0, "answer " + std::to_string (i));
+    }
+  EXPECT_TRUE (run_until_received (peer, "answer 9"));
+  EXPECT_EQ (targets.size (), 10u);
+}
+
+/* Guards against a caller that makes the server hold any number of bytes of
+   requests, and against bytes that are counted for good.  */
+TEST_F (Pipeline, BoundsTheBytesOfRequestsThatAreReadAhead)
+{
+  const std::string fields = "A: " + std::string (900, 'x') + "\r\n";
+  struct acc account;
+  Peer peer = Peer::connect (address);
+  std::string text;
+
+  acc_init (&account, 16u * 1024u * 1024u);
+  srv_set_account (server, &account);
+  limits.max_pipelined = 1000;
+  limits.max_read_ahead = 8192;
+  srv_set_limits (server, &limits);
+  for (int i = 0; i < 400; i++)
+    text += request ("/" + std::to_string (i), fields);
+  peer.send (text);
+  run_for (50);
+  EXPECT_GT (pending.size (), 5u);
+  EXPECT_LT (pending.size (), 20u);
+  EXPECT_LE (account.used[ACC_READ_AHEAD], 8192u + 64u * 1024u);
+  EXPECT_GT (account.used[ACC_READ_AHEAD], 0u);
+  while (targets.size () < 400 || !pending.empty ())
+    {
+      ASSERT_TRUE (run_until ([&] { return !pending.empty (); }));
+      respond_to (0, "x");
+    }
+  EXPECT_EQ (account.used[ACC_READ_AHEAD], 0u);
+  srv_destroy (server);
+  server = nullptr;
+}
+
+/* Guards against requests that are lost, joined or answered in a wrong order
+   because of where their bytes are divided.  */
+TEST_F (Pipeline, ReadsAPipelineDividedAnywhere)
+{
+  const std::string text
+      = request ("/1") + "POST /once HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody"
+        + request ("/3", "Connection: close\r\n");
+
+  for (size_t at = 1; at < text.size (); at++)
+    {
+      Peer peer = Peer::connect (address);
+
+      SCOPED_TRACE (at);
+      targets.clear ();
+      peer.send (text.substr (0, at));
+      run_for (1);
+      peer.send (text.substr (at));
+      ASSERT_TRUE (run_until_pending (2));
+      respond_to (1, "third");
+      respond_to (0, "first");
+      ASSERT_TRUE (run_until_pending (1));
+      respond_to (0, "second");
+      ASSERT_TRUE (run_until_disconnected (peer));
+      EXPECT_EQ (targets, (std::vector<std::string>{ "/1", "/3", "/once" }));
+      EXPECT_LT (peer.received.find ("first"), peer.received.find ("second"));
+      EXPECT_LT (peer.received.find ("second"), peer.received.find ("third"));
+    }
+}
+
+/* Guards against an interim response that the caller takes for the answer to
+   an earlier request, and against a caller that waits for one in vain.  */
+TEST_F (Pipeline, SendsContinueWhenNothingIsPending)
+{
+  Peer peer = Peer::connect (address);
+
+  peer.send (request ("/1")
+             + "POST /2 HTTP/1.1\r\nExpect: 100-continue\r\n"
+               "Content-Length: 4\r\n\r\n");
+  ASSERT_TRUE (run_until_pending (1));
+  run_for (20);
+  peer.receive ();
+  EXPECT_TRUE (peer.received.empty ());
+  respond_to (0, "first");
+  ASSERT_TRUE (run_until_received (peer, "HTTP/1.1 100 Continue"));
+  EXPECT_LT (peer.received.find ("first"), peer.received.find (" 100 "));
+  peer.send ("body");
+  EXPECT_TRUE (run_until_pending (1));
+}
+
+/* Guards against a connection that is closed as idle, or for an incomplete
+   request, while an earlier request is handled.  */
+TEST_F (Pipeline, IsNotIdleWithAnUnansweredRequest)
+{
+  Peer peer = Peer::connect (address);
+
+  peer.send (request ("/1") + "GET /2 HT");
+  ASSERT_TRUE (run_until_pending (1));
+  run_for (400);
+  EXPECT_EQ (srv_connection_count (server), 1u);
+  respond_to (0, "first");
+  EXPECT_TRUE (run_until_received (peer, "first"));
+  EXPECT_TRUE (run_until_received (peer, "HTTP/1.1 408 "));
+  EXPECT_TRUE (run_until_disconnected (peer));
+}
+
+/* Guards against a caller that reads nothing and makes the server run and hold
+   answer after answer.  */
+TEST_F (Pipeline, StartsNoRequestWhileItsCallerDoesNotRead)
+{
+  Peer peer = Peer::connect (address);
+
+  peer.send (request ("/1"));
+  ASSERT_TRUE (run_until_pending (1));
+  respond_to (0, std::string (LARGE_BODY, 'x'));
+  peer.send (request ("/2"));
+  run_for (50);
+  EXPECT_EQ (targets.size (), 1u);
+  EXPECT_TRUE (run_until ([&] {
+    peer.receive ();
+    return targets.size () == 2;
+  }));
+  respond_to (0, "second");
+  EXPECT_TRUE (run_until ([&] {
+    peer.receive ();
+    return peer.received.size () > LARGE_BODY
+           && peer.received.find ("second") != std::string::npos;
+  }));
+}
+
+/* Guards against a slow reader that takes the memory of others, and against
+   one that reads and is closed in its place.  */
+TEST_F (Pipeline, ClosesTheSlowestReaderWhenMemoryIsShort)
+{
+  const size_t body = 16u * 1024u * 1024u;
+  struct acc account;
+  Peer slow = Peer::connect (address);
+  Peer later = Peer::connect (address);
+  Peer prompt = Peer::connect (address);
+
+  acc_init (&account, 100u * 1024u * 1024u);
+  srv_set_account (server, &account);
+  limits.idle_timeout = 10 * CLK_SECOND;
+  srv_set_limits (server, &limits);
+  slow.send (request ("/slow"));
+  ASSERT_TRUE (run_until_pending (1));
+  respond_to (0, std::string (body, 's'));
+  run_for (20);
+  EXPECT_GT (account.used[ACC_UNSENT], 0u);
+  prompt.send (request ("/prompt"));
+  ASSERT_TRUE (run_until_pending (1));
+  respond_to (0, std::string (body, 'p'));
+  EXPECT_EQ (srv_connection_count (server), 2u);
+  EXPECT_TRUE (run_until_disconnected (slow));
+  EXPECT_LT (slow.received.size (), body);
+  EXPECT_TRUE (run_until ([&] {
+    prompt.receive ();
+    return prompt.received.size () > body;
+  }));
+  later.send (request ("/later"));
+  ASSERT_TRUE (run_until_pending (1));
+  respond_to (0, "done");
+  EXPECT_TRUE (run_until_received (later, "done"));
+  EXPECT_TRUE (run_until ([&] { return account.used[ACC_UNSENT] == 0; }));
+  srv_destroy (server);
+  server = nullptr;
+}
+
+/* Guards against memory that is kept until the last byte of a response is
+   sent.  */
+TEST_F (Pipeline, GivesMemoryBackWhileAResponseIsSent)
+{
+  struct acc account;
+  Peer peer = Peer::connect (address);
+  size_t before;
+
+  acc_init (&account, 512u * 1024u * 1024u);
+  srv_set_account (server, &account);
+  limits.idle_timeout = 10 * CLK_SECOND;
+  srv_set_limits (server, &limits);
+  peer.send (request ("/1"));
+  ASSERT_TRUE (run_until_pending (1));
+  respond_to (0, std::string (LARGE_BODY, 'x'));
+  run_for (20);
+  before = account.used[ACC_UNSENT];
+  EXPECT_GT (before, LARGE_BODY / 2);
+  EXPECT_TRUE (run_until ([&] {
+    peer.receive ();
+    return account.used[ACC_UNSENT] < before / 2;
+  }));
+  EXPECT_GT (account.used[ACC_UNSENT], 0u);
+  EXPECT_TRUE (run_until ([&] {
+    peer.receive ();
+    return peer.received.size () > LARGE_BODY;
+  }));
+  EXPECT_EQ (peer.received.substr (peer.received.size () - LARGE_BODY),
+             std::string (LARGE_BODY, 'x'));
+  EXPECT_EQ (account.used[ACC_UNSENT], 0u);
+  srv_destroy (server);
+  server = nullptr;
+}
+
+/* Guards against a response to HEAD with a body, or a wrong order, where it
+   stands between others.  */
+TEST_F (Pipeline, KeepsTheKindOfEachRequest)
+{
+  Peer peer = Peer::connect (address);
+
+  peer.send ("HEAD /1 HTTP/1.1\r\n\r\n" + request ("/2"));
+  ASSERT_TRUE (run_until_pending (2));
+  respond_to (1, "second");
+  respond_to (0, "first");
+  ASSERT_TRUE (run_until_received (peer, "second"));
+  EXPECT_EQ (peer.received.find ("first"), std::string::npos);
+  EXPECT_EQ (count_of (peer.received, "HTTP/1.1 200 "), 2u);
+}
