--- a/src/fwd/fwd.c
+++ b/src/fwd/fwd.c
@@ -59,6 +59,7 @@
   lst_remove (&call->forwarder->calls, &call->list);
   call->forwarder->call_count--;
   evl_timer_stop (&call->timer);
+  quo_cancel (call->quota);
   htp_message_close (&call->message);
   snp_release (call->snapshot);
   frm_free (call->frame);
@@ -105,6 +106,8 @@
   char text[32];
 
   fwd_log_failed (call, status, reason, retry_after);
+  if (status == 503)
+    fwd_return_credit (call);
   fwd_cancel (call);
   htp_put_header (output, "Content-Type", "text/plain");
   if (retry_after > 0)
@@ -230,9 +233,7 @@
       fwd_fail (call, 503, "not run: the node is stopping", STOPPING_RETRY);
       return;
     }
-  bud_count_request (forwarder->budget, call->service,
-                     &forwarder->parts.budget, call->arrival);
-  fwd_place (call);
+  fwd_take_credit (call);
 }
 
 /* Keeps a call until there is a configuration, if one is about to come.  */
--- a/src/fwd/fwd.h
+++ b/src/fwd/fwd.h
@@ -11,6 +11,7 @@
 #include "evl/evl.h"
 #include "hub/hub.h"
 #include "ptf/ptf.h"
+#include "quo/quo.h"
 #include "snp/snp.h"
 #include "srv/srv.h"
 
@@ -30,6 +31,7 @@
     const struct dir *directory;
     dir_handle self;
     struct hub *hub;
+    struct quo *quota;        /* of the tenants; see quo_take */
     const char *service;      /* of the VM; requests begin on behalf of it */
     struct bud_limits budget; /* NODES is kept up to date by fwd */
   };
--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -49,6 +49,8 @@
   const struct doc_route *route;
   const char *service;
   const struct doc_tenant *tenant; /* of the caller's key; null: none */
+  struct quo_request *quota;       /* waits for credit; null: not */
+  bool has_credit;                 /* of its tenant's quota */
   const char *id;                  /* the caller's; null: none */
   clk_time arrival;
   clk_time target;   /* an answer by then is on time */
@@ -136,6 +138,13 @@
 /* Returns the rank of a call under load: by its tenant, then by its route.  */
 uint32_t fwd_priority (const struct fwd_call *call);
 
+/* Takes credit of the call's tenant and places the call, now or when there is
+   credit, or answers 429.  */
+void fwd_take_credit (struct fwd_call *call);
+
+/* Gives back the credit of a call that has not run.  */
+void fwd_return_credit (struct fwd_call *call);
+
 /* Places the call on a node and sends it, or answers that it was not run.  */
 void fwd_place (struct fwd_call *call);
 
--- a/src/fwd/fwd_log.c
+++ b/src/fwd/fwd_log.c
@@ -170,7 +170,8 @@
   snprintf (text, sizeof text, "%u", status);
   count (call, "calls_failed_total", "status", text);
   if (!log_begin (&entry, LOG_WARNING, "fwd",
-                  status == 503 ? "refused" : "failed", call->id))
+                  status == 503 || status == 429 ? "refused" : "failed",
+                  call->id))
     return;
   add_call_fields (&entry, call);
   log_add_number (&entry, "status", status);
--- /dev/null
+++ b/src/fwd/fwd_quota.c
@@ -0,0 +1,55 @@
+/* Credit of a call's tenant.  */
+
+#include "fwd/fwd_internal.h"
+
+static void
+start (struct fwd_call *call)
+{
+  struct fwd *forwarder = call->forwarder;
+
+  call->has_credit = call->tenant != NULL;
+  bud_count_request (forwarder->budget, call->service,
+                     &forwarder->parts.budget, call->arrival);
+  fwd_place (call);
+}
+
+static void
+refuse (struct fwd_call *call, clk_time retry_after)
+{
+  fwd_fail (call, 429, "not run: the tenant's quota is used up", retry_after);
+}
+
+static void
+on_credit (void *context, enum quo_status status, clk_time retry_after)
+{
+  struct fwd_call *call = context;
+
+  call->quota = NULL;
+  if (status == QUO_GRANTED)
+    start (call);
+  else
+    refuse (call, retry_after);
+}
+
+void
+fwd_take_credit (struct fwd_call *call)
+{
+  clk_time retry_after;
+  enum quo_status status
+      = quo_take (call->forwarder->parts.quota, call->tenant, call->deadline,
+                  on_credit, call, &call->quota, &retry_after);
+
+  if (status == QUO_GRANTED)
+    start (call);
+  else if (status == QUO_REFUSED)
+    refuse (call, retry_after);
+}
+
+void
+fwd_return_credit (struct fwd_call *call)
+{
+  if (!call->has_credit)
+    return;
+  call->has_credit = false;
+  quo_return (call->forwarder->parts.quota, call->tenant);
+}
--- /dev/null
+++ b/src/quo/quo.c
@@ -0,0 +1,463 @@
+/* Tenants of this node, and the requests that wait for credit.  */
+
+#include "quo/quo.h"
+
+#include "base/mem.h"
+#include "met/met.h"
+#include "quo/quo_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Interval of the removal of tenants that are no longer configured, and the
+   time since their last request then.  */
+#define SWEEP_INTERVAL (10 * CLK_SECOND)
+#define IDLE_TIME (60 * CLK_SECOND)
+
+static void
+free_tenant (struct quo_tenant *tenant)
+{
+  struct quo_request *request;
+
+  while ((request = TAILQ_FIRST (&tenant->waiting)) != NULL)
+    quo_cancel (request);
+  evl_timer_stop (&tenant->timer);
+  free (tenant->name);
+  free (tenant);
+}
+
+static bool
+is_configured (const struct quo *quota, const char *name)
+{
+  return quota->snapshot != NULL
+         && doc_find_tenant (quota->snapshot->document, name) != NULL;
+}
+
+/* Forgets tenants that are no longer configured.  */
+static void
+sweep (void *context)
+{
+  struct quo *quota = context;
+  clk_time now = evl_now (quota->parts.loop);
+  size_t kept = 0;
+
+  for (size_t i = 0; i < quota->tenant_count; i++)
+    {
+      struct quo_tenant *tenant = quota->tenants[i];
+
+      if (tenant->waiting_count == 0 && tenant->number == 0
+          && !is_configured (quota, tenant->name)
+          && now - tenant->used_at > IDLE_TIME)
+        free_tenant (tenant);
+      else
+        quota->tenants[kept++] = tenant;
+    }
+  quota->tenant_count = kept;
+  evl_timer_set (&quota->sweep_timer, now + SWEEP_INTERVAL);
+}
+
+struct quo *
+quo_create (const struct quo_options *options)
+{
+  struct quo *quota = mem_alloc (1, sizeof *quota);
+
+  quota->parts = *options;
+  quota->next_number = 1;
+  quota->ready_at = CLK_NEVER;
+  quota->table = quo_table_create ();
+  quo_share_init (&quota->share);
+  rnd_init (&quota->random, rnd_system_seed ());
+  evl_timer_init (&quota->sweep_timer, options->loop, sweep, quota);
+  evl_timer_init (&quota->check_timer, options->loop, quo_check_nodes, quota);
+  evl_timer_set (&quota->sweep_timer,
+                 evl_now (options->loop) + SWEEP_INTERVAL);
+  return quota;
+}
+
+void
+quo_destroy (struct quo *quota)
+{
+  if (quota == NULL)
+    return;
+  for (size_t i = 0; i < quota->tenant_count; i++)
+    free_tenant (quota->tenants[i]);
+  free (quota->tenants);
+  evl_timer_stop (&quota->sweep_timer);
+  evl_timer_stop (&quota->check_timer);
+  quo_table_destroy (quota->table);
+  quo_share_close (&quota->share);
+  snp_release (quota->snapshot);
+  free (quota);
+}
+
+void
+quo_set_snapshot (struct quo *quota, struct snp_snapshot *snapshot)
+{
+  snp_release (quota->snapshot);
+  quota->snapshot = snp_retain (snapshot);
+}
+
+void
+quo_set_ready (struct quo *quota, clk_time ready_at)
+{
+  quota->ready_at = ready_at;
+}
+
+bool
+quo_is_ready (const struct quo *quota)
+{
+  return evl_now (quota->parts.loop) >= quota->ready_at;
+}
+
+void
+quo_reset_peer (struct quo *quota, dir_handle peer)
+{
+  quo_share_forget (&quota->share, peer);
+}
+
+uint32_t
+quo_next_number (struct quo *quota)
+{
+  if (quota->next_number == 0)
+    quota->next_number = 1;
+  return quota->next_number++;
+}
+
+static struct quo_tenant *
+find_tenant (const struct quo *quota, const char *name)
+{
+  uint64_t hash = XXH3_64bits (name, strlen (name));
+
+  for (size_t i = 0; i < quota->tenant_count; i++)
+    if (quota->tenants[i]->hash == hash
+        && strcmp (quota->tenants[i]->name, name) == 0)
+      return quota->tenants[i];
+  return NULL;
+}
+
+/* Ends the wait of the first request.  */
+static void
+end_request (struct quo_request *request, enum quo_status status,
+             clk_time retry_after)
+{
+  quo_callback callback = request->callback;
+  void *context = request->context;
+  struct quo_tenant *tenant = request->tenant;
+
+  if (status == QUO_GRANTED)
+    met_add (tenant->granted_total, 1);
+  else
+    quo_log_refused (tenant, retry_after);
+  quo_cancel (request);
+  callback (context, status, retry_after);
+}
+
+static clk_time
+find_retry (struct quo_tenant *tenant)
+{
+  struct quo *quota = tenant->quota;
+
+  return quo_lease_retry (
+      &tenant->lease, tenant->rate, dir_alive_count (quota->parts.directory),
+      rnd_unit (&quota->random), evl_now (quota->parts.loop));
+}
+
+static void
+refuse (struct quo_request *request)
+{
+  end_request (request, QUO_REFUSED, find_retry (request->tenant));
+}
+
+/* Takes one credit of the floor.  A node that does not know the others has
+   none, as it cannot tell its part.  */
+static bool
+take_floor (struct quo_tenant *tenant)
+{
+  struct quo *quota = tenant->quota;
+
+  if (!quo_is_ready (quota))
+    return false;
+  if (!tenant->uses_floor)
+    quo_log_floor (tenant);
+  tenant->uses_floor = true;
+  return quo_lease_take_floor (
+      &tenant->lease, tenant->rate, dir_alive_count (quota->parts.directory),
+      rnd_unit (&quota->random), evl_now (quota->parts.loop));
+}
+
+static void
+take_floor_or_refuse (struct quo_request *request)
+{
+  if (take_floor (request->tenant))
+    end_request (request, QUO_GRANTED, 0);
+  else
+    refuse (request);
+}
+
+void
+quo_serve (struct quo_tenant *tenant)
+{
+  clk_time now = evl_now (tenant->quota->parts.loop);
+  struct quo_request *request;
+
+  while ((request = TAILQ_FIRST (&tenant->waiting)) != NULL
+         && quo_lease_take (&tenant->lease, now))
+    end_request (request, QUO_GRANTED, 0);
+}
+
+void
+quo_serve_from_floor (struct quo_tenant *tenant)
+{
+  struct quo_request *request;
+
+  /* Requests that callbacks add are at the end and are served as well; their
+     number is bounded by the connections.  */
+  for (uint32_t left = tenant->waiting_count;
+       left > 0 && (request = TAILQ_FIRST (&tenant->waiting)) != NULL; left--)
+    take_floor_or_refuse (request);
+}
+
+/* Returns the first request that gets no credit in time as the owner's last
+   reply tells, null when there is none.  */
+static struct quo_request *
+find_hopeless (struct quo_tenant *tenant, clk_time now)
+{
+  struct quo_request *request;
+  uint32_t place = 0;
+
+  TAILQ_FOREACH (request, &tenant->waiting, entry)
+  {
+    if (!quo_lease_may_wait (&tenant->lease, place, tenant->rate,
+                             request->give_up_at, now))
+      return request;
+    place++;
+  }
+  return NULL;
+}
+
+void
+quo_prune (struct quo_tenant *tenant)
+{
+  clk_time now = evl_now (tenant->quota->parts.loop);
+  struct quo_request *request;
+
+  while ((request = find_hopeless (tenant, now)) != NULL)
+    refuse (request);
+}
+
+static struct quo_request *
+find_expired (struct quo_tenant *tenant, clk_time now)
+{
+  struct quo_request *request;
+
+  TAILQ_FOREACH (request, &tenant->waiting, entry)
+  {
+    if (request->give_up_at <= now)
+      return request;
+  }
+  return NULL;
+}
+
+/* Ends the requests whose time is over: from the floor where no owner has
+   answered since they came.  */
+static void
+expire (struct quo_tenant *tenant)
+{
+  clk_time now = evl_now (tenant->quota->parts.loop);
+  struct quo_request *request;
+
+  while ((request = find_expired (tenant, now)) != NULL)
+    if (tenant->answered_at < request->arrived_at
+        && now - request->arrived_at >= QUO_REPLY_TIME)
+      take_floor_or_refuse (request);
+    else
+      refuse (request);
+}
+
+static clk_time
+later (clk_time left, clk_time right)
+{
+  return left > right ? left : right;
+}
+
+/* Returns when the owner is asked next while no request is under way.  */
+static clk_time
+next_ask (const struct quo_tenant *tenant)
+{
+  return later (tenant->lease.refused_until, tenant->ask_at);
+}
+
+void
+quo_schedule (struct quo_tenant *tenant)
+{
+  const struct quo_request *request;
+  clk_time at = CLK_NEVER;
+
+  if (tenant->number != 0)
+    at = tenant->sent_at + QUO_REPLY_TIME;
+  else if (tenant->waiting_count > 0)
+    at = next_ask (tenant);
+  TAILQ_FOREACH (request, &tenant->waiting, entry)
+  {
+    if (request->give_up_at < at)
+      at = request->give_up_at;
+  }
+  evl_timer_set (&tenant->timer, at);
+}
+
+static void
+on_timer (void *context)
+{
+  struct quo_tenant *tenant = context;
+  clk_time now = evl_now (tenant->quota->parts.loop);
+
+  if (tenant->number != 0 && tenant->sent_at + QUO_REPLY_TIME <= now)
+    quo_fail_ask (tenant);
+  expire (tenant);
+  if (tenant->waiting_count > 0 && tenant->number == 0
+      && next_ask (tenant) <= now)
+    quo_ask (tenant);
+  quo_schedule (tenant);
+}
+
+static struct quo_tenant *
+add_tenant (struct quo *quota, const char *name)
+{
+  struct quo_tenant *tenant;
+
+  if (quota->tenant_count == QUO_MAX_TENANTS)
+    return NULL;
+  tenant = mem_alloc (1, sizeof *tenant);
+  tenant->quota = quota;
+  tenant->name = mem_copy_string (name);
+  tenant->hash = XXH3_64bits (name, strlen (name));
+  tenant->owner = DIR_NONE;
+  TAILQ_INIT (&tenant->waiting);
+  evl_timer_init (&tenant->timer, quota->parts.loop, on_timer, tenant);
+  quo_start_series (tenant);
+  quota->tenants = mem_resize (quota->tenants, quota->tenant_count + 1,
+                               sizeof (struct quo_tenant *));
+  quota->tenants[quota->tenant_count++] = tenant;
+  return tenant;
+}
+
+/* Returns the tenant of a request that comes now, null when there are too
+   many.  */
+static struct quo_tenant *
+use_tenant (struct quo *quota, const struct doc_tenant *configured)
+{
+  struct quo_tenant *tenant = find_tenant (quota, configured->name);
+
+  if (tenant == NULL)
+    tenant = add_tenant (quota, configured->name);
+  if (tenant == NULL)
+    return NULL;
+  tenant->rate = configured->rate;
+  tenant->used_at = evl_now (quota->parts.loop);
+  quo_lease_note_arrival (&tenant->lease, tenant->used_at);
+  return tenant;
+}
+
+static bool
+may_wait (const struct quo_tenant *tenant, clk_time deadline, clk_time now)
+{
+  return tenant->quota->waiting_count < QUO_MAX_WAITING && deadline > now
+         && quo_lease_may_wait (&tenant->lease, tenant->waiting_count,
+                                tenant->rate, deadline, now);
+}
+
+static struct quo_request *
+add_request (struct quo_tenant *tenant, clk_time deadline,
+             quo_callback callback, void *context)
+{
+  clk_time give_up_at = tenant->used_at + QUO_MAX_WAIT;
+  struct quo_request *request = mem_alloc (1, sizeof *request);
+
+  request->tenant = tenant;
+  request->arrived_at = tenant->used_at;
+  request->give_up_at = deadline < give_up_at ? deadline : give_up_at;
+  request->callback = callback;
+  request->context = context;
+  TAILQ_INSERT_TAIL (&tenant->waiting, request, entry);
+  tenant->waiting_count++;
+  tenant->quota->waiting_count++;
+  return request;
+}
+
+/* Takes credit that is at hand, or at this node when it is the owner.  */
+static bool
+take_at_once (struct quo_tenant *tenant, clk_time now)
+{
+  const struct quo *quota = tenant->quota;
+
+  if (tenant->waiting_count > 0)
+    return false;
+  if (quo_lease_take (&tenant->lease, now))
+    return true;
+  if (tenant->number != 0 || next_ask (tenant) > now
+      || quo_find_owner (quota, tenant->name, NULL, 0) != quota->parts.self)
+    return false;
+  quo_ask (tenant);
+  return quo_lease_take (&tenant->lease, now);
+}
+
+enum quo_status
+quo_take (struct quo *quota, const struct doc_tenant *configured,
+          clk_time deadline, quo_callback callback, void *context,
+          struct quo_request **request, clk_time *retry_after)
+{
+  clk_time now = evl_now (quota->parts.loop);
+  struct quo_tenant *tenant;
+
+  *request = NULL;
+  *retry_after = 0;
+  if (configured == NULL || !(configured->rate > 0))
+    return QUO_GRANTED;
+  tenant = use_tenant (quota, configured);
+  if (tenant == NULL)
+    {
+      *retry_after = QUO_LONGEST_RETRY;
+      return QUO_REFUSED;
+    }
+  if (take_at_once (tenant, now))
+    {
+      met_add (tenant->granted_total, 1);
+      return QUO_GRANTED;
+    }
+  if (!may_wait (tenant, deadline, now))
+    {
+      *retry_after = find_retry (tenant);
+      quo_log_refused (tenant, *retry_after);
+      return QUO_REFUSED;
+    }
+  *request = add_request (tenant, deadline, callback, context);
+  quo_schedule (tenant);
+  return QUO_WAITING;
+}
+
+void
+quo_cancel (struct quo_request *request)
+{
+  struct quo_tenant *tenant;
+
+  if (request == NULL)
+    return;
+  tenant = request->tenant;
+  TAILQ_REMOVE (&tenant->waiting, request, entry);
+  tenant->waiting_count--;
+  tenant->quota->waiting_count--;
+  free (request);
+}
+
+void
+quo_return (struct quo *quota, const struct doc_tenant *configured)
+{
+  struct quo_tenant *tenant;
+
+  if (configured == NULL || !(configured->rate > 0))
+    return;
+  tenant = find_tenant (quota, configured->name);
+  if (tenant != NULL)
+    quo_lease_return (&tenant->lease, evl_now (quota->parts.loop));
+}
--- /dev/null
+++ b/src/quo/quo_internal.h
@@ -0,0 +1,143 @@
+/* State of the quotas.  Used inside this module.  */
+
+#ifndef MULBERRYSHIFT_QUO_QUO_INTERNAL_H
+#define MULBERRYSHIFT_QUO_QUO_INTERNAL_H
+
+#include "base/rnd.h"
+#include "quo/quo.h"
+#include "quo/quo_bucket.h"
+#include "quo/quo_lease.h"
+#include "quo/quo_share.h"
+
+#include <sys/queue.h>
+
+/* Time within which an owner answers; the round trip between regions is
+   16 ms.  */
+#define QUO_REPLY_TIME (60 * CLK_MILLISECOND)
+
+/* Owners that a request is sent to before the floor is used.  */
+#define QUO_MAX_OWNERS 2
+
+/* Probes without a reply at most.  */
+#define QUO_MAX_PROBES 64
+
+/* Status of a QuotaReply.  */
+enum quo_answer
+{
+  QUO_UNSET,
+  QUO_ANSWERED,  /* GRANTED and WAIT_US are valid */
+  QUO_NOT_OWNER, /* the node takes another one for the owner */
+  QUO_NOT_READY  /* the node has no configuration, or not this tenant */
+};
+
+struct quo_request
+{
+  struct quo_tenant *tenant;
+  clk_time arrived_at;
+  clk_time give_up_at;
+  quo_callback callback;
+  void *context;
+  TAILQ_ENTRY (quo_request) entry;
+};
+
+/* A tenant whose requests come in at this node.  */
+struct quo_tenant
+{
+  struct quo *quota;
+  char *name;
+  uint64_t hash; /* of NAME */
+  double rate;   /* of the configuration of the last request */
+  struct quo_lease lease;
+  TAILQ_HEAD (, quo_request) waiting; /* in the order of their arrival */
+  uint32_t waiting_count;
+  struct evl_timer timer;
+  uint32_t number;  /* of the request for credit under way; 0: none */
+  uint64_t link;    /* that it was sent on */
+  clk_time sent_at; /* when it was sent */
+  clk_time ask_at;  /* do not ask before */
+  dir_handle owner; /* that was asked last */
+  dir_handle skipped[QUO_MAX_OWNERS]; /* that did not answer */
+  unsigned skipped_count;
+  clk_time answered_at; /* when an owner last granted credit or none */
+  bool uses_floor;
+  clk_time used_at;
+  uint64_t *granted_total;
+  uint64_t *refused_total;
+};
+
+/* A request for nothing but a reply, which shows whether a node answers.  */
+struct quo_probe
+{
+  uint32_t number; /* 0: the place is free */
+  uint64_t link;
+  clk_time sent_at;
+};
+
+struct quo
+{
+  struct quo_options parts;
+  struct snp_snapshot *snapshot;
+  clk_time ready_at; /* CLK_NEVER: unknown */
+  struct quo_tenant **tenants;
+  size_t tenant_count;
+  uint32_t waiting_count; /* of all tenants */
+  uint32_t next_number;
+  struct rnd random;
+  struct evl_timer sweep_timer;
+  unsigned labelled_count; /* tenants with series of their own */
+  struct quo_table *table; /* of the tenants that this node owns */
+  struct quo_share share;
+  clk_time owned_at; /* when another node last got an answer; 0: never */
+  struct evl_timer check_timer;
+  struct quo_probe probes[QUO_MAX_PROBES];
+};
+
+/* Returns whether the node knows the others.  */
+bool quo_is_ready (const struct quo *quota);
+
+/* Returns the owner of a tenant as this node sees it, apart from COUNT nodes
+   at SKIPPED; DIR_NONE when there is none.  */
+dir_handle quo_find_owner (const struct quo *quota, const char *name,
+                           const dir_handle *skipped, unsigned count);
+
+/* Answers a request for credit as the owner.  */
+enum quo_answer quo_answer (struct quo *quota, const char *name,
+                            uint32_t wanted, uint32_t returned,
+                            struct quo_grant *grant);
+
+/* Handles the reply to a probe, and the end of a link with probes.  */
+void quo_end_probe (struct quo *quota, uint32_t number);
+void quo_end_probes_on (struct quo *quota, uint64_t link);
+
+/* Checks how the nodes are seen; the callback of check_timer.  */
+void quo_check_nodes (void *context);
+
+/* Returns a number for a request or a probe.  */
+uint32_t quo_next_number (struct quo *quota);
+
+/* Asks the tenant's owner for credit.  */
+void quo_ask (struct quo_tenant *tenant);
+
+/* The owner that was asked has not answered.  */
+void quo_fail_ask (struct quo_tenant *tenant);
+
+/* Answers the waiting requests from the credit at hand.  */
+void quo_serve (struct quo_tenant *tenant);
+
+/* Refuses the waiting requests that get no credit in time.  */
+void quo_prune (struct quo_tenant *tenant);
+
+/* Answers the waiting requests from the node's floor.  */
+void quo_serve_from_floor (struct quo_tenant *tenant);
+
+/* Sets the tenant's timer.  */
+void quo_schedule (struct quo_tenant *tenant);
+
+/* Log lines and metrics.  */
+void quo_log_refused (struct quo_tenant *tenant, clk_time retry_after);
+void quo_log_owner (const struct quo_tenant *tenant, dir_handle before);
+void quo_log_floor (const struct quo_tenant *tenant);
+void quo_log_share (const struct quo *quota, double before);
+void quo_start_series (struct quo_tenant *tenant);
+
+#endif
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -11,6 +11,7 @@
 #include "hub/hub.h"
 #include "prb/prb.h"
 #include "pub/pub.h"
+#include "quo/quo.h"
 #include "reg/reg.h"
 #include "sdc/sdc.h"
 #include "snp/snp.h"
@@ -49,6 +50,7 @@
   struct reg registration;
   struct hub *hub;
   struct gat *gate;
+  struct quo *quota;
   struct fwd *forwarder;
   struct srv *caller_server;
   struct htp_budget body_budget; /* of the requests of callers */
--- a/src/sdc/sdc_join.c
+++ b/src/sdc/sdc_join.c
@@ -38,10 +38,15 @@
    nodes that start together do not all read it.  */
 #define CONFIG_TIMEOUT (900 * CLK_MILLISECOND)
 
+/* A node that has joined without a list of the store hears of the others
+   within this time.  Before, it might take itself for the owner of quotas.  */
+#define UNLISTED_QUOTA_DELAY CLK_SECOND
+
 static void
-complete_join (struct sdc *sidecar)
+complete_join (struct sdc *sidecar, clk_time quota_delay)
 {
   sidecar->joined = true;
+  quo_set_ready (sidecar->quota, evl_now (sidecar->loop) + quota_delay);
   sidecar->list_is_stale = false;
   sidecar->next_join_step_at
       = evl_now (sidecar->loop) + CONFIG_TIMEOUT
@@ -113,7 +118,7 @@
   sidecar->list_is_stale = false;
   publish_after_list (sidecar);
   if (!sidecar->joined)
-    complete_join (sidecar);
+    complete_join (sidecar, 0);
 }
 
 void
@@ -193,7 +198,7 @@
           wch_start_stale (sidecar->node_watch);
         }
       else if (dir_alive_count (sidecar->directory) > 1)
-        complete_join (sidecar);
+        complete_join (sidecar, UNLISTED_QUOTA_DELAY);
       return;
     }
   if (sidecar->snapshot != NULL)
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -53,7 +53,8 @@
       sdc_handle_hello (sidecar, frame->hello);
       return false;
     }
-  if (syn_handle_request (sidecar->sync, inbound, frame))
+  if (syn_handle_request (sidecar->sync, inbound, frame)
+      || quo_handle_request (sidecar->quota, inbound, frame))
     return false;
   gat_handle_frame (sidecar->gate, inbound, frame);
   return true;
@@ -66,7 +67,8 @@
 
   if (frame->body_case == MESH__FRAME__BODY_ANSWER)
     syn_note_peer_version (sidecar->sync, peer, frame->answer->config_version);
-  if (syn_handle_reply (sidecar->sync, peer, frame))
+  if (syn_handle_reply (sidecar->sync, peer, frame)
+      || quo_handle_reply (sidecar->quota, frame))
     return false;
   return fwd_handle_reply (sidecar->forwarder, peer, frame);
 }
@@ -94,6 +96,7 @@
   struct sdc *sidecar = context;
 
   fwd_handle_link_closed (sidecar->forwarder, peer, link, opened);
+  quo_handle_link_closed (sidecar->quota, link);
 }
 
 static void
@@ -220,7 +223,10 @@
       = sto_create (loop, settings->platform_address, sidecar->platform);
   sidecar->gate = gat_create (loop, sidecar->platform, &sidecar->registration,
                               &gate_hooks, &gate_memory);
+  sidecar->quota = quo_create (&(struct quo_options){
+      loop, sidecar->hub, sidecar->directory, sidecar->self });
   options.hub = sidecar->hub;
+  options.quota = sidecar->quota;
   sidecar->forwarder = fwd_create (&options);
   sidecar->publisher
       = pub_create (loop, sidecar->store, &sdc_publish_handlers, sidecar);
@@ -257,6 +263,7 @@
   srv_destroy (sidecar->control_server);
   srv_destroy (sidecar->metrics_server);
   fwd_destroy (sidecar->forwarder);
+  quo_destroy (sidecar->quota);
   gat_destroy (sidecar->gate);
   sto_destroy (sidecar->store);
   syn_destroy (sidecar->sync);
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -48,6 +48,7 @@
     }
   snp_release (sidecar->snapshot);
   sidecar->snapshot = snapshot;
+  quo_set_snapshot (sidecar->quota, snapshot);
   fwd_set_snapshot (sidecar->forwarder, snapshot);
   syn_set_snapshot (sidecar->sync, snapshot);
   apply_limits (sidecar);
@@ -252,11 +253,13 @@
       hub_reset_peer (sidecar->hub, node);
       syn_reset_peer (sidecar->sync, node);
       fwd_reset_peer (sidecar->forwarder, node);
+      quo_reset_peer (sidecar->quota, node);
     }
   else if (restarted)
     {
       hub_reset_backoff (sidecar->hub, node);
       fwd_reset_peer (sidecar->forwarder, node);
+      quo_reset_peer (sidecar->quota, node);
     }
   syn_refresh_roles (sidecar->sync);
   return true;
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -1447,6 +1447,96 @@
   assert(message->base.descriptor == &mesh__members_ack__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mesh__quota_request__init
+                     (Mesh__QuotaRequest         *message)
+{
+  static const Mesh__QuotaRequest init_value = MESH__QUOTA_REQUEST__INIT;
+  *message = init_value;
+}
+size_t mesh__quota_request__get_packed_size
+                     (const Mesh__QuotaRequest *message)
+{
+  assert(message->base.descriptor == &mesh__quota_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mesh__quota_request__pack
+                     (const Mesh__QuotaRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mesh__quota_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mesh__quota_request__pack_to_buffer
+                     (const Mesh__QuotaRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mesh__quota_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mesh__QuotaRequest *
+       mesh__quota_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mesh__QuotaRequest *)
+     protobuf_c_message_unpack (&mesh__quota_request__descriptor,
+                                allocator, len, data);
+}
+void   mesh__quota_request__free_unpacked
+                     (Mesh__QuotaRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mesh__quota_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mesh__quota_reply__init
+                     (Mesh__QuotaReply         *message)
+{
+  static const Mesh__QuotaReply init_value = MESH__QUOTA_REPLY__INIT;
+  *message = init_value;
+}
+size_t mesh__quota_reply__get_packed_size
+                     (const Mesh__QuotaReply *message)
+{
+  assert(message->base.descriptor == &mesh__quota_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mesh__quota_reply__pack
+                     (const Mesh__QuotaReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mesh__quota_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mesh__quota_reply__pack_to_buffer
+                     (const Mesh__QuotaReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mesh__quota_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mesh__QuotaReply *
+       mesh__quota_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mesh__QuotaReply *)
+     protobuf_c_message_unpack (&mesh__quota_reply__descriptor,
+                                allocator, len, data);
+}
+void   mesh__quota_reply__free_unpacked
+                     (Mesh__QuotaReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mesh__quota_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mesh__frame__init
                      (Mesh__Frame         *message)
 {
@@ -4373,7 +4463,161 @@
   (ProtobufCMessageInit) mesh__members_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__frame__field_descriptors[19] =
+static const ProtobufCFieldDescriptor mesh__quota_request__field_descriptors[4] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__QuotaRequest, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tenant",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__QuotaRequest, tenant),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__QuotaRequest, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "returned",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__QuotaRequest, returned),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mesh__quota_request__field_indices_by_name[] = {
+  0,   /* field[0] = number */
+  3,   /* field[3] = returned */
+  1,   /* field[1] = tenant */
+  2,   /* field[2] = wanted */
+};
+static const ProtobufCIntRange mesh__quota_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mesh__quota_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mesh.QuotaRequest",
+  "QuotaRequest",
+  "Mesh__QuotaRequest",
+  "mesh",
+  sizeof(Mesh__QuotaRequest),
+  4,
+  mesh__quota_request__field_descriptors,
+  mesh__quota_request__field_indices_by_name,
+  1,  mesh__quota_request__number_ranges,
+  (ProtobufCMessageInit) mesh__quota_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__quota_reply__field_descriptors[4] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__QuotaReply, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__QuotaReply, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__QuotaReply, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__QuotaReply, wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mesh__quota_reply__field_indices_by_name[] = {
+  2,   /* field[2] = granted */
+  0,   /* field[0] = number */
+  1,   /* field[1] = status */
+  3,   /* field[3] = wait_us */
+};
+static const ProtobufCIntRange mesh__quota_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mesh__quota_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mesh.QuotaReply",
+  "QuotaReply",
+  "Mesh__QuotaReply",
+  "mesh",
+  sizeof(Mesh__QuotaReply),
+  4,
+  mesh__quota_reply__field_descriptors,
+  mesh__quota_reply__field_indices_by_name,
+  1,  mesh__quota_reply__number_ranges,
+  (ProtobufCMessageInit) mesh__quota_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__frame__field_descriptors[21] =
 {
   {
     "hello",
@@ -4603,6 +4847,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_request",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, quota_request),
+    &mesh__quota_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_reply",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, quota_reply),
+    &mesh__quota_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__frame__field_indices_by_name[] = {
   4,   /* field[4] = answer */
@@ -4620,6 +4888,8 @@
   17,   /* field[17] = push */
   7,   /* field[7] = query */
   8,   /* field[8] = query_reply */
+  20,   /* field[20] = quota_reply */
+  19,   /* field[19] = quota_request */
   1,   /* field[1] = refusal */
   14,   /* field[14] = subscribe */
   18,   /* field[18] = suspect */
@@ -4628,7 +4898,7 @@
 static const ProtobufCIntRange mesh__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor mesh__frame__descriptor =
 {
@@ -4638,7 +4908,7 @@
   "Mesh__Frame",
   "mesh",
   sizeof(Mesh__Frame),
-  19,
+  21,
   mesh__frame__field_descriptors,
   mesh__frame__field_indices_by_name,
   1,  mesh__frame__number_ranges,
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -47,6 +47,8 @@
 typedef struct Mesh__Members Mesh__Members;
 typedef struct Mesh__Suspect Mesh__Suspect;
 typedef struct Mesh__MembersAck Mesh__MembersAck;
+typedef struct Mesh__QuotaRequest Mesh__QuotaRequest;
+typedef struct Mesh__QuotaReply Mesh__QuotaReply;
 typedef struct Mesh__Frame Mesh__Frame;
 
 
@@ -872,6 +874,56 @@
     , 0 }
 
 
+/*
+ * Asks the owner of a tenant's quota for credit; see src/quo.
+ */
+struct  Mesh__QuotaRequest
+{
+  ProtobufCMessage base;
+  /*
+   * returned in the reply
+   */
+  uint32_t number;
+  /*
+   * empty: asks for nothing but a reply
+   */
+  char *tenant;
+  /*
+   * credits, one for each request to run
+   */
+  uint32_t wanted;
+  /*
+   * credits of this owner that expired unused
+   */
+  uint32_t returned;
+};
+#define MESH__QUOTA_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mesh__quota_request__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Mesh__QuotaReply
+{
+  ProtobufCMessage base;
+  uint32_t number;
+  /*
+   * enum quo_answer
+   */
+  uint32_t status;
+  /*
+   * credits
+   */
+  uint32_t granted;
+  /*
+   * time until there is credit, when none was granted
+   */
+  uint32_t wait_us;
+};
+#define MESH__QUOTA_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mesh__quota_reply__descriptor) \
+    , 0, 0, 0, 0 }
+
+
 typedef enum {
   MESH__FRAME__BODY__NOT_SET = 0,
   MESH__FRAME__BODY_HELLO = 1,
@@ -892,7 +944,9 @@
   MESH__FRAME__BODY_MEMBERS = 16,
   MESH__FRAME__BODY_MEMBERS_ACK = 17,
   MESH__FRAME__BODY_PUSH = 18,
-  MESH__FRAME__BODY_SUSPECT = 19
+  MESH__FRAME__BODY_SUSPECT = 19,
+  MESH__FRAME__BODY_QUOTA_REQUEST = 20,
+  MESH__FRAME__BODY_QUOTA_REPLY = 21
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MESH__FRAME__BODY__CASE)
 } Mesh__Frame__BodyCase;
 
@@ -926,6 +980,8 @@
      */
     Mesh__FetchReply *push;
     Mesh__Suspect *suspect;
+    Mesh__QuotaRequest *quota_request;
+    Mesh__QuotaReply *quota_reply;
   };
 };
 #define MESH__FRAME__INIT \
@@ -1541,6 +1597,44 @@
 void   mesh__members_ack__free_unpacked
                      (Mesh__MembersAck *message,
                       ProtobufCAllocator *allocator);
+/* Mesh__QuotaRequest methods */
+void   mesh__quota_request__init
+                     (Mesh__QuotaRequest         *message);
+size_t mesh__quota_request__get_packed_size
+                     (const Mesh__QuotaRequest   *message);
+size_t mesh__quota_request__pack
+                     (const Mesh__QuotaRequest   *message,
+                      uint8_t             *out);
+size_t mesh__quota_request__pack_to_buffer
+                     (const Mesh__QuotaRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Mesh__QuotaRequest *
+       mesh__quota_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mesh__quota_request__free_unpacked
+                     (Mesh__QuotaRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Mesh__QuotaReply methods */
+void   mesh__quota_reply__init
+                     (Mesh__QuotaReply         *message);
+size_t mesh__quota_reply__get_packed_size
+                     (const Mesh__QuotaReply   *message);
+size_t mesh__quota_reply__pack
+                     (const Mesh__QuotaReply   *message,
+                      uint8_t             *out);
+size_t mesh__quota_reply__pack_to_buffer
+                     (const Mesh__QuotaReply   *message,
+                      ProtobufCBuffer     *buffer);
+Mesh__QuotaReply *
+       mesh__quota_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mesh__quota_reply__free_unpacked
+                     (Mesh__QuotaReply *message,
+                      ProtobufCAllocator *allocator);
 /* Mesh__Frame methods */
 void   mesh__frame__init
                      (Mesh__Frame         *message);
@@ -1658,6 +1752,12 @@
 typedef void (*Mesh__MembersAck_Closure)
                  (const Mesh__MembersAck *message,
                   void *closure_data);
+typedef void (*Mesh__QuotaRequest_Closure)
+                 (const Mesh__QuotaRequest *message,
+                  void *closure_data);
+typedef void (*Mesh__QuotaReply_Closure)
+                 (const Mesh__QuotaReply *message,
+                  void *closure_data);
 typedef void (*Mesh__Frame_Closure)
                  (const Mesh__Frame *message,
                   void *closure_data);
@@ -1699,6 +1799,8 @@
 extern const ProtobufCMessageDescriptor mesh__members__descriptor;
 extern const ProtobufCMessageDescriptor mesh__suspect__descriptor;
 extern const ProtobufCMessageDescriptor mesh__members_ack__descriptor;
+extern const ProtobufCMessageDescriptor mesh__quota_request__descriptor;
+extern const ProtobufCMessageDescriptor mesh__quota_reply__descriptor;
 extern const ProtobufCMessageDescriptor mesh__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
