--- a/src/quo/quo.c
+++ b/src/quo/quo.c
@@ -67,7 +67,7 @@
   quota->ready_at = CLK_NEVER;
   quota->table = quo_table_create ();
   quo_share_init (&quota->share);
-  rnd_init (&quota->random, rnd_system_seed ());
+  rnd_init (&quota->random, options->seed);
   evl_timer_init (&quota->sweep_timer, options->loop, sweep, quota);
   evl_timer_init (&quota->check_timer, options->loop, quo_check_nodes, quota);
   evl_timer_set (&quota->sweep_timer,
@@ -110,6 +110,15 @@
   return evl_now (quota->parts.loop) >= quota->ready_at;
 }
 
+void
+quo_note_health (struct quo *quota, dir_handle peer, enum hub_health health)
+{
+  if (health == HUB_TIMED_OUT)
+    quo_share_note_silent (&quota->share, peer);
+  else if (health == HUB_HEALTHY)
+    quo_share_forget (&quota->share, peer);
+}
+
 void
 quo_reset_peer (struct quo *quota, dir_handle peer)
 {
@@ -260,7 +269,7 @@
 }
 
 /* Ends the requests whose time is over: from the floor where no owner has
-   answered since they came.  */
+   answered for a while.  */
 static void
 expire (struct quo_tenant *tenant)
 {
@@ -268,8 +277,8 @@
   struct quo_request *request;
 
   while ((request = find_expired (tenant, now)) != NULL)
-    if (tenant->answered_at < request->arrived_at
-        && now - request->arrived_at >= QUO_REPLY_TIME)
+    if (tenant->unanswered_since != 0
+        && now - tenant->unanswered_since >= QUO_REPLY_TIME)
       take_floor_or_refuse (request);
     else
       refuse (request);
@@ -375,7 +384,6 @@
   struct quo_request *request = mem_alloc (1, sizeof *request);
 
   request->tenant = tenant;
-  request->arrived_at = tenant->used_at;
   request->give_up_at = deadline < give_up_at ? deadline : give_up_at;
   request->callback = callback;
   request->context = context;
--- a/src/quo/quo.h
+++ b/src/quo/quo.h
@@ -1,7 +1,7 @@
 /* Quotas: a tenant may run its rate of requests a second and its burst, summed
    over all nodes.  The credit of a tenant is a token bucket at the node that
    owns it (own_find_owner).  A node asks the owner for credit with a frame, as
-   much as it needs for the next 150 ms, and answers its callers from what it
+   much as it needs for the next 100 ms, and answers its callers from what it
    was granted.
 
    Load that it answers: 80 to 750 nodes with 1,100 requests a second in all;
@@ -18,7 +18,7 @@
      again (one round trip after its record arrives; a second at most);
    - a partition: until it is noticed (0.7 s at most), R x the part of the
    nodes that the second owner sees; afterwards the owners add up to R;
-   - without any owner: R over all nodes, in equal parts.
+   - without any owner: R / 2 over all nodes, in equal parts.
 
    A node has at most one request for a tenant under way, QUO_MAX_WAITING
    requests that wait and QUO_MAX_TENANTS tenants.  No call goes to the
@@ -75,6 +75,7 @@
     struct hub *hub;
     const struct dir *directory;
     dir_handle self;
+    uint64_t seed; /* of the random parts of floors and Retry-After */
   };
 
   /* Creates a quota without a configuration; the node owns nothing yet.  */
@@ -119,6 +120,10 @@
   /* No more replies come on LINK.  */
   void quo_handle_link_closed (struct quo *quota, uint64_t link);
 
+  /* The health of PEER has changed.  */
+  void quo_note_health (struct quo *quota, dir_handle peer,
+                        enum hub_health health);
+
   /* The handle PEER is given to another node, or its node has started
      again.  */
   void quo_reset_peer (struct quo *quota, dir_handle peer);
--- a/src/quo/quo_ask.c
+++ b/src/quo/quo_ask.c
@@ -31,7 +31,7 @@
 {
   clk_time now = evl_now (tenant->quota->parts.loop);
 
-  tenant->answered_at = now;
+  tenant->unanswered_since = 0;
   tenant->uses_floor = false;
   tenant->skipped_count = 0;
   if (credit == 0)
@@ -40,7 +40,7 @@
       quo_prune (tenant);
       return;
     }
-  quo_lease_grant (&tenant->lease, credit,
+  quo_lease_grant (&tenant->lease, credit, tenant->wanted,
                    owner_number (tenant->quota, tenant->owner),
                    tenant->sent_at);
   quo_serve (tenant);
@@ -110,6 +110,8 @@
   uint32_t wanted
       = quo_lease_wanted (&tenant->lease, tenant->waiting_count, now);
 
+  if (tenant->unanswered_since == 0)
+    tenant->unanswered_since = now;
   for (;;)
     {
       dir_handle owner = quo_find_owner (quota, tenant->name, tenant->skipped,
@@ -122,6 +124,7 @@
       returned = quo_lease_take_expired (&tenant->lease,
                                          owner_number (quota, owner), now);
       tenant->sent_at = now;
+      tenant->wanted = wanted;
       if (owner == quota->parts.self)
         {
           ask_self (tenant, wanted, returned);
@@ -139,6 +142,7 @@
 quo_fail_ask (struct quo_tenant *tenant)
 {
   end_ask (tenant);
+  quo_watch_nodes (tenant->quota);
   if (skip_owner (tenant))
     quo_ask (tenant);
   else
--- a/src/quo/quo_bucket.c
+++ b/src/quo/quo_bucket.c
@@ -67,14 +67,28 @@
 }
 
 static struct bucket *
-find_bucket (struct quo_table *table, const char *name,
-             const struct quo_limit *limit, clk_time now)
+find_bucket (const struct quo_table *table, const char *name)
 {
-  struct bucket *bucket;
-
   for (size_t i = 0; i < table->count; i++)
     if (strcmp (table->buckets[i].name, name) == 0)
       return &table->buckets[i];
+  return NULL;
+}
+
+bool
+quo_table_has (const struct quo_table *table, const char *name)
+{
+  return find_bucket (table, name) != NULL;
+}
+
+static struct bucket *
+use_bucket (struct quo_table *table, const char *name,
+            const struct quo_limit *limit, clk_time now)
+{
+  struct bucket *bucket = find_bucket (table, name);
+
+  if (bucket != NULL)
+    return bucket;
   bucket = make_place (table);
   *bucket = (struct bucket){ .name = mem_copy_string (name),
                              .credit = 1 + limit->rate * QUO_START_PART,
@@ -82,16 +96,23 @@
   return bucket;
 }
 
+/* Returns the credit of a full bucket.  */
+static double
+depth_of (const struct quo_limit *limit)
+{
+  double depth = limit->share * (limit->burst + limit->rate * QUO_EXTRA_PART);
+
+  return depth > 1 ? depth : 1;
+}
+
 /* Adds what has come since the last time and what was RETURNED.  */
 static void
 fill (struct bucket *bucket, const struct quo_limit *limit, uint32_t returned,
       clk_time now)
 {
-  double depth = limit->burst + limit->rate * QUO_EXTRA_PART;
+  double depth = depth_of (limit);
   double elapsed = (double)(now - bucket->filled_at) / (double)CLK_SECOND;
 
-  if (depth < 1)
-    depth = 1;
   bucket->credit += limit->rate * limit->share * elapsed + returned;
   if (bucket->credit > depth)
     bucket->credit = depth;
@@ -124,7 +145,7 @@
                 const struct quo_limit *limit, uint32_t wanted,
                 uint32_t returned, clk_time now)
 {
-  struct bucket *bucket = find_bucket (table, name, limit, now);
+  struct bucket *bucket = use_bucket (table, name, limit, now);
   struct quo_grant grant = { 0 };
 
   fill (bucket, limit, returned, now);
@@ -135,11 +156,26 @@
                      ? (uint32_t)(bucket->credit + ROUNDING)
                      : wanted;
   bucket->credit -= grant.credit;
+  grant.is_tight = bucket->credit < depth_of (limit) / 2;
   if (grant.credit == 0)
     grant.wait = find_wait (bucket, limit, wanted, now);
   return grant;
 }
 
+void
+quo_table_prune (struct quo_table *table,
+                 bool (*keep) (void *context, const char *name), void *context)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < table->count; i++)
+    if (keep (context, table->buckets[i].name))
+      table->buckets[kept++] = table->buckets[i];
+    else
+      free (table->buckets[i].name);
+  table->count = kept;
+}
+
 size_t
 quo_table_count (const struct quo_table *table)
 {
--- a/src/quo/quo_bucket.h
+++ b/src/quo/quo_bucket.h
@@ -7,7 +7,7 @@
    Bound: the credit granted by one table in any window of W seconds is at most
    R x W + B + R x QUO_EXTRA_PART.  A node may use credit for QUO_LEASE_TIME
    after it asked, so requests run in the window by at most
-   R x (W + 0.2) + B + R x 0.1.  Each change of the owner adds
+   R x (W + 0.15) + B + R x 0.15.  Each change of the owner adds
    R x QUO_START_PART + 1.  */
 
 #ifndef MULBERRYSHIFT_QUO_QUO_BUCKET_H
@@ -15,6 +15,7 @@
 
 #include "base/clk.h"
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -28,7 +29,7 @@
 
 /* Time of the rate that a full bucket holds beyond the burst, in s; it covers
    the delay between two requests for credit.  */
-#define QUO_EXTRA_PART 0.1
+#define QUO_EXTRA_PART 0.15
 
 /* Time of the rate that a new bucket holds, in s.  */
 #define QUO_START_PART 0.05
@@ -38,7 +39,7 @@
   {
     double rate;  /* requests per second on all nodes; above 0 */
     double burst; /* requests beyond the rate */
-    double share; /* part of the rate that this table may grant, 0 to 1 */
+    double share; /* part of both that this table may grant, 0 to 1 */
   };
 
   /* What a bucket grants.  */
@@ -47,6 +48,7 @@
     uint32_t credit; /* 0: none */
     clk_time wait;   /* ns until there is credit for this asker when none was
                         granted, those refused before it first */
+    bool is_tight;   /* less than half of a full bucket is left */
   };
 
   struct quo_table;
@@ -65,6 +67,15 @@
                                    uint32_t wanted, uint32_t returned,
                                    clk_time now);
 
+  /* Returns whether there is a bucket of tenant NAME.  */
+  bool quo_table_has (const struct quo_table *table, const char *name);
+
+  /* Removes the buckets for whose tenants KEEP returns false: while another
+     node is the owner they would fill, and grant a burst once more later.  */
+  void quo_table_prune (struct quo_table *table,
+                        bool (*keep) (void *context, const char *name),
+                        void *context);
+
   /* Returns the number of buckets.  */
   size_t quo_table_count (const struct quo_table *table);
 
--- a/src/quo/quo_internal.h
+++ b/src/quo/quo_internal.h
@@ -33,7 +33,6 @@
 struct quo_request
 {
   struct quo_tenant *tenant;
-  clk_time arrived_at;
   clk_time give_up_at;
   quo_callback callback;
   void *context;
@@ -54,11 +53,13 @@
   uint32_t number;  /* of the request for credit under way; 0: none */
   uint64_t link;    /* that it was sent on */
   clk_time sent_at; /* when it was sent */
+  uint32_t wanted;  /* credits that it asks for */
   clk_time ask_at;  /* do not ask before */
   dir_handle owner; /* that was asked last */
   dir_handle skipped[QUO_MAX_OWNERS]; /* that did not answer */
   unsigned skipped_count;
-  clk_time answered_at; /* when an owner last granted credit or none */
+  clk_time unanswered_since; /* first request that no owner answered; 0: the
+                                last one was answered */
   bool uses_floor;
   clk_time used_at;
   uint64_t *granted_total;
@@ -87,7 +88,10 @@
   unsigned labelled_count; /* tenants with series of their own */
   struct quo_table *table; /* of the tenants that this node owns */
   struct quo_share share;
-  clk_time owned_at; /* when another node last got an answer; 0: never */
+  clk_time owned_at; /* when an answer was last given as owner; 0: never */
+  clk_time cautious_until; /* see check_takeover */
+  clk_time tight_at;       /* when a tenant last needed most of its credit */
+  clk_time checked_at;     /* when the nodes were last looked at */
   struct evl_timer check_timer;
   struct quo_probe probes[QUO_MAX_PROBES];
 };
@@ -109,6 +113,10 @@
 void quo_end_probe (struct quo *quota, uint32_t number);
 void quo_end_probes_on (struct quo *quota, uint64_t link);
 
+/* Looks for silent nodes often for a while: an owner did not answer, or
+   another node has lost one.  */
+void quo_watch_nodes (struct quo *quota);
+
 /* Checks how the nodes are seen; the callback of check_timer.  */
 void quo_check_nodes (void *context);
 
--- a/src/quo/quo_lease.c
+++ b/src/quo/quo_lease.c
@@ -5,11 +5,20 @@
 #include <math.h>
 
 /* Demand that a node asks credit for, in s.  */
-#define DEMAND_PART 0.15
+#define DEMAND_PART 0.1
 
 /* Time constant of the measured demand, in s.  */
 #define DEMAND_TIME 0.5
 
+/* After the owner had too little credit, a node asks only for the requests
+   that wait, for this time: what it held for later ones would be missing at
+   other nodes.  */
+#define SCARCE_TIME (250 * CLK_MILLISECOND)
+
+/* Part of the rate that the floors of all nodes add up to.  An owner that some
+   nodes cannot see still grants the rate to the others.  */
+#define FLOOR_PART 0.5
+
 /* Expired credit is returned to the owner within this time.  */
 #define RETURN_TIME (50 * CLK_MILLISECOND)
 
@@ -86,7 +95,7 @@
   uint32_t wanted
       = demand < QUO_MAX_WANTED ? (uint32_t)demand : QUO_MAX_WANTED;
 
-  if (wanted < waiting)
+  if (wanted < waiting || now < lease->scarce_until)
     wanted = waiting;
   if (wanted == 0)
     wanted = 1;
@@ -105,19 +114,24 @@
 }
 
 void
-quo_lease_grant (struct quo_lease *lease, uint32_t credit, uint64_t owner,
-                 clk_time asked_at)
+quo_lease_grant (struct quo_lease *lease, uint32_t credit, uint32_t wanted,
+                 uint64_t owner, clk_time asked_at)
 {
+  if (credit < wanted)
+    lease->scarce_until = asked_at + SCARCE_TIME;
   lease->credit += credit;
   lease->owner = owner;
   lease->expires_at = asked_at + QUO_LEASE_TIME;
   lease->refused_until = 0;
+  lease->floor_at = 0;
 }
 
 void
 quo_lease_refuse (struct quo_lease *lease, clk_time wait, clk_time now)
 {
   lease->refused_until = now + wait;
+  lease->floor_at = 0;
+  lease->scarce_until = now + wait + SCARCE_TIME;
 }
 
 bool
@@ -142,8 +156,8 @@
   if (lease->floor_at == 0)
     lease->floor_credit = unit;
   else
-    lease->floor_credit
-        += rate / (double)node_count * seconds_of (now - lease->floor_at);
+    lease->floor_credit += FLOOR_PART * rate / (double)node_count
+                           * seconds_of (now - lease->floor_at);
   lease->floor_at = now;
   if (lease->floor_credit > 1)
     lease->floor_credit = 1;
--- a/src/quo/quo_lease.h
+++ b/src/quo/quo_lease.h
@@ -21,7 +21,7 @@
 
 /* Time from a request for credit until the credit expires.  It counts from the
    request, so that a slow frame does not make it longer.  */
-#define QUO_LEASE_TIME (200 * CLK_MILLISECOND)
+#define QUO_LEASE_TIME (150 * CLK_MILLISECOND)
 
 /* Longest time that a request waits for credit.  */
 #define QUO_MAX_WAIT (100 * CLK_MILLISECOND)
@@ -42,9 +42,10 @@
     double served;       /* requests that got credit, per second */
     clk_time measured_at;
     clk_time refused_until; /* the owner has no credit before */
+    clk_time scarce_until;  /* the owner had less credit than was wanted */
     clk_time retry_until;   /* refused callers come back until then */
     double floor_credit;
-    clk_time floor_at; /* 0: the floor was never used */
+    clk_time floor_at; /* 0: not used since an owner answered */
   };
 
   /* Counts a request that asks for credit.  */
@@ -57,7 +58,8 @@
   void quo_lease_return (struct quo_lease *lease, clk_time now);
 
   /* Returns the credits to ask for when WAITING requests wait: these, or the
-     demand of the next 150 ms when that is more, at least 1.  */
+     demand of the next 100 ms when that is more and credit is not scarce, at
+     least 1.  */
   uint32_t quo_lease_wanted (const struct quo_lease *lease, uint32_t waiting,
                              clk_time now);
 
@@ -68,9 +70,9 @@
                                    clk_time now);
 
   /* Adds CREDIT that OWNER, a number of the caller's choice, granted to a
-     request sent at ASKED_AT.  */
+     request for WANTED sent at ASKED_AT.  */
   void quo_lease_grant (struct quo_lease *lease, uint32_t credit,
-                        uint64_t owner, clk_time asked_at);
+                        uint32_t wanted, uint64_t owner, clk_time asked_at);
 
   /* The owner has no credit for WAIT ns.  */
   void quo_lease_refuse (struct quo_lease *lease, clk_time wait, clk_time now);
@@ -80,8 +82,10 @@
   bool quo_lease_may_wait (const struct quo_lease *lease, uint32_t waiting,
                            double rate, clk_time deadline, clk_time now);
 
-  /* Takes one credit of the node's floor: RATE / NODE_COUNT a second, one
-     request deep.  UNIT, 0 to 1, is the part that is there at first.  */
+  /* Takes one credit of the node's floor: half of RATE / NODE_COUNT a second,
+     one request deep.  UNIT, 0 to 1, is the part that is there at first after
+     an owner has answered, so that the floors of all nodes do not give one
+     request each at the same time.  */
   bool quo_lease_take_floor (struct quo_lease *lease, double rate,
                              size_t node_count, double unit, clk_time now);
 
--- a/src/quo/quo_owner.c
+++ b/src/quo/quo_owner.c
@@ -7,14 +7,23 @@
 #include <stdio.h>
 #include <string.h>
 
-/* Interval of the checks of how the nodes are seen.  */
-#define CHECK_INTERVAL (250 * CLK_MILLISECOND)
+/* Interval of the checks of how the nodes are seen, while a tenant needs more
+   than half of its credit and while none does.  */
+#define TIGHT_INTERVAL (200 * CLK_MILLISECOND)
+#define CALM_INTERVAL (2 * CLK_SECOND)
 
-/* A node that has answered no other node for this time makes no checks.  */
-#define CHECK_TIME (5 * CLK_SECOND)
+/* A node that takes a tenant over from a silent one grants by its own data
+   centre for this time, in which it learns which others are silent too.  */
+#define CAUTION_TIME (700 * CLK_MILLISECOND)
 
-/* Nodes of each data centre that an owner probes.  */
-#define PROBES_PER_CENTRE 3
+/* A tenant counts as one that needs its credit for this time.  */
+#define TIGHT_TIME (5 * CLK_SECOND)
+
+/* A node that was asked for no credit for this time makes no checks.  */
+#define OWNED_TIME (60 * CLK_SECOND)
+
+/* Nodes of each other data centre that an owner probes.  */
+#define PROBES_PER_CENTRE 2
 
 /* A probe without a reply gives up its place after this time.  */
 #define PROBE_TIME (2 * CLK_SECOND)
@@ -41,7 +50,9 @@
       return false;
   if (node == quota->parts.self)
     return quo_is_ready (quota);
-  return hub_is_responsive (quota->parts.hub, node);
+  return hub_is_responsive (quota->parts.hub, node)
+         && (!quo_share_is_silent (&quota->share, node)
+             || hub_is_connected (quota->parts.hub, node));
 }
 
 dir_handle
@@ -54,6 +65,79 @@
                          is_reachable, &search);
 }
 
+/* Returns the interval of the checks.  */
+static clk_time
+check_interval (const struct quo *quota)
+{
+  clk_time now = evl_now (quota->parts.loop);
+
+  return quota->tight_at != 0 && now - quota->tight_at < TIGHT_TIME
+             ? TIGHT_INTERVAL
+             : CALM_INTERVAL;
+}
+
+/* Makes sure that the next check is not later than the interval demands.  */
+static void
+schedule_check (struct quo *quota)
+{
+  clk_time at = quota->checked_at + check_interval (quota);
+
+  if (quota->check_timer.deadline > at)
+    evl_timer_set (&quota->check_timer, at);
+}
+
+void
+quo_watch_nodes (struct quo *quota)
+{
+  quota->owned_at = evl_now (quota->parts.loop);
+  quota->tight_at = quota->owned_at;
+  schedule_check (quota);
+}
+
+static bool
+is_own (void *context, const char *name)
+{
+  const struct quo *quota = context;
+
+  return quo_find_owner (quota, name, NULL, 0) == quota->parts.self;
+}
+
+static bool
+is_any (void *context, dir_handle node)
+{
+  (void)context;
+  (void)node;
+  return true;
+}
+
+/* Notes when this node takes over a tenant from one that is silent.  */
+static void
+check_takeover (struct quo *quota, const char *name)
+{
+  const struct quo_options *parts = &quota->parts;
+  dir_handle first
+      = own_find_owner (parts->directory, QUO_OWNER_KIND, name, is_any, NULL);
+
+  if (first == parts->self || hub_is_connected (parts->hub, first))
+    return;
+  if (hub_health (parts->hub, first) != HUB_DISCONNECTED
+      || quo_share_is_silent (&quota->share, first))
+    quota->cautious_until = evl_now (parts->loop) + CAUTION_TIME;
+}
+
+/* Returns the part of its rate that a tenant gets from this node.  */
+static double
+part_of_rate (struct quo *quota, clk_time now)
+{
+  double near;
+
+  if (now >= quota->cautious_until)
+    return quota->share.part;
+  near = quo_share_of_centre (&quota->share, quota->parts.directory,
+                              quota->parts.self);
+  return near < quota->share.part ? near : quota->share.part;
+}
+
 enum quo_answer
 quo_answer (struct quo *quota, const char *name, uint32_t wanted,
             uint32_t returned, struct quo_grant *grant)
@@ -66,16 +150,24 @@
 
   if (!quo_is_ready (quota) || tenant == NULL || !(tenant->rate > 0))
     return QUO_NOT_READY;
-  if (quo_find_owner (quota, name, NULL, 0) != quota->parts.self)
-    return QUO_NOT_OWNER;
+  if (!is_own (quota, name))
+    {
+      if (quo_table_has (quota->table, name))
+        quo_table_prune (quota->table, is_own, quota);
+      return QUO_NOT_OWNER;
+    }
   quota->owned_at = evl_now (quota->parts.loop);
-  if (quota->check_timer.deadline == CLK_NEVER)
-    quo_check_nodes (quota);
-  limit = (struct quo_limit){ tenant->rate, tenant->burst, quota->share.part };
+  if (!quo_table_has (quota->table, name))
+    check_takeover (quota, name);
+  limit = (struct quo_limit){ tenant->rate, tenant->burst,
+                              part_of_rate (quota, quota->owned_at) };
   *grant = quo_table_take (quota->table, name, &limit,
                            wanted < QUO_MAX_WANTED ? wanted : QUO_MAX_WANTED,
                            returned < QUO_MAX_WANTED ? returned : 0,
                            quota->owned_at);
+  if (grant->is_tight)
+    quota->tight_at = quota->owned_at;
+  schedule_check (quota);
   return QUO_ANSWERED;
 }
 
@@ -216,10 +308,12 @@
 probe_centres (struct quo *quota)
 {
   const struct dir *directory = quota->parts.directory;
+  const char *own = dir_get (directory, quota->parts.self)->data_centre;
 
   for (dir_handle node = 0; node < dir_handle_limit (directory); node++)
     if (dir_get (directory, node) != NULL
-        && is_first_of_centre (directory, node))
+        && is_first_of_centre (directory, node)
+        && strcmp (dir_get (directory, node)->data_centre, own) != 0)
       probe_centre (quota, dir_get (directory, node)->data_centre);
 }
 
@@ -233,10 +327,12 @@
   quo_share_check (&quota->share, quota->parts.directory, look, quota, now);
   if (quota->share.part != before)
     quo_log_share (quota, before);
-  if (now - quota->owned_at > CHECK_TIME)
+  quo_table_prune (quota->table, is_own, quota);
+  if (now - quota->owned_at > OWNED_TIME)
     return;
+  quota->checked_at = now;
   probe_centres (quota);
-  evl_timer_set (&quota->check_timer, now + CHECK_INTERVAL);
+  schedule_check (quota);
 }
 
 static void
@@ -265,6 +361,7 @@
 
   if (owner != DIR_NONE)
     send_probe (quota, owner);
+  quo_watch_nodes (quota);
 }
 
 bool
--- a/src/quo/quo_share.c
+++ b/src/quo/quo_share.c
@@ -32,6 +32,13 @@
   share->count = count;
 }
 
+void
+quo_share_note_silent (struct quo_share *share, dir_handle node)
+{
+  reserve (share, node + 1);
+  share->silent[node] = true;
+}
+
 void
 quo_share_forget (struct quo_share *share, dir_handle node)
 {
@@ -142,3 +149,31 @@
     share->part = share->seen;
   return share->part;
 }
+
+bool
+quo_share_is_silent (const struct quo_share *share, dir_handle node)
+{
+  return node < share->count && share->silent[node];
+}
+
+double
+quo_share_of_centre (const struct quo_share *share,
+                     const struct dir *directory, dir_handle self)
+{
+  const char *own = dir_get (directory, self)->data_centre;
+  size_t known = 0;
+  size_t near = 0;
+
+  for (dir_handle node = 0; node < dir_handle_limit (directory); node++)
+    {
+      const struct mbr_member *member = dir_get (directory, node);
+      bool silent = quo_share_is_silent (share, node);
+
+      if (member == NULL || (member->state == MBR_DEAD && !silent))
+        continue;
+      known++;
+      if (!silent && strcmp (member->data_centre, own) == 0)
+        near++;
+    }
+  return (double)near / (double)known;
+}
--- a/src/quo/quo_share.h
+++ b/src/quo/quo_share.h
@@ -53,8 +53,19 @@
                                                   dir_handle node),
                           void *context, clk_time now);
 
-  /* The handle NODE is given to another node, or the node has started
-     again.  */
+  /* Returns the part of the known nodes that are in the data centre of SELF
+     and not silent.  */
+  double quo_share_of_centre (const struct quo_share *share,
+                              const struct dir *directory, dir_handle self);
+
+  /* Returns whether NODE counts as silent.  */
+  bool quo_share_is_silent (const struct quo_share *share, dir_handle node);
+
+  /* NODE has stopped to answer.  */
+  void quo_share_note_silent (struct quo_share *share, dir_handle node);
+
+  /* NODE answers again, or the handle is given to another node, or the node
+     has started again.  */
   void quo_share_forget (struct quo_share *share, dir_handle node);
 
 #ifdef __cplusplus
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -3,6 +3,7 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "base/mem.h"
+#include "base/rnd.h"
 #include "sdc/sdc_internal.h"
 
 #include <malloc.h>
@@ -117,6 +118,7 @@
   log_write (LOG_INFO, "sdc", "node %s is %s",
              member != NULL ? member->name : "?", names[health]);
   syn_refresh_roles (sidecar->sync);
+  quo_note_health (sidecar->quota, peer, health);
 }
 
 static const struct hub_handlers hub_handlers
@@ -223,8 +225,9 @@
       = sto_create (loop, settings->platform_address, sidecar->platform);
   sidecar->gate = gat_create (loop, sidecar->platform, &sidecar->registration,
                               &gate_hooks, &gate_memory);
-  sidecar->quota = quo_create (&(struct quo_options){
-      loop, sidecar->hub, sidecar->directory, sidecar->self });
+  sidecar->quota = quo_create (
+      &(struct quo_options){ loop, sidecar->hub, sidecar->directory,
+                             sidecar->self, rnd_system_seed () });
   options.hub = sidecar->hub;
   options.quota = sidecar->quota;
   sidecar->forwarder = fwd_create (&options);
