--- a/src/quo/quo.h
+++ b/src/quo/quo.h
@@ -12,7 +12,7 @@
 
    Bounds.  Requests with credit in any window of W seconds, for a tenant with
    rate R and burst B:
-   - with one owner: R x (W + 0.3) + B;
+   - with one owner: R x (W + 0.32) + B;
    - each new owner: R x 0.05 + 1 more, and R for as long as two nodes take
      themselves for the owner, which is until a restarted owner is connected
      again (one round trip after its record arrives; a second at most);
--- a/src/quo/quo_bucket.h
+++ b/src/quo/quo_bucket.h
@@ -6,9 +6,9 @@
 
    Bound: the credit granted by one table in any window of W seconds is at most
    R x W + B + R x QUO_EXTRA_PART.  A node may use credit for QUO_LEASE_TIME
-   after it asked, so requests run in the window by at most
-   R x (W + 0.15) + B + R x 0.15.  Each change of the owner adds
-   R x QUO_START_PART + 1.  */
+   after it asked, and unused credit comes back within 50 ms more, so at most
+   R x (W + 0.32) + B requests get credit in the window.  Each change of the
+   owner adds R x QUO_START_PART + 1.  */
 
 #ifndef MULBERRYSHIFT_QUO_QUO_BUCKET_H
 #define MULBERRYSHIFT_QUO_QUO_BUCKET_H
@@ -29,7 +29,7 @@
 
 /* Time of the rate that a full bucket holds beyond the burst, in s; it covers
    the delay between two requests for credit.  */
-#define QUO_EXTRA_PART 0.15
+#define QUO_EXTRA_PART 0.12
 
 /* Time of the rate that a new bucket holds, in s.  */
 #define QUO_START_PART 0.05
--- a/standins/lib/scf.c
+++ b/standins/lib/scf.c
@@ -6,6 +6,7 @@
 
 #include <stdbool.h>
 #include <stdio.h>
+#include <string.h>
 
 #define PATH_SIZE 128
 
@@ -56,3 +57,36 @@
   return json_pack ("{s:I, s:o}", PFM_VERSION, (json_int_t)version,
                     PFM_RESOURCES, entries);
 }
+
+void
+scf_add_tenant (json_t *document, const struct scf_tenant *tenant)
+{
+  json_t *keys = json_array ();
+
+  for (size_t i = 0; i < tenant->key_count; i++)
+    json_array_append_new (keys, json_string (tenant->keys[i]));
+  json_array_append_new (
+      json_object_get (document, PFM_RESOURCES),
+      json_pack ("{s:s, s:{s:s}, s:{s:o, s:i, s:f, s:f}}", PFM_ENTRY_TYPE,
+                 PFM_TENANTS, PFM_METADATA, PFM_NAME, tenant->name, PFM_SPEC,
+                 PFM_API_KEYS, keys, PFM_PRIORITY, 1, PFM_RATE_PER_S,
+                 tenant->rate, PFM_BURST, tenant->burst));
+}
+
+void
+scf_make_public (json_t *document, const char *path)
+{
+  json_t *entries = json_object_get (document, PFM_RESOURCES);
+  size_t index;
+  json_t *entry;
+
+  json_array_foreach (entries, index, entry)
+  {
+    json_t *spec = json_object_get (entry, PFM_SPEC);
+    const char *prefix
+        = json_string_value (json_object_get (spec, PFM_PATH_PREFIX));
+
+    if (prefix != NULL && strcmp (prefix, path) == 0)
+      json_object_set_new (spec, PFM_PUBLIC, json_true ());
+  }
+}
--- a/standins/lib/scf.h
+++ b/standins/lib/scf.h
@@ -25,6 +25,22 @@
                                size_t service_count, const char *const *paths,
                                size_t path_count);
 
+  /* A tenant of a document.  */
+  struct scf_tenant
+  {
+    const char *name;
+    const char *const *keys;
+    size_t key_count;
+    double rate; /* requests per second; 0: no limit */
+    double burst;
+  };
+
+  /* Adds a tenant to a document.  */
+  void scf_add_tenant (json_t *document, const struct scf_tenant *tenant);
+
+  /* Makes the routes with this path public.  */
+  void scf_make_public (json_t *document, const char *path);
+
 #ifdef __cplusplus
 }
 #endif
--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -54,6 +54,7 @@
   const char *flood_filler; /* null: answers end */
   uint64_t flood_limit;     /* bytes of the filler in one answer */
   uint64_t flood_bytes;
+  struct buf last_fields; /* of the request that ran last */
   struct lst runs;
   uint32_t running;
   uint64_t done[MAX_RUNS]; /* hashes of the ids of what ran */
@@ -140,6 +141,24 @@
     upstream->settings.on_run (id);
 }
 
+static void
+note_fields (struct sup *upstream, const struct htp_message *message)
+{
+  struct buf *fields = &upstream->last_fields;
+
+  fields->length = 0;
+  for (unsigned i = 0; i < message->header_count; i++)
+    buf_printf (fields, "%s: %s\n", htp_header_name (message, i),
+                htp_header_value (message, i));
+}
+
+const char *
+sup_last_fields (const struct sup *upstream)
+{
+  return upstream->last_fields.length > 0 ? buf_text (&upstream->last_fields)
+                                          : "";
+}
+
 static void
 free_run (struct run *run)
 {
@@ -380,6 +399,7 @@
         send_raw (connection, "HTTP/1.1 200 OK\r\n" PFM_SIGNATURE
                               ": other\r\nContent-Length: 5\r\n\r\nextra");
       note_run (upstream, id);
+      note_fields (upstream, message);
       run = mem_alloc (1, sizeof *run);
       run->upstream = upstream;
       run->connection = connection;
@@ -547,6 +567,7 @@
   evl_timer_stop (&upstream->timer);
   cnx_close (upstream->heartbeat);
   srv_destroy (upstream->server);
+  buf_close (&upstream->last_fields);
   free (upstream);
 }
 
--- a/standins/lib/sup.h
+++ b/standins/lib/sup.h
@@ -109,6 +109,10 @@
   /* Returns the requests that ran more than once.  */
   uint64_t sup_duplicate_count (const struct sup *upstream);
 
+  /* Returns the header fields of the request that began to run last, as lines
+     "NAME: VALUE"; "" before the first.  Valid until the next one.  */
+  const char *sup_last_fields (const struct sup *upstream);
+
   /* Returns how often the request with this id ran.  */
   unsigned sup_runs_of (const struct sup *upstream, const char *id);
 
--- a/tests/support/sidecar_mesh.cc
+++ b/tests/support/sidecar_mesh.cc
@@ -160,6 +160,19 @@
   }
 }
 
+static void
+add_tenant (json_t *document, const Tenant &tenant)
+{
+  std::vector<const char *> keys;
+
+  for (const std::string &key : tenant.keys)
+    keys.push_back (key.c_str ());
+  struct scf_tenant added = { tenant.name.c_str (), keys.data (), keys.size (),
+                              tenant.rate, tenant.burst };
+
+  scf_add_tenant (document, &added);
+}
+
 void
 SidecarMesh::put_config (uint64_t version,
                          const std::vector<std::string> &more_paths)
@@ -181,6 +194,10 @@
 
   if (route_timeout_s > 0)
     set_route_timeouts (document, route_timeout_s);
+  for (const Tenant &tenant : tenants)
+    add_tenant (document, tenant);
+  for (const std::string &path : public_paths)
+    scf_make_public (document, path.c_str ());
   sst_put (store, PFM_CONFIG_KIND, PFM_CONFIG_NAME, document);
 }
 
@@ -239,6 +256,28 @@
   return response_status (peer);
 }
 
+void
+SidecarMesh::send_with (const Peer &peer, const std::string &path,
+                        const std::string &fields)
+{
+  peer.send ("GET " + path + " HTTP/1.1\r\nHost: mesh.example\r\n"
+             + PFM_REQUEST_ID ": " + next_request_id () + "\r\n"
+             + PFM_TIMEOUT_MS ": 1000\r\n" + fields
+             + "Content-Length: 0\r\n\r\n");
+}
+
+int
+SidecarMesh::status_with (size_t vm, const std::string &path,
+                          const std::string &fields)
+{
+  Peer peer = Peer::connect (address_of (vm, calls_port));
+
+  send_with (peer, path, fields);
+  run_until ([&] { return !peer.receive () || response_status (peer) != 0; },
+             2000);
+  return response_status (peer);
+}
+
 int
 SidecarMesh::probe_readiness (size_t vm)
 {
--- a/tests/support/sidecar_mesh.h
+++ b/tests/support/sidecar_mesh.h
@@ -27,6 +27,15 @@
   unsigned upstream_starts = 0; /* of its upstream */
 };
 
+/* A tenant of the document.  */
+struct Tenant
+{
+  std::string name;
+  std::vector<std::string> keys;
+  double rate = 0; /* requests per second; 0: no limit */
+  double burst = 0;
+};
+
 class SidecarMesh : public LoopTest
 {
 protected:
@@ -61,6 +70,15 @@
                   const std::string &id = "", int timeout_ms = 1000,
                   const std::string &method = "GET");
 
+  /* Sends a request with these header fields, each with its line end, and
+     returns the status, 0 when there is none.  */
+  int status_with (size_t vm, const std::string &path,
+                   const std::string &fields);
+
+  /* Sends a request with header fields on an open connection.  */
+  void send_with (const Peer &peer, const std::string &path,
+                  const std::string &fields);
+
   /* Calls and returns the status, 0 when there is none.  */
   int status_of (size_t vm, const std::string &path,
                  const std::string &id = "", int timeout_ms = 1000,
@@ -93,7 +111,9 @@
   clk_time heartbeat = 200 * CLK_MILLISECOND;
   clk_time grace = 6 * CLK_SECOND;
   int64_t retry_slack = 100;
-  double route_timeout_s = 0; /* of all routes; 0: the stand-in's */
+  std::vector<Tenant> tenants;           /* of documents that follow */
+  std::vector<std::string> public_paths; /* of routes of these documents */
+  double route_timeout_s = 0;            /* of all routes; 0: the stand-in's */
 
 private:
   uint64_t ids = 0;
