--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -2074,7 +2074,7 @@
   for (size_t i : { 0, 2 })
     kill_upstream (i);
   run_for (100);
-  std::map<int, int> counts = send_for (500, 10, "red-key");
+  std::map<int, int> counts = send_for (1000, 4, "red-key");
 
   EXPECT_EQ (counts[200], 0);
   EXPECT_EQ (counts[429], 0) << "of " << counts[503];
