--- a/src/quo/quo.c
+++ b/src/quo/quo.c
@@ -18,11 +18,11 @@
 static void
 free_tenant (struct quo_tenant *tenant)
 {
-  struct quo_request *request;
-
-  while ((request = TAILQ_FIRST (&tenant->waiting)) != NULL)
-    quo_cancel (request);
+  for (uint32_t i = 0; i < tenant->waiting_count; i++)
+    free (tenant->waiting[i]);
+  tenant->quota->waiting_count -= tenant->waiting_count;
   evl_timer_stop (&tenant->timer);
+  free (tenant->waiting);
   free (tenant->name);
   free (tenant);
 }
@@ -145,145 +145,6 @@
   return NULL;
 }
 
-/* Ends the wait of the first request.  */
-static void
-end_request (struct quo_request *request, enum quo_status status,
-             clk_time retry_after)
-{
-  quo_callback callback = request->callback;
-  void *context = request->context;
-  struct quo_tenant *tenant = request->tenant;
-
-  if (status == QUO_GRANTED)
-    met_add (tenant->granted_total, 1);
-  else
-    quo_log_refused (tenant, retry_after);
-  quo_cancel (request);
-  callback (context, status, retry_after);
-}
-
-static clk_time
-find_retry (struct quo_tenant *tenant)
-{
-  struct quo *quota = tenant->quota;
-
-  return quo_lease_retry (
-      &tenant->lease, tenant->rate, dir_alive_count (quota->parts.directory),
-      rnd_unit (&quota->random), evl_now (quota->parts.loop));
-}
-
-static void
-refuse (struct quo_request *request)
-{
-  end_request (request, QUO_REFUSED, find_retry (request->tenant));
-}
-
-/* Takes one credit of the floor.  A node that does not know the others has
-   none, as it cannot tell its part.  */
-static bool
-take_floor (struct quo_tenant *tenant)
-{
-  struct quo *quota = tenant->quota;
-
-  if (!quo_is_ready (quota))
-    return false;
-  if (!tenant->uses_floor)
-    quo_log_floor (tenant);
-  tenant->uses_floor = true;
-  return quo_lease_take_floor (
-      &tenant->lease, tenant->rate, dir_alive_count (quota->parts.directory),
-      rnd_unit (&quota->random), evl_now (quota->parts.loop));
-}
-
-static void
-take_floor_or_refuse (struct quo_request *request)
-{
-  if (take_floor (request->tenant))
-    end_request (request, QUO_GRANTED, 0);
-  else
-    refuse (request);
-}
-
-void
-quo_serve (struct quo_tenant *tenant)
-{
-  clk_time now = evl_now (tenant->quota->parts.loop);
-  struct quo_request *request;
-
-  while ((request = TAILQ_FIRST (&tenant->waiting)) != NULL
-         && quo_lease_take (&tenant->lease, now))
-    end_request (request, QUO_GRANTED, 0);
-}
-
-void
-quo_serve_from_floor (struct quo_tenant *tenant)
-{
-  struct quo_request *request;
-
-  /* Requests that callbacks add are at the end and are served as well; their
-     number is bounded by the connections.  */
-  for (uint32_t left = tenant->waiting_count;
-       left > 0 && (request = TAILQ_FIRST (&tenant->waiting)) != NULL; left--)
-    take_floor_or_refuse (request);
-}
-
-/* Returns the first request that gets no credit in time as the owner's last
-   reply tells, null when there is none.  */
-static struct quo_request *
-find_hopeless (struct quo_tenant *tenant, clk_time now)
-{
-  struct quo_request *request;
-  uint32_t place = 0;
-
-  TAILQ_FOREACH (request, &tenant->waiting, entry)
-  {
-    if (!quo_lease_may_wait (&tenant->lease, place, tenant->rate,
-                             request->give_up_at, now))
-      return request;
-    place++;
-  }
-  return NULL;
-}
-
-void
-quo_prune (struct quo_tenant *tenant)
-{
-  clk_time now = evl_now (tenant->quota->parts.loop);
-  struct quo_request *request;
-
-  while ((request = find_hopeless (tenant, now)) != NULL)
-    refuse (request);
-}
-
-static struct quo_request *
-find_expired (struct quo_tenant *tenant, clk_time now)
-{
-  struct quo_request *request;
-
-  TAILQ_FOREACH (request, &tenant->waiting, entry)
-  {
-    if (request->give_up_at <= now)
-      return request;
-  }
-  return NULL;
-}
-
-/* Ends the requests whose time is over: from the floor where no owner has
-   answered for a while.  */
-static void
-expire (struct quo_tenant *tenant)
-{
-  clk_time now = evl_now (tenant->quota->parts.loop);
-  struct quo_request *request;
-
-  while ((request = find_expired (tenant, now)) != NULL)
-    if (tenant->unanswered_since != 0
-        && now - tenant->unanswered_since >= QUO_REPLY_TIME)
-      take_floor_or_refuse (request);
-    else
-      refuse (request);
-}
-
 static clk_time
 later (clk_time left, clk_time right)
 {
@@ -300,18 +161,15 @@
 void
 quo_schedule (struct quo_tenant *tenant)
 {
-  const struct quo_request *request;
   clk_time at = CLK_NEVER;
 
   if (tenant->number != 0)
     at = tenant->sent_at + QUO_REPLY_TIME;
   else if (tenant->waiting_count > 0)
     at = next_ask (tenant);
-  TAILQ_FOREACH (request, &tenant->waiting, entry)
-  {
-    if (request->give_up_at < at)
-      at = request->give_up_at;
-  }
+  for (uint32_t i = 0; i < tenant->waiting_count; i++)
+    if (tenant->waiting[i]->give_up_at < at)
+      at = tenant->waiting[i]->give_up_at;
   evl_timer_set (&tenant->timer, at);
 }
 
@@ -323,7 +181,7 @@
 
   if (tenant->number != 0 && tenant->sent_at + QUO_REPLY_TIME <= now)
     quo_fail_ask (tenant);
-  expire (tenant);
+  quo_expire (tenant);
   if (tenant->waiting_count > 0 && tenant->number == 0
       && next_ask (tenant) <= now)
     quo_ask (tenant);
@@ -342,7 +200,6 @@
   tenant->name = mem_copy_string (name);
   tenant->hash = XXH3_64bits (name, strlen (name));
   tenant->owner = DIR_NONE;
-  TAILQ_INIT (&tenant->waiting);
   evl_timer_init (&tenant->timer, quota->parts.loop, on_timer, tenant);
   quo_start_series (tenant);
   quota->tenants = mem_resize (quota->tenants, quota->tenant_count + 1,
@@ -376,23 +233,6 @@
                                 tenant->rate, deadline, now);
 }
 
-static struct quo_request *
-add_request (struct quo_tenant *tenant, clk_time deadline,
-             quo_callback callback, void *context)
-{
-  clk_time give_up_at = tenant->used_at + QUO_MAX_WAIT;
-  struct quo_request *request = mem_alloc (1, sizeof *request);
-
-  request->tenant = tenant;
-  request->give_up_at = deadline < give_up_at ? deadline : give_up_at;
-  request->callback = callback;
-  request->context = context;
-  TAILQ_INSERT_TAIL (&tenant->waiting, request, entry);
-  tenant->waiting_count++;
-  tenant->quota->waiting_count++;
-  return request;
-}
-
 /* Takes credit that is at hand, or at this node when it is the owner.  */
 static bool
 take_at_once (struct quo_tenant *tenant, clk_time now)
@@ -435,29 +275,15 @@
     }
   if (!may_wait (tenant, deadline, now))
     {
-      *retry_after = find_retry (tenant);
+      *retry_after = quo_find_retry (tenant);
       quo_log_refused (tenant, *retry_after);
       return QUO_REFUSED;
     }
-  *request = add_request (tenant, deadline, callback, context);
+  *request = quo_add_request (tenant, deadline, callback, context);
   quo_schedule (tenant);
   return QUO_WAITING;
 }
 
-void
-quo_cancel (struct quo_request *request)
-{
-  struct quo_tenant *tenant;
-
-  if (request == NULL)
-    return;
-  tenant = request->tenant;
-  TAILQ_REMOVE (&tenant->waiting, request, entry);
-  tenant->waiting_count--;
-  tenant->quota->waiting_count--;
-  free (request);
-}
-
 void
 quo_return (struct quo *quota, const struct doc_tenant *configured)
 {
--- a/src/quo/quo_internal.h
+++ b/src/quo/quo_internal.h
@@ -9,8 +9,6 @@
 #include "quo/quo_lease.h"
 #include "quo/quo_share.h"
 
-#include <sys/queue.h>
-
 /* Time within which an owner answers; the round trip between regions is
    16 ms.  */
 #define QUO_REPLY_TIME (60 * CLK_MILLISECOND)
@@ -36,7 +34,6 @@
   clk_time give_up_at;
   quo_callback callback;
   void *context;
-  TAILQ_ENTRY (quo_request) entry;
 };
 
 /* A tenant whose requests come in at this node.  */
@@ -47,8 +44,9 @@
   uint64_t hash; /* of NAME */
   double rate;   /* of the configuration of the last request */
   struct quo_lease lease;
-  TAILQ_HEAD (, quo_request) waiting; /* in the order of their arrival */
+  struct quo_request **waiting; /* in the order of their arrival */
   uint32_t waiting_count;
+  uint32_t waiting_capacity;
   struct evl_timer timer;
   uint32_t number;  /* of the request for credit under way; 0: none */
   uint64_t link;    /* that it was sent on */
@@ -129,6 +127,17 @@
 /* The owner that was asked has not answered.  */
 void quo_fail_ask (struct quo_tenant *tenant);
 
+/* Adds a request that waits.  */
+struct quo_request *quo_add_request (struct quo_tenant *tenant,
+                                     clk_time deadline, quo_callback callback,
+                                     void *context);
+
+/* Returns the Retry-After of a request that is refused now, in ns.  */
+clk_time quo_find_retry (struct quo_tenant *tenant);
+
+/* Answers the waiting requests whose time is over.  */
+void quo_expire (struct quo_tenant *tenant);
+
 /* Answers the waiting requests from the credit at hand.  */
 void quo_serve (struct quo_tenant *tenant);
 
