--- a/src/quo/quo_internal.h
+++ b/src/quo/quo_internal.h
@@ -107,6 +107,15 @@
                             uint32_t wanted, uint32_t returned,
                             struct quo_grant *grant);
 
+/* Returns whether this node owns a tenant; CONTEXT is the struct quo.  */
+bool quo_is_owner (void *context, const char *name);
+
+/* Makes sure that the next check is not later than its interval demands.  */
+void quo_schedule_check (struct quo *quota);
+
+/* Sends a request that only shows whether NODE answers.  */
+void quo_send_probe (struct quo *quota, dir_handle node);
+
 /* Handles the reply to a probe, and the end of a link with probes.  */
 void quo_end_probe (struct quo *quota, uint32_t number);
 void quo_end_probes_on (struct quo *quota, uint64_t link);
