--- a/src/fwd/fwd.h
+++ b/src/fwd/fwd.h
@@ -12,6 +12,7 @@
 #include "evl/evl.h"
 #include "hub/hub.h"
 #include "ptf/ptf.h"
+#include "quo/quo.h"
 #include "snp/snp.h"
 #include "srv/srv.h"
 
@@ -31,6 +32,7 @@
     const struct dir *directory;
     dir_handle self;
     struct hub *hub;
+    struct quo *quota;        /* of the tenants; see quo_take */
     const char *service;      /* of the VM; requests begin on behalf of it */
     struct acc *account;      /* of the parts of answers */
     struct bud_limits budget; /* NODES is kept up to date by fwd */
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -12,6 +12,7 @@
 #include "hub/hub.h"
 #include "prb/prb.h"
 #include "pub/pub.h"
+#include "quo/quo.h"
 #include "reg/reg.h"
 #include "sdc/sdc.h"
 #include "snp/snp.h"
@@ -44,6 +45,7 @@
   struct reg registration;
   struct hub *hub;
   struct gat *gate;
+  struct quo *quota;
   struct fwd *forwarder;
   struct srv *caller_server;
   struct acc account; /* of the memory held for callers; see sdc_memory.c */
