--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -241,12 +241,6 @@
   return bytes;
 }
 
-bool
-hub_is_loopback (const struct hub_inbound_link *link)
-{
-  return link->channel == NULL;
-}
-
 size_t
 hub_close_stalled (struct hub *hub, clk_time before)
 {
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -120,9 +120,6 @@
   /* Returns the bytes of replies that were not sent yet, on all links.  */
   size_t hub_unsent_replies (const struct hub *hub);
 
-  /* Returns whether LINK is the loopback of the node itself.  */
-  bool hub_is_loopback (const struct hub_inbound_link *link);
-
   /* Closes the inbound links whose queued replies have made no progress since
      BEFORE or earlier: their nodes read nothing.  Returns the bytes that were
      dropped.  */
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -225,7 +225,7 @@
   struct evl *loop = sidecar->loop;
   struct gat_hooks gate_hooks = { .context = sidecar,
                                   .send_reply = send_reply,
-                                  .has_reply_room = sdc_has_reply_room,
+                                  .has_room = sdc_has_reply_room,
                                   .on_unreachable = on_upstream_unreachable,
                                   .config_version = get_config_version,
                                   .send_bulk_reply = send_bulk_reply,
