--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -63,6 +63,7 @@
   uint32_t number;      /* of the try under way; 0: none */
   dir_handle peer;      /* of the try under way */
   uint64_t link;        /* of the try under way */
+  size_t sent_bytes;    /* of a body that is sent as the gate grants it */
   uint32_t kind;        /* hash of the route */
   unsigned bounces;     /* gates that were too busy */
   unsigned usable;      /* nodes that take calls, when it was placed last */
@@ -152,6 +153,9 @@
 /* Sends the call to PEER.  Returns false when that is not possible now.  */
 bool fwd_send (struct fwd_call *call, dir_handle peer, clk_time max_wait);
 
+/* Sends BYTES more of the body of a call whose gate has granted them.  */
+void fwd_send_granted (struct fwd_call *call, size_t bytes);
+
 /* Stops the try under way, if there is one.  */
 void fwd_cancel (struct fwd_call *call);
 
--- a/src/fwd/fwd_reply.c
+++ b/src/fwd/fwd_reply.c
@@ -113,6 +113,13 @@
         add_body (call, frame->answer_body);
       return false;
     }
+  if (frame->body_case == MESH__FRAME__BODY_WINDOW_GRANT)
+    {
+      call = find_call (forwarder, frame->window_grant->id);
+      if (call != NULL)
+        fwd_send_granted (call, frame->window_grant->bytes);
+      return false;
+    }
   if (frame->body_case != MESH__FRAME__BODY_ANSWER)
     return false;
   call = find_call (forwarder, frame->answer->id);
--- a/src/fwd/fwd_send.c
+++ b/src/fwd/fwd_send.c
@@ -8,6 +8,9 @@
 /* Longest part of a body in one frame, in bytes.  */
 #define PART_SIZE (128u * 1024u)
 
+/* The same of a body that is sent as the gate grants it.  */
+#define BULK_PART_SIZE (16u * 1024u)
+
 /* Header fields that this node adds to a call: the caller's service and its
    tenant.  */
 #define OWN_HEADERS 2
@@ -38,28 +41,61 @@
   message->headers[message->n_headers++] = header;
 }
 
-/* Sends the parts of a body after the first.  */
+/* Sends the bytes of a body from START to END in parts of up to SIZE bytes. */
 static void
-send_parts (struct fwd_call *call, Mesh__CallId *id)
+send_parts (struct fwd_call *call, size_t start, size_t end, size_t size)
 {
   struct fwd *forwarder = call->forwarder;
   const struct buf *body = &call->message.body;
+  Mesh__CallId id = MESH__CALL_ID__INIT;
   Mesh__BodyPart part = MESH__BODY_PART__INIT;
   Mesh__Frame frame = MESH__FRAME__INIT;
 
   frame.body_case = MESH__FRAME__BODY_CALL_BODY;
   frame.call_body = &part;
-  part.id = id;
-  for (size_t at = PART_SIZE; at < body->length; at += PART_SIZE)
+  id.number = call->number;
+  part.id = &id;
+  for (size_t at = start; at < end; at += size)
     {
       part.data.data = body->data + at;
-      part.data.len
-          = body->length - at < PART_SIZE ? body->length - at : PART_SIZE;
+      part.data.len = end - at < size ? end - at : size;
       part.more = at + part.data.len < body->length;
       hub_send_on_link (forwarder->parts.hub, call->link, &frame);
     }
 }
 
+void
+fwd_send_granted (struct fwd_call *call, size_t bytes)
+{
+  size_t start = call->sent_bytes;
+  size_t left = call->message.body.length - start;
+
+  if (bytes > left)
+    bytes = left;
+  call->sent_bytes += bytes;
+  send_parts (call, start, start + bytes, BULK_PART_SIZE);
+}
+
+/* Sets the part of the body that goes with the call itself.  A long body
+   follows as the gate grants it, if the route says so.  */
+static void
+set_body (struct fwd_call *call, Mesh__Call *message)
+{
+  const struct buf *body = &call->message.body;
+
+  call->sent_bytes = 0;
+  if (call->route->is_bulk && body->length > BULK_PART_SIZE
+      && body->length <= UINT32_MAX)
+    {
+      message->body_bytes = (uint32_t)body->length;
+      message->more = true;
+      return;
+    }
+  message->body.data = body->data;
+  message->body.len = body->length < PART_SIZE ? body->length : PART_SIZE;
+  message->more = body->length > PART_SIZE;
+}
+
 static uint32_t
 left_us (clk_time deadline, clk_time now)
 {
@@ -112,10 +148,7 @@
   message.service = (char *)call->service;
   message.route = call->kind;
   message.config_version = call->snapshot->stamp.version;
-  message.body.data = request->body.data;
-  message.body.len
-      = request->body.length < PART_SIZE ? request->body.length : PART_SIZE;
-  message.more = request->body.length > PART_SIZE;
+  set_body (call, &message);
   frame.body_case = MESH__FRAME__BODY_CALL;
   frame.call = &message;
   if (hub_send (forwarder->parts.hub, peer, &frame, 1, &call->link) != HUB_OK)
@@ -127,8 +160,8 @@
   fwd_log_placed (call, peer, max_wait);
   fwd_peer (forwarder, peer)->sent++;
   fwd_peer (forwarder, peer)->sent_at = now;
-  if (message.more)
-    send_parts (call, &id);
+  if (message.more && message.body_bytes == 0)
+    send_parts (call, PART_SIZE, request->body.length, PART_SIZE);
   return true;
 }
 
--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -41,9 +41,8 @@
   return gate;
 }
 
-/* Returns the call of a place in the list of calls, null after the last.  */
-static struct gat_call *
-call_at (const struct lst_entry *link)
+struct gat_call *
+gat_call_at (const struct lst_entry *link)
 {
   return link != NULL ? LST_ITEM (link, struct gat_call, list) : NULL;
 }
@@ -59,6 +58,7 @@
     que_remove (&gate->queue, call);
   gate->call_count--;
   gate->expected_bytes -= call->expected_bytes;
+  gat_end_receiving (call);
   lst_remove (&gate->calls, &call->list);
   evl_timer_stop (&call->timer);
   shr_release (&gate->queue.shares, call->tenant);
@@ -76,7 +76,7 @@
     return;
   while ((link = lst_pop_front (&gate->calls)) != NULL)
     {
-      struct gat_call *call = call_at (link);
+      struct gat_call *call = gat_call_at (link);
 
       cnx_close (call->connection);
       free_call (call);
@@ -274,32 +274,40 @@
   plan_expiry (gate);
 }
 
-/* Runs, queues or refuses a call whose body is complete.  */
-static void
-admit (struct gat_call *call)
+/* Returns why a call that would wait for WAIT is not admitted.  */
+static enum gat_refusal
+check_admission (const struct gat_call *call, clk_time wait)
 {
-  struct gat *gate = call->gate;
+  const struct gat *gate = call->gate;
   const Mesh__Call *message = call->frame->call;
-  struct que_item item = make_item (call);
   enum gat_refusal refusal
       = gate->stopping ? GAT_DRAINING : check_upstream (gate, message);
-  clk_time wait;
 
   if (refusal != GAT_NOT_REFUSED)
-    {
-      gat_refuse (call, refusal);
-      return;
-    }
+    return refusal;
   /* Half of the room is kept for the calls that run.  */
   if (!gat_has_room (call, 0))
-    {
-      gat_refuse (call, GAT_BUSY);
-      return;
-    }
-  wait = gat_expect_wait (call);
+    return GAT_BUSY;
   if (would_be_cut (call, wait))
+    return GAT_DRAINING;
+  if (wait > message->max_wait_us * CLK_MICROSECOND
+      || call->arrival + wait + gat_service_of (call) > call->deadline)
+    return GAT_BUSY;
+  return GAT_NOT_REFUSED;
+}
+
+/* Runs, queues or refuses a call whose body is complete.  */
+static void
+admit (struct gat_call *call)
+{
+  struct gat *gate = call->gate;
+  struct que_item item = make_item (call);
+  clk_time wait = gat_expect_wait (call);
+  enum gat_refusal refusal = check_admission (call, wait);
+
+  if (refusal != GAT_NOT_REFUSED)
     {
-      gat_refuse (call, GAT_DRAINING);
+      gat_refuse (call, refusal);
       return;
     }
   if (wait == 0 && has_free_slot (gate))
@@ -307,9 +315,7 @@
       gat_run (call);
       return;
     }
-  if (wait > message->max_wait_us * CLK_MICROSECOND
-      || call->arrival + wait + item.service_time > call->deadline
-      || !que_push (&gate->queue, &item))
+  if (!que_push (&gate->queue, &item))
     {
       gat_refuse (call, GAT_BUSY);
       return;
@@ -319,6 +325,19 @@
   gat_next (gate);
 }
 
+/* Asks for the long body of a call, unless it would be refused.  */
+static void
+request_body (struct gat_call *call)
+{
+  clk_time wait = gat_expect_wait (call) + gat_receive_wait (call);
+  enum gat_refusal refusal = check_admission (call, wait);
+
+  if (refusal != GAT_NOT_REFUSED)
+    gat_refuse (call, refusal);
+  else
+    gat_grant_bodies (call->gate);
+}
+
 /* Ends the deadline of a call with the process.  */
 static void
 shorten_deadline (struct gat_call *call)
@@ -335,12 +354,12 @@
 find_call (const struct gat *gate, const struct hub_inbound_link *origin,
            const Mesh__CallId *id)
 {
-  struct gat_call *call = call_at (gate->calls.first);
+  struct gat_call *call = gat_call_at (gate->calls.first);
 
   while (call != NULL
          && (call->origin != origin || id == NULL
              || call->frame->call->id->number != id->number))
-    call = call_at (call->list.next);
+    call = gat_call_at (call->list.next);
   return call;
 }
 
@@ -423,7 +442,9 @@
   evl_timer_init (&call->timer, gate->loop, NULL, call);
   if (!take_memory (call, message->body.len))
     return;
-  if (!message->more)
+  if (message->body_bytes > 0)
+    request_body (call);
+  else if (!message->more)
     admit (call);
 }
 
@@ -444,6 +465,8 @@
       gat_refuse (call, GAT_BUSY);
       return;
     }
+  gat_count_received (call, part->data.len);
+  gat_grant_bodies (gate);
   if (!take_memory (call, part->data.len))
     return;
   message->body.data
@@ -489,11 +512,11 @@
 gat_handle_inbound_closed (struct gat *gate,
                            const struct hub_inbound_link *origin)
 {
-  struct gat_call *call = call_at (gate->calls.first);
+  struct gat_call *call = gat_call_at (gate->calls.first);
 
   while (call != NULL)
     {
-      struct gat_call *next = call_at (call->list.next);
+      struct gat_call *next = gat_call_at (call->list.next);
 
       if (call->origin == origin)
         {
@@ -567,14 +590,20 @@
 gat_set_end (struct gat *gate, clk_time latest)
 {
   gate->latest = latest;
-  for (struct gat_call *call = call_at (gate->calls.first); call != NULL;
-       call = call_at (call->list.next))
+  for (struct gat_call *call = gat_call_at (gate->calls.first); call != NULL;
+       call = gat_call_at (call->list.next))
     if (call->state != GAT_RUNNING)
       shorten_deadline (call);
   que_limit_deadlines (&gate->queue, latest);
   plan_expiry (gate);
 }
 
+void
+gat_set_receive_rate (struct gat *gate, double bytes_per_second)
+{
+  gate->receive_rate = bytes_per_second;
+}
+
 void
 gat_drain (struct gat *gate)
 {
@@ -596,7 +625,8 @@
     load->slots = registration->upstream.slots;
   load->slot_us = (uint32_t)(gate->slot / CLK_MICROSECOND);
   load->service_us = (uint32_t)(gat_kind_of (call)->service / CLK_MICROSECOND);
-  load->wait_us = (uint32_t)(gat_expect_wait (call) / CLK_MICROSECOND);
+  load->wait_us = (uint32_t)((gat_expect_wait (call) + gat_receive_wait (call))
+                             / CLK_MICROSECOND);
   load->failed_permille = (uint32_t)(gate->failed * 1000);
 }
 
--- a/src/gat/gat.h
+++ b/src/gat/gat.h
@@ -90,6 +90,10 @@
      those that are not expected to are refused as not run.  */
   void gat_set_end (struct gat *gate, clk_time latest);
 
+  /* Sets the rate, in bytes per second, at which the link of the VM receives
+     long bodies; 0: no limit, as at first.  */
+  void gat_set_receive_rate (struct gat *gate, double bytes_per_second);
+
   /* Refuses new calls from now on; waiting and running ones go on.  */
   void gat_drain (struct gat *gate);
 
--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -31,6 +31,8 @@
   enum gat_state state;
   uint32_t tenant;       /* handle into the shares; SHR_NONE: none */
   size_t expected_bytes; /* of a long response that is still to come */
+  size_t granted_bytes;  /* of its long body; see gat_receive.c */
+  size_t received_bytes; /* of those that were granted */
   size_t budgeted_bytes; /* of its body, taken from the gate's budget */
   clk_time arrival;
   clk_time target;
@@ -67,6 +69,8 @@
   clk_time slot; /* mean time of any call in a slot, ns; 0: unknown */
   struct gat_kinds kinds;
   size_t expected_bytes; /* of long responses, of the calls that run */
+  size_t granted_bytes;  /* of long bodies that are on their way */
+  double receive_rate;   /* bytes per second of long bodies; 0: no limit */
   double failed;         /* recent share of calls that the upstream failed */
   struct gat_idle idle[GAT_MAX_IDLE];
   size_t idle_count;
@@ -97,6 +101,21 @@
    many, further calls stay in the queue, where urgent ones overtake.  */
 void gat_check_link (struct gat *gate);
 
+/* Returns the call of a place in the list of calls, null after the last.  */
+struct gat_call *gat_call_at (const struct lst_entry *link);
+
+/* Grants as much of the long bodies that wait as the link takes now.  */
+void gat_grant_bodies (struct gat *gate);
+
+/* Counts a part of a long body that has arrived, or all of it as not to be
+   expected any more.  */
+void gat_count_received (struct gat_call *call, size_t bytes);
+void gat_end_receiving (struct gat_call *call);
+
+/* Returns the time in which the long bodies that were announced arrive; 0 for
+   a call that is not a bulk one.  */
+clk_time gat_receive_wait (const struct gat_call *call);
+
 /* Counts the long response of a call that starts to run.  */
 void gat_expect_response (struct gat_call *call);
 
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -31,9 +31,9 @@
    are still in transit arrive within seconds.  */
 #define DEAD_RECORD_LIFETIME (120 * CLK_SECOND)
 
-/* Bytes of long bodies a second that a node sends on its links, for each
-   Mbit/s of the link of its VM: four fifths.  The rest is left to other frames
-   and to callers.  */
+/* Bytes of long bodies a second that a node sends or receives on its links,
+   for each Mbit/s of the link of its VM: four fifths.  The rest is left to
+   other frames and to callers.  */
 #define BULK_BYTES_PER_MBIT (0.8 * 1e6 / 8)
 
 /* Number of malloc arenas; only one thread allocates much memory.  */
@@ -257,6 +257,8 @@
       = sto_create (loop, settings->platform_address, sidecar->platform);
   sidecar->gate = gat_create (loop, sidecar->platform, &sidecar->registration,
                               &gate_hooks, &gate_memory);
+  gat_set_receive_rate (sidecar->gate,
+                        settings->link_mbps * BULK_BYTES_PER_MBIT);
   sidecar->quota = quo_create (
       &(struct quo_options){ loop, sidecar->hub, sidecar->directory,
                              sidecar->self, rnd_system_seed () });
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -2611,7 +2611,7 @@
   (ProtobufCMessageInit) mesh__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__call__field_descriptors[25] =
+static const ProtobufCFieldDescriptor mesh__call__field_descriptors[26] =
 {
   {
     "id",
@@ -2913,9 +2913,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "body_bytes",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Call, body_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__call__field_indices_by_name[] = {
   10,   /* field[10] = body */
+  25,   /* field[25] = body_bytes */
   7,   /* field[7] = call_class */
   12,   /* field[12] = config_version */
   5,   /* field[5] = depth */
@@ -2944,7 +2957,7 @@
 static const ProtobufCIntRange mesh__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 25 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor mesh__call__descriptor =
 {
@@ -2954,7 +2967,7 @@
   "Mesh__Call",
   "mesh",
   sizeof(Mesh__Call),
-  25,
+  26,
   mesh__call__field_descriptors,
   mesh__call__field_indices_by_name,
   1,  mesh__call__number_ranges,
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -436,10 +436,15 @@
    * of a route whose bodies are long
    */
   protobuf_c_boolean is_bulk;
+  /*
+   * Length of a body that is sent in parts as the gate grants it; BODY is then
+   * empty.  0: BODY and its further parts are sent unasked.
+   */
+  uint32_t body_bytes;
 };
 #define MESH__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mesh__call__descriptor) \
-    , NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -586,7 +591,8 @@
 
 
 /*
- * Flow control: the receiver may send BYTES more of the body of this call.
+ * Flow control, sent by a gate: BYTES more of the body of this call may be
+ * sent.
  */
 struct  Mesh__WindowGrant
 {
