--- a/src/dlt/dlt_apply.c
+++ b/src/dlt/dlt_apply.c
@@ -232,26 +232,53 @@
   doc_copy_tenant (&tenant, &result->tenants[result->tenant_count++]);
 }
 
-/* Returns whether the delta changes or removes the tenant of this name.  */
-static bool
-replaces_tenant (const Mesh__DocumentDelta *delta, const char *name)
+static int
+compare_names (const void *left, const void *right)
 {
+  return strcmp (*(char *const *)left, *(char *const *)right);
+}
+
+/* Returns the sorted names of the tenants that the delta changes or removes,
+   to be freed, and sets *COUNT to their number.  */
+static char **
+replaced_tenants (const Mesh__DocumentDelta *delta, size_t *count)
+{
+  char **names = mem_alloc (
+      delta->n_changed_tenants + delta->n_removed_tenants, sizeof *names);
+
+  *count = 0;
   for (size_t i = 0; i < delta->n_changed_tenants; i++)
-    if (strcmp (delta->changed_tenants[i]->name, name) == 0)
-      return true;
+    names[(*count)++] = delta->changed_tenants[i]->name;
   for (size_t i = 0; i < delta->n_removed_tenants; i++)
-    if (strcmp (delta->removed_tenants[i], name) == 0)
-      return true;
-  return false;
+    names[(*count)++] = delta->removed_tenants[i];
+  qsort (names, *count, sizeof *names, compare_names);
+  return names;
+}
+
+/* Adds the tenants of the base that the delta leaves as they are.  */
+static void
+keep_tenants (struct document_builder *builder)
+{
+  const struct doc_document *base = builder->base;
+  struct doc_document *result = builder->result;
+  size_t count;
+  char **replaced = replaced_tenants (builder->delta, &count);
+
+  for (size_t i = 0; base != NULL && i < base->tenant_count; i++)
+    if (bsearch (&base->tenants[i].name, replaced, count, sizeof *replaced,
+                 compare_names)
+        == NULL)
+      doc_copy_tenant (&base->tenants[i],
+                       &result->tenants[result->tenant_count++]);
+  free (replaced);
 }
 
 static enum dlt_status
 build_tenants (struct document_builder *builder)
 {
   const Mesh__DocumentDelta *delta = builder->delta;
-  const struct doc_document *base = builder->base;
   struct doc_document *result = builder->result;
-  size_t base_count = base != NULL ? base->tenant_count : 0;
+  size_t base_count = builder->base != NULL ? builder->base->tenant_count : 0;
 
   if (base_count + delta->n_changed_tenants > DLT_MAX_TENANTS)
     {
@@ -262,10 +289,7 @@
   result->requires_keys = delta->requires_keys != 0;
   result->tenants = mem_alloc (base_count + delta->n_changed_tenants,
                                sizeof *result->tenants);
-  for (size_t i = 0; i < base_count; i++)
-    if (!replaces_tenant (delta, base->tenants[i].name))
-      doc_copy_tenant (&base->tenants[i],
-                       &result->tenants[result->tenant_count++]);
+  keep_tenants (builder);
   for (size_t i = 0; i < delta->n_changed_tenants; i++)
     {
       if (!is_valid_tenant (delta->changed_tenants[i]))
--- a/tests/dlt_test.cc
+++ b/tests/dlt_test.cc
@@ -8,6 +8,7 @@
 #include "support/support.h"
 
 #include <cstdlib>
+#include <ctime>
 #include <gtest/gtest.h>
 #include <string>
 #include <vector>
@@ -218,6 +219,34 @@
   doc_destroy (document);
 }
 
+/* Guards against a time that grows with the square of the number of tenants:
+   it kept a node from serving calls while it read the new version.  */
+TEST (Deltas, AreAppliedInTimeWithManyTenants)
+{
+  const size_t count = 19000;
+  struct rnd random;
+  clock_t start;
+
+  rnd_init (&random, 10);
+  struct doc_document *base = make_document (&random, 1);
+  base->tenants = static_cast<struct doc_tenant *> (
+      mem_resize (base->tenants, count + 8, sizeof *base->tenants));
+  for (size_t i = 0; i < count; i++)
+    {
+      base->tenants[base->tenant_count] = {};
+      add_tenant (base, "many-" + std::to_string (i), &random);
+    }
+  doc_sort_tenants (base);
+  std::string whole = encode (nullptr, base);
+  start = clock ();
+  struct doc_document *copy = apply_data (base, whole);
+  EXPECT_LT (clock () - start, CLOCKS_PER_SEC / 2);
+  ASSERT_NE (copy, nullptr) << err_last ();
+  EXPECT_EQ (dlt_digest (copy), dlt_digest (base));
+  doc_destroy (copy);
+  doc_destroy (base);
+}
+
 /* Guards against received data that crashes a node or makes it allocate memory
    without bound: truncated, changed and random data.  */
 TEST (Deltas, RejectInvalidData)
