--- a/src/dlt/dlt_digest.c
+++ b/src/dlt/dlt_digest.c
@@ -5,6 +5,11 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Bit of a public route beside its methods.  A document without tenants and
+   public routes keeps the digest that earlier versions compute, as nodes of
+   both exchange versions while a mesh is updated.  */
+#define PUBLIC_ROUTE (1u << 31)
+
 /* Part of the digest of documents that require keys; an odd constant with as
    many ones as zeros.  */
 #define REQUIRES_KEYS 0x9e3779b97f4a7c15u
@@ -18,11 +23,13 @@
 static uint64_t
 hash_route (const struct doc_document *document, const struct doc_route *route)
 {
-  uint32_t fields[]
-      = { route->methods,      route->call_class,
-          route->deadline_ms,  route->target_latency_ms,
-          route->max_attempts, route->priority,
-          route->is_public,    (uint32_t)route->weighted_service_count };
+  uint32_t fields[] = { route->methods | (route->is_public ? PUBLIC_ROUTE : 0),
+                        route->call_class,
+                        route->deadline_ms,
+                        route->target_latency_ms,
+                        route->max_attempts,
+                        route->priority,
+                        (uint32_t)route->weighted_service_count };
   uint64_t hash = hash_string (route->host, 1);
 
   hash = hash_string (route->path, hash);
--- a/tests/dlt_test.cc
+++ b/tests/dlt_test.cc
@@ -219,6 +219,29 @@
   doc_destroy (document);
 }
 
+/* Guards against a digest that nodes of the version before tenants compute
+   otherwise, so that they take no version from nodes of this one, and the
+   reverse, while the mesh is updated node by node.  */
+TEST (Deltas, DigestWithoutTenantsStaysTheSame)
+{
+  struct rnd random;
+
+  rnd_init (&random, 9);
+  struct doc_document *document = make_document (&random, 20);
+
+  for (size_t i = 0; i < document->route_count; i++)
+    document->routes[i].is_public = false;
+  document->requires_keys = false;
+  for (size_t i = 0; i < document->tenant_count; i++)
+    {
+      free (document->tenants[i].name);
+      free (document->tenants[i].keys);
+    }
+  document->tenant_count = 0;
+  EXPECT_EQ (dlt_digest (document), 2075370700882526021u);
+  doc_destroy (document);
+}
+
 /* Guards against a time that grows with the square of the number of tenants:
    it kept a node from serving calls while it read the new version.  */
 TEST (Deltas, AreAppliedInTimeWithManyTenants)
