--- a/tests/ten_test.cc
+++ b/tests/ten_test.cc
@@ -6,6 +6,7 @@
 #include "snp/snp.h"
 #include "ten/ten.h"
 
+#include <cmath>
 #include <cstring>
 #include <gtest/gtest.h>
 #include <string>
@@ -119,7 +120,10 @@
          "Authorization: Token secret-a, Token secret-b\r\n",
          "Authorization: Token secret-a\r\nauthorization: Token secret-a\r\n",
          "Authorization: Token secret-a\r\nAuthorization: Token "
-         "secret-b\r\n" })
+         "secret-b\r\n",
+         "Authorization: Token secret-\r\n a\r\n",
+         "Authorization: Token\tsecret-a\r\n",
+         "Authorization: \r\nAuthorization: Token secret-a\r\n" })
     EXPECT_EQ (tenant_of (fields), "unknown") << fields;
 }
 
@@ -145,6 +149,26 @@
     }
 }
 
+/* Guards against names that a header field cannot hold, so that upstreams get
+   requests without a tenant.  */
+TEST_F (Tenants, RefuseNamesWithControlCharacters)
+{
+  for (const char *name : { "a\\nb", "a\\r", "\\ta", "a\\u007f" })
+    EXPECT_EQ (read (tenant (name, "'ApiKeys':['secret']")), PTF_INVALID)
+        << name;
+  EXPECT_EQ (read (tenant ("caf\u00e9 n\u00b0 1", "'ApiKeys':['secret']")),
+             PTF_OK);
+}
+
+/* Guards against a rate of -0, which equals 0 but has another digest: other
+   nodes rejected such a version.  */
+TEST_F (Tenants, HaveNoNegativeZeroAsLimit)
+{
+  ASSERT_EQ (read (tenant ("a", "'RatePerS':-0.0,'Burst':-0.0")), PTF_OK);
+  EXPECT_FALSE (std::signbit (document->tenants[0].rate));
+  EXPECT_FALSE (std::signbit (document->tenants[0].burst));
+}
+
 /* Guards against documents without tenants that start to require keys.  */
 TEST_F (Tenants, AreNotRequired)
 {
