--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -1683,6 +1683,36 @@
   EXPECT_EQ (status_of (0, "/stock/"), 200);
 }
 
+/* Guards against an upstream that gets no calls because its heartbeats name no
+   usable version: before versions were read, such heartbeats were taken.  */
+TEST_F (Sidecars, AcceptHeartbeatsWithAnOddVersion)
+{
+  size_t vm = add_vm ("orders", "a", "r", false, false);
+  char address[NET_TEXT_SIZE];
+
+  net_format (address_of (vm, upstream_port), address);
+
+  for (const std::string &version :
+       { std::string ("7"), std::string ("null"), std::string ("\"\""),
+         "\"" + std::string (64, 'v') + "\"" })
+    {
+      Peer peer = Peer::connect (address_of (vm, control_port));
+      std::string body = "{\"" PFM_ADDRESS "\":\"" + std::string (address)
+                         + "\",\"" PFM_INFO "\":{\"" PFM_SERVICE
+                           "\":\"orders\",\"" PFM_ZONE "\":\"a\",\"" PFM_SLOTS
+                           "\":4,\"" PFM_SOFTWARE_VERSION "\":"
+                         + version
+                         + "},\"" PFM_STATUS "\":{\"" PFM_STATE
+                           "\":\"ready\",\"" PFM_SEQ "\":1}}";
+
+      peer.send ("POST " PFM_HEARTBEAT_PATH "i-odd HTTP/1.1\r\n"
+                 "Content-Length: "
+                 + std::to_string (body.size ()) + "\r\n\r\n" + body);
+      EXPECT_TRUE (run_until_received (peer, "HTTP/1.1 200 "))
+          << version << peer.received;
+    }
+}
+
 /* Guards against watchers that miss versions because the store has compacted
    its history: they must list again.  */
 TEST_F (Sidecars, ContinueAfterTheStoreCompactsItsHistory)
