--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -136,8 +136,6 @@
     upstream->repeats++;
   if (upstream->done_count < MAX_RUNS)
     upstream->done[upstream->done_count++] = hash_id (id);
-  if (upstream->settings.on_run != NULL)
-    upstream->settings.on_run (id);
 }
 
 static void
@@ -380,6 +378,8 @@
         send_raw (connection, "HTTP/1.1 200 OK\r\n" PFM_SIGNATURE
                               ": other\r\nContent-Length: 5\r\n\r\nextra");
       note_run (upstream, id);
+      if (upstream->settings.on_run != NULL)
+        upstream->settings.on_run (message);
       run = mem_alloc (1, sizeof *run);
       run->upstream = upstream;
       run->connection = connection;
--- a/standins/lib/sup.h
+++ b/standins/lib/sup.h
@@ -6,6 +6,7 @@
 
 #include "base/net.h"
 #include "evl/evl.h"
+#include "htp/htp.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -30,7 +31,7 @@
     /* Where others reach it, when that is not ADDRESS; port 0: the same.  */
     struct net_address announced_address;
     /* A request begins to run; may be null.  */
-    void (*on_run) (const char *id);
+    void (*on_run) (const struct htp_message *message);
   };
 
   /* How an upstream misbehaves.  */
--- a/standins/mesh_upstream.c
+++ b/standins/mesh_upstream.c
@@ -3,11 +3,14 @@
    Usage: standin-mesh_upstream LISTEN ANNOUNCED CONTROL NAME SERVICE
                                 DATA-CENTRE WORK-MS
 
-   Prints "run ID" when a request begins to run.  SIGTERM makes it say that it
-   leaves; it prints "acknowledged" once that was acknowledged, serves for
-   three more seconds, and ends.  SIGUSR1 makes it lose answers for a while. */
+   Prints "run ID TENANT CREDENTIALS" when a request begins to run: the tenant
+   that it names, or "-", and "none", or "some" when it brings the caller's
+   key. SIGTERM makes it say that it leaves; it prints "acknowledged" once that
+   was acknowledged, serves for three more seconds, and ends.  SIGUSR1 makes it
+   lose answers for a while. */
 
 #include "base/err.h"
+#include "pfm_names.h"
 #include "sup.h"
 
 #include <signal.h>
@@ -32,9 +35,14 @@
 static bool acknowledged;
 
 static void
-on_run (const char *id)
+on_run (const struct htp_message *message)
 {
-  printf ("run %s\n", id);
+  const char *tenant = htp_find_header (message, PFM_TENANT_ID);
+
+  printf ("run %s %s %s\n", htp_find_header (message, PFM_REQUEST_ID),
+          tenant != NULL ? tenant : "-",
+          htp_find_header (message, PFM_AUTHORIZATION) != NULL ? "some"
+                                                               : "none");
   fflush (stdout);
 }
 
--- a/tests/support/sidecar_mesh.cc
+++ b/tests/support/sidecar_mesh.cc
@@ -119,6 +119,7 @@
   settings.slots = slots;
   settings.service_time = work;
   settings.heartbeat_interval = heartbeat;
+  settings.on_run = on_run;
 
   vm.upstream = sup_create (loop, &settings);
   ASSERT_NE (vm.upstream, nullptr);
--- a/tests/support/sidecar_mesh.h
+++ b/tests/support/sidecar_mesh.h
@@ -94,6 +94,7 @@
   clk_time grace = 6 * CLK_SECOND;
   int64_t retry_slack = 100;
   double route_timeout_s = 0; /* of all routes; 0: the stand-in's */
+  void (*on_run) (const struct htp_message *message) = nullptr; /* see sup.h */
 
 private:
   uint64_t ids = 0;
