--- a/src/fwd/fwd_log.c
+++ b/src/fwd/fwd_log.c
@@ -3,6 +3,7 @@
 #include "fwd/fwd_log.h"
 
 #include "base/log.h"
+#include "fwd/fwd_tenant_stat.h"
 #include "met/met.h"
 
 #include <stdio.h>
@@ -45,6 +46,8 @@
 add_call_fields (struct log_entry *entry, const struct fwd_call *call)
 {
   log_add_text (entry, "service", call->service);
+  log_add_text (entry, "tenant",
+                call->tenant != NULL ? call->tenant->name : NULL);
   log_add_number (
       entry, "sent_with",
       call->snapshot != NULL ? (int64_t)call->snapshot->stamp.version : 0);
@@ -144,6 +147,7 @@
   char labels[96];
   char text[16];
 
+  fwd_count_tenant_answered (call);
   snprintf (text, sizeof text, "%u", status);
   count (call, "calls_answered_total", "status", text);
   snprintf (labels, sizeof labels, "service=\"%s\"", call->service);
@@ -167,6 +171,7 @@
   struct log_entry entry;
   char text[16];
 
+  fwd_count_tenant_failed (call, status);
   snprintf (text, sizeof text, "%u", status);
   count (call, "calls_failed_total", "status", text);
   if (!log_begin (&entry, LOG_WARNING, "fwd",
@@ -195,6 +200,7 @@
 {
   struct log_entry entry;
 
+  fwd_count_tenant_gone (call);
   count (call, "callers_gone_total", NULL, NULL);
   if (!log_begin (&entry, LOG_INFO, "fwd", "caller left", call->id))
     return;
--- a/src/gat/gat_log.c
+++ b/src/gat/gat_log.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "met/met.h"
+#include "met/met_tenant.h"
 
 #include <stdio.h>
 
@@ -13,12 +14,22 @@
   return evl_now (call->gate->loop);
 }
 
+/* Returns the name of the call's tenant, null when it has none.  */
+static const char *
+tenant_of (const struct gat_call *call)
+{
+  const char *name = call->frame->call->tenant;
+
+  return name[0] != '\0' ? name : NULL;
+}
+
 static void
 add_load (struct log_entry *entry, const struct gat_call *call)
 {
   const struct gat *gate = call->gate;
 
   log_add_text (entry, "service", call->frame->call->service);
+  log_add_text (entry, "tenant", tenant_of (call));
   log_add_text (entry, "upstream", gate->registration->upstream.name);
   log_add_number (entry, "running", gate->running);
   log_add_number (entry, "waiting", (int64_t)gate->queue.count);
@@ -36,10 +47,10 @@
   add_load (&entry, call);
   log_add_ms (&entry, "wait_ms", wait);
   log_add_number (&entry, "priority", call->frame->call->priority);
-  log_add_text (&entry, "tenant", call->frame->call->tenant);
-  log_add_text (&entry, "over_share",
-                shr_is_over (&call->gate->queue.shares, call->tenant) ? "yes"
-                                                                      : "no");
+  if (tenant_of (call) != NULL)
+    log_add_text (
+        &entry, "over_share",
+        shr_is_over (&call->gate->queue.shares, call->tenant) ? "yes" : "no");
   log_add_ms (&entry, "left_ms", call->deadline - now_of (call));
   log_end (&entry);
 }
@@ -52,6 +63,9 @@
   met_add (met_counter ("gate_started_total", ""), 1);
   hst_record (met_histogram ("gate_wait_seconds", ""),
               (uint64_t)(now_of (call) - call->arrival));
+  if (tenant_of (call) != NULL)
+    met_time_tenant ("tenant_wait_seconds", tenant_of (call),
+                     (uint64_t)(now_of (call) - call->arrival));
   if (!log_begin (&entry, LOG_INFO, "gat", "started", call->id))
     return;
   add_load (&entry, call);
--- a/src/met/met.h
+++ b/src/met/met.h
@@ -24,8 +24,8 @@
 
 /* Most series of the process.  Further ones share one series with the label
    overflow="true", so that names chosen by callers cannot exhaust memory.  */
-#define MET_MAX_COUNTERS 512
-#define MET_MAX_HISTOGRAMS 128
+#define MET_MAX_COUNTERS 1024
+#define MET_MAX_HISTOGRAMS 192
 
   /* Returns the counter or gauge with this name and these labels, such as
      "class=\"once\",outcome=\"answered\"" or "".  Any thread may call this, as
--- a/tests/met_test.cc
+++ b/tests/met_test.cc
@@ -2,6 +2,7 @@
    2 %.  */
 
 #include "met/met.h"
+#include "met/met_tenant.h"
 
 #include <gtest/gtest.h>
 
@@ -52,6 +53,40 @@
     }
 }
 
+/* Guards against tenants that take the series of all others, and against names
+   that break a line of the exposition.  Runs before the series are used up. */
+TEST (Metrics, NumberOfTenantsIsBounded)
+{
+  struct buf output = {};
+  std::string text;
+
+  met_count_tenant ("tenant_test_total", nullptr, "outcome", "x");
+  met_count_tenant ("tenant_test_total", "a\"b\\c\nd", "outcome", "x");
+  for (int round = 0; round < 2; round++)
+    for (int i = 0; i < MET_MAX_TENANTS + 9; i++)
+      {
+        std::string name = "t" + std::to_string (i);
+
+        met_count_tenant ("tenant_test_total", name.c_str (), "outcome", "x");
+        met_time_tenant ("tenant_test_seconds", name.c_str (), 1000);
+      }
+  met_expose (&output);
+  text = buf_text (&output);
+  buf_close (&output);
+  for (const char *line : { "{tenant=\"none\",outcome=\"x\"} 1\n",
+                            "{tenant=\"a\\\"b\\\\c d\",outcome=\"x\"} 1\n",
+                            "{tenant=\"t62\",outcome=\"x\"} 2\n",
+                            "{tenant=\"other\",outcome=\"x\"} 20\n" })
+    EXPECT_NE (
+        text.find (std::string ("mulberryshift_tenant_test_total") + line),
+        std::string::npos)
+        << line;
+  EXPECT_EQ (text.find ("t63"), std::string::npos);
+  EXPECT_NE (text.find ("tenant_test_seconds_count{tenant=\"other\"} 20"),
+             std::string::npos);
+  EXPECT_EQ (text.find ("overflow"), std::string::npos);
+}
+
 /* Guards against a caller that exhausts memory with ever new label values.  */
 TEST (Metrics, NumberOfSeriesIsBounded)
 {
