--- a/src/fwd/fwd_log.c
+++ b/src/fwd/fwd_log.c
@@ -164,6 +164,17 @@
   log_end (&entry);
 }
 
+/* Returns the event of an answer of this node's own.  Requests without a key
+   are an event of their own: there may be many, and lines are limited by
+   event.  */
+static const char *
+name_failure (unsigned status)
+{
+  if (status == 401)
+    return "unauthorized";
+  return status == 429 || status == 503 ? "refused" : "failed";
+}
+
 void
 fwd_log_failed (const struct fwd_call *call, unsigned status,
                 const char *reason, clk_time retry_after)
@@ -174,8 +185,8 @@
   fwd_count_tenant_failed (call, status);
   snprintf (text, sizeof text, "%u", status);
   count (call, "calls_failed_total", "status", text);
-  if (!log_begin (&entry, LOG_WARNING, "fwd",
-                  status == 503 ? "refused" : "failed", call->id))
+  if (!log_begin (&entry, status == 401 ? LOG_INFO : LOG_WARNING, "fwd",
+                  name_failure (status), call->id))
     return;
   add_call_fields (&entry, call);
   log_add_number (&entry, "status", status);
