--- a/standins/mesh_store.c
+++ b/standins/mesh_store.c
@@ -4,7 +4,9 @@
 
    Prints the header names that callers need as one line of JSON, then takes
    commands from standard input, one a line, and answers each with "ok":
-     config VERSION SERVICE... / PATH...   writes the operator's document
+     config VERSION SERVICE... / PATH... / TENANT...
+   which writes the operator's document.  The routes to PATHs are public; a
+   TENANT is NAME:RATE:BURST:KEY, with further keys after colons.
    Ends when standard input does.  */
 
 #include "base/err.h"
@@ -41,25 +43,77 @@
   return count;
 }
 
+/* Returns the place of the next "/" among WORDS from START on, COUNT when
+   there is none.  */
+static size_t
+find_slash (char *const *words, size_t start, size_t count)
+{
+  while (start < count && strcmp (words[start], "/") != 0)
+    start++;
+  return start;
+}
+
+/* Makes the route to PATH public.  */
+static void
+publish (json_t *entries, const char *path)
+{
+  json_t *entry;
+  size_t i;
+
+  json_array_foreach (entries, i, entry)
+  {
+    json_t *spec = json_object_get (entry, PFM_SPEC);
+    const char *prefix
+        = json_string_value (json_object_get (spec, PFM_PATH_PREFIX));
+
+    if (prefix != NULL && strcmp (prefix, path) == 0)
+      json_object_set_new (spec, PFM_PUBLIC, json_true ());
+  }
+}
+
+/* Adds the tenant that WORD describes.  */
+static void
+add_tenant (json_t *entries, char *word)
+{
+  const char *name = strsep (&word, ":");
+  const char *rate = strsep (&word, ":");
+  const char *burst = strsep (&word, ":");
+  json_t *keys = json_array ();
+
+  while (word != NULL)
+    json_array_append_new (keys, json_string (strsep (&word, ":")));
+  json_array_append_new (
+      entries, json_pack ("{s:s, s:{s:s}, s:{s:o, s:f, s:f}}", PFM_ENTRY_TYPE,
+                          PFM_TENANTS, PFM_METADATA, PFM_NAME, name, PFM_SPEC,
+                          PFM_API_KEYS, keys, PFM_RATE_PER_S,
+                          rate != NULL ? strtod (rate, NULL) : 0., PFM_BURST,
+                          burst != NULL ? strtod (burst, NULL) : 0.));
+}
+
 static void
 run_command (struct control *control)
 {
   char *words[MAX_WORDS];
   size_t count = split (control->line, words);
-  size_t slash = 2;
+  size_t paths = find_slash (words, 2, count) + 1;
+  size_t tenants = find_slash (words, paths, count) + 1;
+  json_t *document;
+  json_t *entries;
 
-  if (count < 4 || strcmp (words[0], "config") != 0)
+  if (count < 4 || strcmp (words[0], "config") != 0 || paths > count)
     {
       printf ("unknown command\n");
       return;
     }
-  while (slash < count && strcmp (words[slash], "/") != 0)
-    slash++;
-  sst_put (control->store, PFM_CONFIG_KIND, PFM_CONFIG_NAME,
-           scf_create_document (strtoull (words[1], NULL, 10),
-                                (const char *const *)&words[2], slash - 2,
-                                (const char *const *)&words[slash + 1],
-                                slash < count ? count - slash - 1 : 0));
+  document = scf_create_document (
+      strtoull (words[1], NULL, 10), (const char *const *)&words[2], paths - 3,
+      (const char *const *)&words[paths], tenants - paths - 1);
+  entries = json_object_get (document, PFM_RESOURCES);
+  for (size_t i = paths; i < tenants - 1; i++)
+    publish (entries, words[i]);
+  for (size_t i = tenants; i < count; i++)
+    add_tenant (entries, words[i]);
+  sst_put (control->store, PFM_CONFIG_KIND, PFM_CONFIG_NAME, document);
   printf ("ok\n");
 }
 
@@ -105,8 +159,9 @@
       return 1;
     }
   printf ("{\"id\":\"%s\",\"timeout_ms\":\"%s\",\"ready\":\"%s\","
-          "\"host\":\"%s\"}\n",
-          PFM_REQUEST_ID, PFM_TIMEOUT_MS, PFM_READY_PATH, SCF_HOST);
+          "\"host\":\"%s\",\"key\":\"%s: %s\"}\n",
+          PFM_REQUEST_ID, PFM_TIMEOUT_MS, PFM_READY_PATH, SCF_HOST,
+          PFM_AUTHORIZATION, PFM_KEY_SCHEME);
   fflush (stdout);
   evl_socket_init (&input, control.loop, STDIN_FILENO, on_input, &control);
   evl_socket_watch (&input, EVL_READ);
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,7 +4,7 @@
 import itertools
 import time
 
-from mesh import PORTS
+from mesh import GREEDY_KEY, PORTS
 
 TIMEOUT_MS = 1000
 IDS = itertools.count(1)  # of all requests of this process
@@ -14,10 +14,11 @@
 class Outcome:
     """What became of one request."""
 
-    def __init__(self, request_id, vm, path, sent):
+    def __init__(self, request_id, vm, path, key, sent):
         self.id = request_id
         self.vm = vm
         self.path = path
+        self.key = key  # None: none was sent
         self.once = path.startswith("/once/")
         self.sent = sent
         self.ended = None
@@ -27,15 +28,18 @@
 
 
 class Callers:
-    """A number of callers at each VM."""
+    """A number of callers at each VM: EACH that send one request at a time,
+    one that pipelines, and one of the tenant beyond its quota."""
 
     def __init__(self, mesh, rnd, each):
         self.mesh = mesh
         self.rnd = rnd
         self.outcomes = []
         self.stopped = False
-        self.tasks = [asyncio.create_task(self._run(vm))
-                      for vm in mesh.vms for _ in range(each)]
+        runs = [run for vm in mesh.vms if each > 0 for run in
+                [self._run(vm, self._plain) for _ in range(each)]
+                + [self._run(vm, self._pipelined), self._run(vm, self._greedy)]]
+        self.tasks = [asyncio.create_task(run) for run in runs]
 
     async def stop(self):
         # wait_for of Python before 3.12 may lose a cancellation that comes as
@@ -45,11 +49,22 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
-    def _path(self):
-        service = self.rnd.choice(["orders", "stock", "once"])
-        return f"/{service}/item"
+    # Each returns the requests to send at once, as pairs of path and key.
 
-    async def _run(self, vm):
+    def _plain(self):
+        service = self.rnd.choice(["orders", "stock", "once", "open"])
+        return [(f"/{service}/item",
+                 None if service == "open" else self.mesh.keys.pick(self.rnd))]
+
+    def _pipelined(self):
+        service = self.rnd.choice(["orders", "stock"])
+        key = self.mesh.keys.pick(self.rnd)
+        return [(f"/{service}/item", key)] * self.rnd.randint(2, 5)
+
+    def _greedy(self):
+        return [("/stock/item", GREEDY_KEY)]
+
+    async def _run(self, vm, choose):
         connection = None
         while not self.stopped:
             await asyncio.sleep(self.rnd.uniform(0.01, 0.08))
@@ -57,31 +72,40 @@
                 if connection is None:
                     connection = await asyncio.wait_for(
                         asyncio.open_connection(vm.ip, PORTS["calls"]), 1)
-                if not await self.call(vm, connection, self._path()):
+                if not await self.call(vm, connection, choose()):
                     connection[1].close()
                     connection = None
             except (OSError, asyncio.TimeoutError):
                 connection = None
                 await asyncio.sleep(0.1)
 
-    async def call(self, vm, connection, path):
-        """Sends one request; returns whether the connection can be kept."""
-        outcome = Outcome(f"{next(IDS):08x}", vm, path, time.monotonic())
-        self.outcomes.append(outcome)
+    async def call(self, vm, connection, requests):
+        """Sends requests, the later ones before the first is answered; returns
+        whether the connection can be kept."""
+        now = time.monotonic()
+        outcomes = [Outcome(f"{next(IDS):08x}", vm, path, key, now)
+                    for path, key in requests]
+        self.outcomes += outcomes
+        connection[1].write("".join(map(self._text, outcomes)).encode())
+        for outcome in outcomes:
+            try:
+                kept = await asyncio.wait_for(
+                    self._read(connection[0], outcome), TIMEOUT_MS / 1000 + 1)
+            except asyncio.TimeoutError:
+                kept = False
+            outcome.ended = time.monotonic()
+            if not kept:
+                return False  # what follows counts as not read
+        return True
+
+    def _text(self, outcome):
         names = self.mesh.names
         method = "POST" if outcome.once else "GET"
-        connection[1].write(
-            f"{method} {path} HTTP/1.1\r\nHost: {names['host']}\r\n"
-            f"{names['id']}: {outcome.id}\r\n"
-            f"{names['timeout_ms']}: {TIMEOUT_MS}\r\n"
-            "Content-Length: 0\r\n\r\n".encode())
-        try:
-            kept = await asyncio.wait_for(
-                self._read(connection[0], outcome), TIMEOUT_MS / 1000 + 1)
-        except asyncio.TimeoutError:
-            kept = False
-        outcome.ended = time.monotonic()
-        return kept
+        key = "" if outcome.key is None else f"{names['key']} {outcome.key}\r\n"
+        return (f"{method} {outcome.path} HTTP/1.1\r\nHost: {names['host']}\r\n"
+                f"{names['id']}: {outcome.id}\r\n{key}"
+                f"{names['timeout_ms']}: {TIMEOUT_MS}\r\n"
+                "Content-Length: 0\r\n\r\n")
 
     async def _read(self, reader, outcome):
         try:
--- a/tests/soak/mesh.py
+++ b/tests/soak/mesh.py
@@ -13,6 +13,8 @@
          "metrics": 8105, "upstream": 8106, "server": 8107, "store": 8108}
 STORE_PORT = 8300
 GRACE_S = 6.0
+GREEDY_KEY = "key-of-greedy"
+GREEDY_RATE, GREEDY_BURST = 20, 10  # of a tenant that sends far more
 SETTINGS = """[node]
 name = "vm-{index}"
 data_centre = "{centre}"
@@ -82,6 +84,45 @@
             await self.child.wait()
 
 
+class Keys:
+    """The keys of the document.  Each version brings the tenant `changing` a
+    new key and takes away the one before the last; the others stay."""
+
+    def __init__(self):
+        self.added = {}    # key -> time of the version that brought it
+        # key -> time of the version that took it away; one was never there
+        self.removed = {"no-key": time.monotonic()}
+        self.tenants = {"steady": ["key-of-steady"],
+                        "other": ["key-of-other", "second-key-of-other"],
+                        "greedy": [GREEDY_KEY], "changing": []}
+
+    def advance(self, version):
+        now = time.monotonic()
+        keys = self.tenants["changing"]
+        keys.append(f"key-{version}-of-changing")
+        self.added[keys[-1]] = now
+        if len(keys) > 2:
+            self.removed[keys.pop(0)] = now
+
+    def words(self):
+        return " ".join(
+            ":".join([name] + ([str(GREEDY_RATE), str(GREEDY_BURST)]
+                               if name == "greedy" else ["0", "0"]) + keys)
+            for name, keys in self.tenants.items())
+
+    def pick(self, rnd):
+        """Returns a key: mostly one of the document, else one that was taken
+        away, or was never there."""
+        if rnd.random() < 0.1:
+            return rnd.choice(list(self.removed))
+        return rnd.choice(self.tenants[rnd.choice(["steady", "other",
+                                                   "changing"])])
+
+    def owner(self, key):
+        """Returns the tenant that a key belongs to, or belonged to."""
+        return "-" if key is None else key.rsplit("-", 1)[1]
+
+
 class Vm:
     """One VM and what the soak has seen of it."""
 
@@ -94,7 +135,8 @@
         self.build = build
         self.directory = directory
         self.work_ms = work_ms
-        self.runs = {}          # id -> times at which it began to run
+        self.runs = {}          # id -> (time, upstream, tenant, credentials)
+        self.faults = []        # (start, end) of all that happened to it
         self.acknowledged = {}  # upstream's name -> time
         self.disturbed = 0.0    # last fault on the sidecar or its proxies
         self.harmed = 0.0       # last kill or freeze of the sidecar
@@ -139,7 +181,9 @@
 
     def _take_line(self, name, line, now):
         if line.startswith("run "):
-            self.runs.setdefault(line[4:], []).append((now, name))
+            _, request, tenant, credentials = line.split(" ")
+            self.runs.setdefault(request, []).append(
+                (now, name, tenant, credentials))
         elif line == "acknowledged":
             self.acknowledged[name] = now
 
@@ -151,6 +195,7 @@
         self.build = pathlib.Path(build).resolve()
         self.names = {}
         self.version = 0
+        self.keys = Keys()
         self.store = Program([self.build / "standin-mesh_store",
                               "{}:{}".format(*store_address(network))],
                              directory / "store.log", self._take_line)
@@ -170,10 +215,12 @@
             await asyncio.sleep(0.05)
 
     async def put_config(self):
-        """Writes the next version, which adds the route /vVERSION/."""
+        """Writes the next version, which adds the public route /vVERSION/."""
         self.version += 1
+        self.keys.advance(self.version)
         services = " ".join(sorted({vm.service for vm in self.vms}))
-        line = f"config {self.version} {services} / /v{self.version}/\n"
+        line = (f"config {self.version} {services} / /v{self.version}/ "
+                f"/open/ / {self.keys.words()}\n")
         self.store.child.stdin.write(line.encode())
         await self.store.child.stdin.drain()
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,6 +1,7 @@
 """Fault soak: real processes, faults from outside, promises checked.
 
 Usage: run.py BUILD [--seed N] [--seeds N] [--seconds S] [--vms N] [--network N]
+              [--quotas]
 
 Without --seed, tests/soak/seeds.txt is played.  Each seed draws a series of
 faults that may overlap: sidecars killed, stopped, frozen and started again;
@@ -21,13 +22,15 @@
 import time
 
 from callers import PROMISES, Callers
-from mesh import GRACE_S, Mesh, PORTS
+from mesh import GRACE_S, GREEDY_BURST, GREEDY_RATE, Mesh, PORTS
 
 DRAIN_S = 2.0      # a departed upstream gets nothing after this time
 APPLY_S = 2.0      # a version is in effect after this time, without faults
 RECOVER_S = 15.0   # calls are served again after this time
 SETTLE_S = 3.0     # a fault excuses what follows within this time
 SERVED = 0.95      # part of the calls that is served after recovery
+QUOTA_WINDOW_S = 5.0
+QUOTA_RUNS = (GREEDY_RATE * QUOTA_WINDOW_S + GREEDY_BURST) * 1.1 + 20
 SEEDS = pathlib.Path(__file__).with_name("seeds.txt")
 
 
@@ -128,10 +131,14 @@
 
     async def one_at_a_time(self, key, action, vm):
         """Two faults of one process or proxy must not end each other."""
+        start = time.monotonic()
         try:
             await action(vm)
         finally:
             self.pending.discard(key)
+            struck = self.mesh.vms if "store" in action.__name__ else [vm]
+            for each in struck if key[0] is not None else []:
+                each.faults.append((start, time.monotonic()))
 
     async def play(self, seconds):
         kinds = [
@@ -168,7 +175,7 @@
         for vm in self.mesh.vms:
             for request, times in vm.runs.items():
                 runs.setdefault(request, []).extend(
-                    (now, vm, name) for now, name in times)
+                    (now, vm, name) for now, name, _, _ in times)
         for outcome in outcomes:
             count = len(runs.get(outcome.id, []))
             where = f"{outcome.id} at vm-{outcome.vm.index}"
@@ -191,13 +198,64 @@
                     self.fail(f"{name}: a request {now - left:.1f} s after its "
                               "departure was acknowledged")
 
-    async def status(self, callers, vm, path):
+    def was_calm(self, vm, start, end):
+        return not any(first - SETTLE_S < end and start < last + SETTLE_S
+                       for first, last in vm.faults)
+
+    def check_keys(self, outcomes):
+        keys = self.mesh.keys
+        seen = {request: run[2:] for vm in self.mesh.vms
+                for request, runs in vm.runs.items() for run in runs}
+        for outcome in outcomes:
+            key, vm = outcome.key, outcome.vm
+            where = f"{outcome.id} at vm-{vm.index}"
+            tenant, credentials = seen.get(outcome.id, ("-", "none"))
+            if outcome.id in seen and tenant != keys.owner(key):
+                self.fail(f"{where}: ran for tenant {tenant} with key {key}")
+            if credentials != "none":
+                self.fail(f"{where}: the upstream received the key")
+            removed = keys.removed.get(key)
+            if (outcome.status == 200 and removed is not None
+                    and outcome.sent > removed + APPLY_S
+                    and (key == "no-key" or self.was_calm(
+                        vm, removed, outcome.ended))):
+                self.fail(f"{where}: served with the unknown key {key}, "
+                          f"{outcome.sent - removed:.1f} s after the version")
+            added = keys.added.get(key)
+            if (outcome.status == 401 and key is not None and (
+                    removed is None or outcome.ended < removed) and (
+                    added is None or (
+                        outcome.sent > added + APPLY_S
+                        and self.was_calm(vm, added, outcome.ended)))):
+                self.fail(f"{where}: 401 with the valid key {key}")
+            if outcome.status == 401 and key is None:
+                self.fail(f"{where}: 401 on a public route")
+
+    def check_logs(self, directory):
+        for log in directory.glob("*.log"):
+            if "key-" in log.read_text(errors="replace"):
+                self.fail(f"{log.name}: a key is in the log")
+
+    def check_quota(self):
+        times = sorted(now for vm in self.mesh.vms for runs in vm.runs.values()
+                       for now, _, tenant, _ in runs if tenant == "greedy")
+        first = 0
+        most = 0
+        for last, now in enumerate(times):
+            while times[first] <= now - QUOTA_WINDOW_S:
+                first += 1
+            most = max(most, last - first + 1)
+        if most > QUOTA_RUNS:
+            self.fail(f"{most} runs of tenant greedy in {QUOTA_WINDOW_S} s "
+                      f"instead of {QUOTA_RUNS:.0f}")
+
+    async def status(self, callers, vm, path, key=None):
         try:
             connection = await asyncio.wait_for(
                 asyncio.open_connection(vm.ip, PORTS["calls"]), 1)
         except (OSError, asyncio.TimeoutError):
             return None
-        await callers.call(vm, connection, path)
+        await callers.call(vm, connection, [(path, key)])
         connection[1].close()
         return callers.outcomes[-1].status if (
             callers.outcomes[-1].vm is vm) else None
@@ -217,7 +275,10 @@
                       f"{RECOVER_S} s after the faults")
         first = len(callers.outcomes)
         await asyncio.sleep(3)
-        recent = [o for o in callers.outcomes[first:] if o.ended is not None]
+        known = {key for tenant, keys in self.mesh.keys.tenants.items()
+                 for key in keys if tenant != "greedy"} | {None}
+        recent = [o for o in callers.outcomes[first:]
+                  if o.ended is not None and o.key in known]
         served = sum(o.status == 200 for o in recent)
         if served < SERVED * len(recent):
             self.fail(f"{served} of {len(recent)} calls served after recovery")
@@ -232,6 +293,12 @@
             if status == 404:
                 self.fail(f"vm-{vm.index}: version {self.mesh.version} is not "
                           f"in effect after {APPLY_S} s")
+            for key, wanted in ((list(self.mesh.keys.removed)[-1], 401),
+                                (self.mesh.keys.tenants["changing"][-1], 200)):
+                status = await self.status(probe, vm, "/stock/item", key)
+                if status not in (wanted, 503):
+                    self.fail(f"vm-{vm.index}: {status} with {key} instead of "
+                              f"{wanted}")
 
 
 async def play_seed(options, seed):
@@ -248,7 +315,12 @@
         await soak.check_recovery(callers)
         await soak.check_change()
         await callers.stop()
-        soak.check_runs([o for o in callers.outcomes if o.ended is not None])
+        ended = [o for o in callers.outcomes if o.ended is not None]
+        soak.check_runs(ended)
+        soak.check_keys(ended)
+        soak.check_logs(directory)
+        if options.quotas:
+            soak.check_quota()
         served = sum(o.status == 200 for o in callers.outcomes)
         print(f"seed {seed}: {len(soak.actions)} faults, "
               f"{len(callers.outcomes)} calls, {served} served, "
@@ -276,6 +348,8 @@
     parser.add_argument("--network", type=int, default=77,
                         help="second number of all addresses, for soaks that "
                              "run side by side")
+    parser.add_argument("--quotas", action="store_true",
+                        help="judge the runs of the tenant beyond its quota")
     options = parser.parse_args()
     if options.seed is not None:
         seeds = range(options.seed, options.seed + options.seeds)
