--- a/src/dlt/dlt_digest.c
+++ b/src/dlt/dlt_digest.c
@@ -5,6 +5,13 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Bits of a public route and of one with long bodies beside their methods.  A
+   document without such routes and without tenants keeps the digest that
+   earlier versions compute, as nodes of both exchange versions while a mesh is
+   updated.  */
+#define PUBLIC_ROUTE (1u << 31)
+#define BULK_ROUTE (1u << 30)
+
 /* Part of the digest of documents that require keys; an odd constant with as
    many ones as zeros.  */
 #define REQUIRES_KEYS 0x9e3779b97f4a7c15u
@@ -18,14 +25,14 @@
 static uint64_t
 hash_route (const struct doc_document *document, const struct doc_route *route)
 {
-  uint32_t fields[] = { route->methods,
+  uint32_t flags = (route->is_public ? PUBLIC_ROUTE : 0)
+                   | (route->is_bulk ? BULK_ROUTE : 0);
+  uint32_t fields[] = { route->methods | flags,
                         route->call_class,
                         route->deadline_ms,
                         route->target_latency_ms,
                         route->max_attempts,
                         route->priority,
-                        route->is_public,
-                        route->is_bulk,
                         (uint32_t)route->weighted_service_count };
   uint64_t hash = hash_string (route->host, 1);
 
--- a/tests/support/sidecar_mesh.h
+++ b/tests/support/sidecar_mesh.h
@@ -115,6 +115,7 @@
   std::vector<Tenant> tenants;           /* of documents that follow */
   std::vector<std::string> public_paths; /* of routes of these documents */
   double route_timeout_s = 0;            /* of all routes; 0: the stand-in's */
+  void (*on_run) (const struct htp_message *message) = nullptr; /* see sup.h */
 
 private:
   uint64_t ids = 0;
