--- a/src/quo/quo_internal.h
+++ b/src/quo/quo_internal.h
@@ -89,6 +89,7 @@
   clk_time owned_at; /* when an answer was last given as owner; 0: never */
   clk_time cautious_until; /* see check_takeover */
   clk_time tight_at;       /* when a tenant last needed most of its credit */
+  clk_time check_due;      /* deadline of check_timer; 0: it is not set */
   clk_time checked_at;     /* when the nodes were last looked at */
   struct evl_timer check_timer;
   struct quo_probe probes[QUO_MAX_PROBES];
@@ -120,6 +121,10 @@
 void quo_end_probe (struct quo *quota, uint32_t number);
 void quo_end_probes_on (struct quo *quota, uint64_t link);
 
+/* Drops the buckets when the process has stood still until now, since other
+   nodes may have taken over its tenants.  */
+void quo_check_pause (struct quo *quota);
+
 /* Looks for silent nodes often for a while: an owner did not answer, or
    another node has lost one.  */
 void quo_watch_nodes (struct quo *quota);
--- a/src/quo/quo_owner.c
+++ b/src/quo/quo_owner.c
@@ -105,6 +105,7 @@
       return QUO_NOT_OWNER;
     }
   quota->owned_at = evl_now (quota->parts.loop);
+  quo_check_pause (quota);
   if (!quo_table_has (quota->table, name))
     check_takeover (quota, name);
   limit = (struct quo_limit){ tenant->rate, tenant->burst,
--- a/src/quo/quo_watch.c
+++ b/src/quo/quo_watch.c
@@ -15,12 +15,16 @@
 /* A tenant counts as one that needs its credit for this time.  */
 #define TIGHT_TIME (5 * CLK_SECOND)
 
-/* A node that was asked for no credit for this time makes no checks.  */
+/* A node that was asked for no credit for this time probes no others.  */
 #define OWNED_TIME (60 * CLK_SECOND)
 
 /* Nodes of each other data centre that an owner probes.  */
 #define PROBES_PER_CENTRE 2
 
+/* A check that is later than this means that the process or its VM stood
+   still; a processor with a quota pauses for 90 ms.  */
+#define LONGEST_DELAY (300 * CLK_MILLISECOND)
+
 /* A probe without a reply gives up its place after this time.  */
 #define PROBE_TIME (2 * CLK_SECOND)
 
@@ -41,10 +45,36 @@
 void
 quo_schedule_check (struct quo *quota)
 {
+  clk_time now = evl_now (quota->parts.loop);
   clk_time at = quota->checked_at + check_interval (quota);
 
+  if (at < now)
+    at = now;
   if (quota->check_timer.deadline > at)
-    evl_timer_set (&quota->check_timer, at);
+    {
+      evl_timer_set (&quota->check_timer, at);
+      quota->check_due = at;
+    }
+}
+
+/* Keeps no bucket.  */
+static bool
+is_none (void *context, const char *name)
+{
+  (void)context;
+  (void)name;
+  return false;
+}
+
+void
+quo_check_pause (struct quo *quota)
+{
+  clk_time now = evl_now (quota->parts.loop);
+
+  if (quota->check_due == 0 || now - quota->check_due < LONGEST_DELAY)
+    return;
+  quota->check_due = now;
+  quo_table_prune (quota->table, is_none, NULL);
 }
 
 void
@@ -207,13 +237,16 @@
   clk_time now = evl_now (quota->parts.loop);
   double before = quota->share.part;
 
+  quo_check_pause (quota);
+  quota->check_due = 0;
   quo_share_check (&quota->share, quota->parts.directory, look, quota, now);
   if (quota->share.part != before)
     quo_log_share (quota, before);
   quo_table_prune (quota->table, quo_is_owner, quota);
-  if (now - quota->owned_at > OWNED_TIME)
-    return;
   quota->checked_at = now;
-  probe_centres (quota);
-  quo_schedule_check (quota);
+  if (now - quota->owned_at <= OWNED_TIME)
+    probe_centres (quota);
+  if (now - quota->owned_at <= OWNED_TIME
+      || quo_table_count (quota->table) > 0)
+    quo_schedule_check (quota);
 }
