--- a/src/quo/quo.h
+++ b/src/quo/quo.h
@@ -16,8 +16,9 @@
    - each new owner: R x 0.05 + 1 more, and R for as long as two nodes take
      themselves for the owner, which is until a restarted owner is connected
      again (one round trip after its record arrives; a second at most);
-   - a partition: until it is noticed (0.7 s at most), R x the part of the
-   nodes that the second owner sees; afterwards the owners add up to R;
+   - a partition: until the first owner notices it (0.6 s while a tenant needs
+     its credit), R x the part of the nodes on the other sides; afterwards the
+     owners add up to R;
    - without any owner: R / 2 over all nodes, in equal parts.
 
    A node has at most one request for a tenant under way, QUO_MAX_WAITING
