--- a/tests/support/quota_sim.h
+++ b/tests/support/quota_sim.h
@@ -176,6 +176,17 @@
 
   QuotaSim () { use_seed (seed); }
 
+  ~QuotaSim () override
+  {
+    for (vm &each : nodes)
+      quo_destroy (each.quota);
+    dir_destroy (directory);
+    for (request *sent : requests)
+      delete sent;
+    for (struct snp_snapshot *snapshot : snapshots)
+      snp_release (snapshot);
+  }
+
   /* Starts the random numbers anew.  */
   void
   use_seed (unsigned long the_seed)
