--- a/src/cfg/cfg_sidecar.h
+++ b/src/cfg/cfg_sidecar.h
@@ -36,6 +36,8 @@
     double retry_ratio;
     int64_t retry_slack;
     clk_time retry_window;
+    double max_rollout_share;
+    clk_time rollback_time;
     int64_t log_level; /* enum log_level */
   };
 
--- a/src/fwd/fwd.h
+++ b/src/fwd/fwd.h
@@ -11,6 +11,7 @@
 #include "evl/evl.h"
 #include "hub/hub.h"
 #include "ptf/ptf.h"
+#include "rol/rol.h"
 #include "snp/snp.h"
 #include "srv/srv.h"
 
@@ -31,6 +32,7 @@
     dir_handle self;
     struct hub *hub;
     const char *service;      /* of the VM; requests begin on behalf of it */
+    struct rol *rollouts;     /* null: roll-outs are off */
     struct bud_limits budget; /* NODES is kept up to date by fwd */
   };
 
@@ -74,6 +76,11 @@
      they may have run.  */
   void fwd_fail_all (struct fwd *forwarder);
 
+  /* Returns the calls under way to upstreams of SERVICE whose version is not
+     VERSION.  */
+  size_t fwd_count_other_calls (const struct fwd *forwarder,
+                                const char *service, const char *version);
+
   /* Returns the requests without an answer.  */
   size_t fwd_in_progress (const struct fwd *forwarder);
 
--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -56,6 +56,8 @@
   struct evl_timer timer;
   dir_handle tried[FWD_MAX_TRIED];
   unsigned tried_count;
+  enum rol_side side;   /* versions that may run it; see fwd_version.c */
+  bool is_placed;       /* it was sent to a node before */
   unsigned runs;        /* upstreams that were sent the call */
   bool may_have_run;    /* one of them has not said that it did not */
   uint32_t number;      /* of the try under way; 0: none */
@@ -133,6 +135,20 @@
    call has none that a tenant holds.  */
 bool fwd_find_tenant (struct fwd_call *call);
 
+/* Chooses the versions of the service that may run a call which is about to be
+   placed.  */
+void fwd_choose_side (struct fwd_call *call);
+
+/* No upstream of the chosen version has room.  Returns whether another version
+   may run the call; it is chosen.  */
+bool fwd_change_side (struct fwd_call *call);
+
+/* Returns whether the upstream of PEER has a version that may run the call. */
+bool fwd_allows (const struct fwd_call *call, dir_handle peer);
+
+/* Counts the answer of an upstream, or the loss of it, by its version.  */
+void fwd_count_answer (const struct fwd_call *call, dir_handle peer, bool bad);
+
 /* Returns the rank of a call under load: by its tenant, then by its route.  */
 uint32_t fwd_priority (const struct fwd_call *call);
 
--- a/src/fwd/fwd_place.c
+++ b/src/fwd/fwd_place.c
@@ -101,7 +101,8 @@
     {
       const struct mbr_member *member = dir_get (parts->directory, i);
 
-      if (member != NULL && strcmp (member->service, call->service) == 0)
+      if (member != NULL && strcmp (member->service, call->service) == 0
+          && fwd_allows (call, i))
         add_candidate (call, self, i, member, field);
     }
   return field;
@@ -170,6 +171,7 @@
           .time_to_deadline = call->deadline - now,
           .accept_any_wait = call->bounces >= MAX_BOUNCES };
 
+  fwd_choose_side (call);
   for (;;)
     {
       const struct fwd_field *field = collect (call);
@@ -177,6 +179,8 @@
           field->candidates, field->count, &wanted, now, &forwarder->random);
       dir_handle peer;
 
+      if (choice.index == PLC_NONE && fwd_change_side (call))
+        continue;
       call->usable = count_usable (field);
       if (choice.index == PLC_NONE || call->tried_count == FWD_MAX_TRIED)
         {
--- a/src/fwd/fwd_reply.c
+++ b/src/fwd/fwd_reply.c
@@ -41,11 +41,17 @@
 {
   end_try (call);
   if (answer->outcome == OUT_ANSWERED)
-    fwd_answer (call, answer);
+    {
+      fwd_count_answer (call, call->peer, answer->status >= 500);
+      fwd_answer (call, answer);
+    }
   else if (answer->outcome == OUT_NOT_RUN)
     fwd_take_refusal (call, call->peer, (enum gat_refusal)answer->refusal);
   else
-    take_unknown (call, call->peer, answer->reason);
+    {
+      fwd_count_answer (call, call->peer, true);
+      take_unknown (call, call->peer, answer->reason);
+    }
 }
 
 /* Adds a part to an answer that came in several frames.  */
--- /dev/null
+++ b/src/fwd/fwd_version.c
@@ -0,0 +1,66 @@
+/* Versions of a service's upstreams during a roll-out; see rol_split.h.  */
+
+#include "fwd/fwd_internal.h"
+
+#include <string.h>
+
+void
+fwd_choose_side (struct fwd_call *call)
+{
+  struct rol *rollouts = call->forwarder->parts.rollouts;
+
+  if (rollouts == NULL)
+    return;
+  call->side = call->is_placed ? rol_place_again (rollouts, call->service)
+                               : rol_begin_call (rollouts, call->service);
+  call->is_placed = true;
+}
+
+bool
+fwd_change_side (struct fwd_call *call)
+{
+  enum rol_side before = call->side;
+
+  if (before != ROL_NEW)
+    return false;
+  call->side
+      = rol_find_no_room (call->forwarder->parts.rollouts, call->service);
+  return call->side != before;
+}
+
+bool
+fwd_allows (const struct fwd_call *call, dir_handle peer)
+{
+  return call->side == ROL_ANY
+         || rol_allows (call->forwarder->parts.rollouts, call->service,
+                        call->side, peer);
+}
+
+void
+fwd_count_answer (const struct fwd_call *call, dir_handle peer, bool bad)
+{
+  struct rol *rollouts = call->forwarder->parts.rollouts;
+
+  if (rollouts != NULL)
+    rol_count_answer (rollouts, call->service, peer, bad);
+}
+
+size_t
+fwd_count_other_calls (const struct fwd *forwarder, const char *service,
+                       const char *version)
+{
+  size_t count = 0;
+
+  for (const struct fwd_call *call = fwd_call_at (forwarder->calls.first);
+       call != NULL; call = fwd_call_at (call->list.next))
+    {
+      const struct mbr_member *member;
+
+      if (call->number == 0 || strcmp (call->service, service) != 0)
+        continue;
+      member = dir_get (forwarder->parts.directory, call->peer);
+      if (member != NULL && strcmp (member->version, version) != 0)
+        count++;
+    }
+  return count;
+}
--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -18,6 +18,10 @@
 /* A server that has just started takes about this many times as long.  */
 #define COLD_TIMES 2.
 
+/* A cancellation that comes this long before the deadline of its call was sent
+   at the deadline.  */
+#define DEADLINE_TOLERANCE (20 * CLK_MILLISECOND)
+
 static void on_expiry (void *context);
 
 struct gat *
@@ -109,7 +113,9 @@
   if (registration->state == REG_NONE
       || strcmp (registration->upstream.service, call->service) != 0)
     return GAT_NO_UPSTREAM;
-  if (registration->state == REG_LEAVING)
+  if (registration->state == REG_LEAVING
+      || (gate->hooks.is_withdrawn != NULL
+          && gate->hooks.is_withdrawn (gate->hooks.context)))
     return GAT_LEAVING;
   if (registration->state == REG_UNREACHABLE)
     return GAT_UNREACHABLE;
@@ -431,6 +437,10 @@
 static void
 cancel (struct gat_call *call)
 {
+  /* Its sender has given up at the deadline: the answer comes too late.  */
+  if (call->state == GAT_RUNNING
+      && evl_now (call->gate->loop) >= call->deadline - DEADLINE_TOLERANCE)
+    gat_count_answer (call, true);
   cnx_close (call->connection);
   gat_end_call (call);
 }
--- a/src/gat/gat.h
+++ b/src/gat/gat.h
@@ -45,6 +45,14 @@
     void (*on_unreachable) (void *context);
     /* Returns the configuration version that this node holds.  */
     uint64_t (*config_version) (void *context);
+    /* The upstream has answered a call of this route (a hash), or failed to:
+       BAD is true for a failure of its own, a lost or a damaged response.
+       ELAPSED is the time in a slot, ns.  May be null.  */
+    void (*answered) (void *context, uint32_t route, bool bad,
+                      clk_time elapsed);
+    /* Returns whether the upstream must get no calls although it takes them.
+       May be null.  */
+    bool (*is_withdrawn) (void *context);
   };
 
   /* Memory for the bodies that are held at the same time, in bytes.  */
--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -72,6 +72,7 @@
   uint64_t upstream_start_ms;   /* since the epoch */
   uint64_t upstream_count;      /* upstreams so far, this one included */
   clk_time latest;              /* see gat_set_end; CLK_NEVER: no end */
+  clk_time lost_at;             /* last lost connection that was counted */
   bool is_dequeuing;            /* inside gat_next */
   bool stopping;
 };
@@ -97,6 +98,9 @@
 /* Passes the upstream's response on and frees the call.  */
 void gat_answer (struct gat_call *call, const struct htp_message *response);
 
+/* Reports the end of a call that runs to the hook; see gat_hooks.  */
+void gat_count_answer (struct gat_call *call, bool bad);
+
 /* Frees a call and starts the next one.  */
 void gat_end_call (struct gat_call *call);
 
--- a/src/gat/gat_run.c
+++ b/src/gat/gat_run.c
@@ -27,6 +27,9 @@
 /* Longest part of a body in one frame, in bytes.  */
 #define PART_SIZE (128u * 1024u)
 
+/* Connections that are lost within this time count as one failure.  */
+#define LOSS_TIME (100 * CLK_MILLISECOND)
+
 /* Share of the upstream's idle time for which a connection is used again;
    later the upstream might close it while a call is on its way.  */
 #define KEEP_NUMERATOR 3
@@ -158,6 +161,30 @@
   return call->upstream != call->gate->upstream_count;
 }
 
+void
+gat_count_answer (struct gat_call *call, bool bad)
+{
+  struct gat *gate = call->gate;
+
+  if (gate->hooks.answered != NULL && !is_of_earlier_upstream (call))
+    gate->hooks.answered (gate->hooks.context, call->frame->call->route, bad,
+                          evl_now (gate->loop) - call->started);
+}
+
+/* Counts a lost connection.  An upstream that ends loses all its calls at
+   once; they count as one.  */
+static void
+count_loss (struct gat_call *call)
+{
+  struct gat *gate = call->gate;
+  clk_time now = evl_now (gate->loop);
+
+  if (gate->lost_at != 0 && now - gate->lost_at < LOSS_TIME)
+    return;
+  gate->lost_at = now;
+  gat_count_answer (call, true);
+}
+
 /* Learns from the end of a call in a slot.  */
 static void
 learn (struct gat_call *call, bool failed)
@@ -264,6 +291,7 @@
   cnx_close (call->connection);
   call->connection = NULL;
   learn (call, true);
+  gat_count_answer (call, true);
   gat_answer_unknown (call, "too many responses to other requests");
   return true;
 }
@@ -286,11 +314,14 @@
   if (says_not_run (gate, message))
     {
       learn (call, true);
+      if (message->status >= 500)
+        gat_count_answer (call, true);
       gat_refuse (call, GAT_SHED);
       return true;
     }
   fault = find_fault (gate, message);
   learn (call, fault != NULL || message->status >= 500);
+  gat_count_answer (call, fault != NULL || message->status >= 500);
   if (fault != NULL)
     gat_answer_unknown (call, fault);
   else
@@ -332,10 +363,16 @@
       gat_refuse (call, GAT_UNREACHABLE);
       gate->hooks.on_unreachable (gate->hooks.context);
     }
+  else if (failure == CNX_INVALID_RESPONSE)
+    {
+      gat_count_answer (call, true);
+      gat_answer_unknown (call, "the response cannot be read");
+    }
   else
-    gat_answer_unknown (call, failure == CNX_INVALID_RESPONSE
-                                  ? "the response cannot be read"
-                                  : "the connection was lost");
+    {
+      count_loss (call);
+      gat_answer_unknown (call, "the connection was lost");
+    }
 }
 
 static const struct cnx_handlers handlers = { on_response, on_failed };
@@ -411,6 +448,7 @@
   cnx_close (call->connection);
   call->connection = NULL;
   learn (call, true);
+  gat_count_answer (call, true);
   gat_answer_unknown (call, "the deadline passed");
 }
 
--- a/src/ptf/ptf.h
+++ b/src/ptf/ptf.h
@@ -70,6 +70,26 @@
     clk_time warmup_left; /* remaining warm-up time, ns */
   };
 
+  /* State of a roll-out in its status.  */
+  enum ptf_rollout_state
+  {
+    PTF_ROLLOUT_NO_STATE, /* missing, or a word that the mesh does not write */
+    PTF_ROLLOUT_RUNNING,
+    PTF_ROLLOUT_COMPLETED,
+    PTF_ROLLOUT_ROLLED_BACK
+  };
+
+  /* The operator's order to roll out a version of a service, and what its
+     status says.  */
+  struct ptf_rollout
+  {
+    char service[PTF_NAME_SIZE];
+    char version[PTF_NAME_SIZE];
+    double duration_s; /* as ordered; any number */
+    enum ptf_rollout_state state;
+    char status_version[PTF_NAME_SIZE]; /* "" if missing */
+  };
+
   /* An implementation of the interface.  */
   struct ptf_platform
   {
@@ -78,6 +98,7 @@
     const char *ready_target; /* request target of the readiness probe */
     const char *config_kind; /* kind of the operator's document in the store */
     const char *config_name; /* its name */
+    const char *rollout_kind; /* kind of the orders of roll-outs */
 
     /* Reads a request to the control address.  Fills in all of HEARTBEAT for
        PTF_CONTROL_HEARTBEAT, and name and start_ms for
@@ -93,6 +114,17 @@
     enum ptf_status (*read_config) (const json_t *content, uint64_t *version,
                                     struct doc_document **document);
 
+    /* Reads the object of a roll-out.  Returns PTF_INVALID with err_set when a
+       field of the order is missing or has another type.  A status that cannot
+       be read counts as missing.  */
+    enum ptf_status (*read_rollout) (const struct sto_object *object,
+                                     struct ptf_rollout *rollout);
+
+    /* Returns the status of a roll-out of VERSION as the content of an
+       STO_SET_STATUS.  The caller owns the reference.  */
+    json_t *(*make_rollout_status) (enum ptf_rollout_state state,
+                                    const char *version);
+
     /* Appends REQUEST to OUTPUT as an HTTP request to the store at HOST.  */
     void (*put_store_request) (const struct sto_request *request,
                                const char *host, struct buf *output);
--- /dev/null
+++ b/src/rol/rol_phase.c
@@ -0,0 +1,193 @@
+/* Phases of a roll-out.  */
+
+#include "rol/rol_phase.h"
+
+#include <string.h>
+
+/* Time before the deadline at which the verdict is taken, at least, and as
+   part of the duration.  Short roll-outs are decided at half of their time. */
+#define DECISION_TIME (4 * CLK_SECOND)
+#define DECISION_PART 4
+#define LONGEST_DECISION_PART 2
+
+/* Time before the deadline from which a switch is completed when all nodes
+   know of it; until then failures under the full load are awaited.  */
+#define COMPLETION_TIME (1500 * CLK_MILLISECOND)
+
+/* Time before the deadline at which a switch is completed although some nodes
+   have not reported.  */
+#define FORCED_TIME (500 * CLK_MILLISECOND)
+
+/* The same as times after the switch, for one that began late.  */
+#define SHORTEST_SWITCH CLK_SECOND
+#define LONGEST_LATE_SWITCH (2 * CLK_SECOND)
+
+static void
+set_phase (struct rol_run *run, enum rol_phase phase, clk_time now)
+{
+  if (phase == ROL_SWITCHING && run->phase < ROL_SWITCHING)
+    run->switched_at = now;
+  run->phase = phase;
+  run->phase_at = now;
+}
+
+static bool
+is_final_phase (enum rol_phase phase)
+{
+  return phase == ROL_COMPLETED || phase == ROL_ROLLED_BACK;
+}
+
+bool
+rol_is_final (const struct rol_run *run)
+{
+  return is_final_phase (run->order.stored);
+}
+
+bool
+rol_take_stored (struct rol_run *run, uint64_t revision, enum rol_phase stored,
+                 clk_time now)
+{
+  struct rol_order *order = &run->order;
+
+  if (revision > order->revision)
+    order->revision = revision;
+  if (rol_is_final (run) || stored <= order->stored)
+    return false;
+  order->stored = stored;
+  if (!is_final_phase (stored) || run->phase == stored)
+    return false;
+  set_phase (run, stored, now);
+  return true;
+}
+
+/* Starts a roll-out.  A finished one keeps its phase without a deadline.  */
+static void
+begin (struct rol_run *run, const struct rol_order *order, clk_time now)
+{
+  memset (run, 0, sizeof *run);
+  run->order = *order;
+  if (order->deadline == CLK_NEVER)
+    run->order.deadline = now + order->duration;
+  set_phase (run, is_final_phase (order->stored) ? order->stored : ROL_CANARY,
+             now);
+}
+
+/* Takes a message about the order that is known.  */
+static void
+renew (struct rol_run *run, const struct rol_order *order, clk_time now)
+{
+  struct rol_order *known = &run->order;
+  clk_time deadline = order->deadline;
+
+  if (order->revision > known->revision && order->duration != known->duration)
+    {
+      known->duration = order->duration;
+      known->deadline
+          = deadline != CLK_NEVER ? deadline : now + order->duration;
+    }
+  else if (order->duration == known->duration && deadline < known->deadline)
+    known->deadline = deadline;
+  rol_take_stored (run, order->revision, order->stored, now);
+}
+
+bool
+rol_take_order (struct rol_run *run, const struct rol_order *order,
+                clk_time now)
+{
+  if (run->phase != ROL_NONE
+      && strcmp (run->order.version, order->version) == 0)
+    {
+      renew (run, order, now);
+      return false;
+    }
+  if (run->phase != ROL_NONE && order->revision <= run->order.revision)
+    return false;
+  begin (run, order, now);
+  return true;
+}
+
+bool
+rol_take_phase (struct rol_run *run, enum rol_phase phase, clk_time now)
+{
+  if (phase <= run->phase || phase > ROL_ROLLED_BACK || rol_is_final (run))
+    return false;
+  set_phase (run, phase, now);
+  return true;
+}
+
+clk_time
+rol_decision_time (const struct rol_order *order)
+{
+  clk_time left = order->duration / DECISION_PART;
+
+  if (left < DECISION_TIME)
+    left = DECISION_TIME;
+  if (left > order->duration / LONGEST_DECISION_PART)
+    left = order->duration / LONGEST_DECISION_PART;
+  return order->deadline - left;
+}
+
+static clk_time
+later_of (clk_time first, clk_time second)
+{
+  return first > second ? first : second;
+}
+
+/* Returns whether a switch may begin.  It makes the share of the new version
+   grow, so it waits for the store; the part of the mesh that does not see most
+   nodes leaves it to the other.  */
+static bool
+may_switch (const struct rol_run *run, const struct rol_view *view,
+            clk_time now)
+{
+  return now >= rol_decision_time (&run->order) && view->has_upstreams
+         && view->sees_most && view->is_settled && view->store_is_current;
+}
+
+static bool
+may_complete (const struct rol_run *run, const struct rol_view *view,
+              clk_time now)
+{
+  clk_time deadline = run->order.deadline;
+  clk_time earliest = later_of (deadline - COMPLETION_TIME,
+                                run->switched_at + SHORTEST_SWITCH);
+  clk_time forced = later_of (deadline - FORCED_TIME,
+                              run->switched_at + LONGEST_LATE_SWITCH);
+
+  if (!view->sees_most || !view->is_settled || now < earliest)
+    return false;
+  return (view->all_know && view->old_is_idle) || now >= forced;
+}
+
+bool
+rol_decide (struct rol_run *run, const struct rol_view *view, clk_time now)
+{
+  bool lacks_upstreams = !view->has_upstreams && view->is_settled
+                         && (run->phase == ROL_SWITCHING
+                             || now >= run->order.deadline - FORCED_TIME);
+
+  if (run->phase == ROL_NONE || run->phase == ROL_ROLLED_BACK
+      || rol_is_final (run))
+    return false;
+  if (view->verdict == ROL_BAD
+      || (lacks_upstreams && run->phase != ROL_COMPLETED))
+    set_phase (run, ROL_ROLLED_BACK, now);
+  else if (run->phase == ROL_CANARY && may_switch (run, view, now))
+    set_phase (run, ROL_SWITCHING, now);
+  else if (run->phase == ROL_SWITCHING && may_complete (run, view, now))
+    set_phase (run, ROL_COMPLETED, now);
+  else
+    return false;
+  return true;
+}
+
+enum rol_phase
+rol_state_to_write (const struct rol_run *run)
+{
+  enum rol_phase state = is_final_phase (run->phase) ? run->phase : ROL_CANARY;
+
+  if (run->phase == ROL_NONE || rol_is_final (run)
+      || run->order.stored == state)
+    return ROL_NONE;
+  return state;
+}
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -12,6 +12,7 @@
 #include "prb/prb.h"
 #include "pub/pub.h"
 #include "reg/reg.h"
+#include "rol/rol.h"
 #include "sdc/sdc.h"
 #include "snp/snp.h"
 #include "srv/srv.h"
@@ -57,8 +58,11 @@
   struct srv *metrics_server;
   struct wch *config_watch;
   struct wch *node_watch;
-  struct prb *probe;        /* probes the store while this node watches it */
-  struct hck *health_check; /* of a restored upstream; see sdc_confirm.c */
+  struct rol *rollouts;      /* null: the setting is off */
+  struct wch *rollout_watch; /* null with it */
+  bool has_unknown_orders;   /* of services that the configuration lacks */
+  struct prb *probe;         /* probes the store while this node watches it */
+  struct hck *health_check;  /* of a restored upstream; see sdc_confirm.c */
   struct pub *publisher;
   struct syn *sync;
   struct snp_snapshot *snapshot;
@@ -88,6 +92,7 @@
 /* Handlers of the watches of the store and of the publisher.  */
 extern const struct wch_handlers sdc_config_handlers;
 extern const struct wch_handlers sdc_node_handlers;
+extern const struct wch_handlers sdc_rollout_handlers;
 extern const struct pub_handlers sdc_publish_handlers;
 
 /* Handlers of the servers for heartbeats, probes and metrics.  */
@@ -99,6 +104,16 @@
    reachable.  */
 void sdc_handle_probe_result (void *context, bool reachable);
 
+/* Creates the roll-outs and their watch if the setting is on.  */
+void sdc_create_rollouts (struct sdc *sidecar);
+
+/* Starts the watch of roll-outs if this node watches the store and has a
+   configuration; lists them again when a service may be new.  */
+void sdc_start_rollout_watch (struct sdc *sidecar);
+
+/* Stops the watch of roll-outs.  */
+void sdc_stop_rollout_watch (struct sdc *sidecar);
+
 /* Returns the hooks of the propagation between nodes.  */
 struct syn_hooks sdc_sync_hooks (struct sdc *sidecar);
 
--- a/src/sdc/sdc_join.c
+++ b/src/sdc/sdc_join.c
@@ -251,12 +251,14 @@
     {
       wch_start (sidecar->config_watch);
       wch_start (sidecar->node_watch);
+      sdc_start_rollout_watch (sidecar);
       prb_start (sidecar->probe);
       return;
     }
   prb_stop (sidecar->probe);
   wch_stop (sidecar->config_watch);
   wch_stop (sidecar->node_watch);
+  sdc_stop_rollout_watch (sidecar);
   syn_set_platform_status (sidecar->sync, REL_PLATFORM_UNKNOWN);
 }
 
@@ -276,12 +278,22 @@
   sdc_send_acks (sidecar);
 }
 
+static void
+on_subscribed (void *context, struct hub_inbound_link *inbound)
+{
+  struct sdc *sidecar = context;
+
+  if (sidecar->rollouts != NULL)
+    rol_greet (sidecar->rollouts, inbound);
+}
+
 struct syn_hooks
 sdc_sync_hooks (struct sdc *sidecar)
 {
   struct syn_hooks hooks
       = { sidecar,          on_version_received, on_member_received,
-          on_watch_changed, on_peer_suspected,   on_record_acknowledged };
+          on_watch_changed, on_peer_suspected,   on_record_acknowledged,
+          on_subscribed };
 
   return hooks;
 }
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -53,7 +53,9 @@
       sdc_handle_hello (sidecar, frame->hello);
       return false;
     }
-  if (syn_handle_request (sidecar->sync, inbound, frame))
+  if (syn_handle_request (sidecar->sync, inbound, frame)
+      || (sidecar->rollouts != NULL
+          && rol_handle_request (sidecar->rollouts, inbound, frame)))
     return false;
   gat_handle_frame (sidecar->gate, inbound, frame);
   return true;
@@ -66,7 +68,9 @@
 
   if (frame->body_case == MESH__FRAME__BODY_ANSWER)
     syn_note_peer_version (sidecar->sync, peer, frame->answer->config_version);
-  if (syn_handle_reply (sidecar->sync, peer, frame))
+  if (syn_handle_reply (sidecar->sync, peer, frame)
+      || (sidecar->rollouts != NULL
+          && rol_handle_reply (sidecar->rollouts, frame)))
     return false;
   return fwd_handle_reply (sidecar->forwarder, peer, frame);
 }
@@ -78,6 +82,8 @@
 
   gat_handle_inbound_closed (sidecar->gate, inbound);
   syn_remove_subscriber (sidecar->sync, inbound);
+  if (sidecar->rollouts != NULL)
+    rol_handle_inbound_closed (sidecar->rollouts, inbound);
 }
 
 static void
@@ -149,6 +155,23 @@
   return sdc_config_version (context);
 }
 
+static void
+on_answered (void *context, uint32_t route, bool bad, clk_time elapsed)
+{
+  struct sdc *sidecar = context;
+
+  if (sidecar->rollouts != NULL)
+    rol_count_run (sidecar->rollouts, route, bad, elapsed);
+}
+
+static bool
+is_withdrawn (void *context)
+{
+  struct sdc *sidecar = context;
+
+  return sidecar->rollouts != NULL && rol_is_withdrawn (sidecar->rollouts);
+}
+
 static void
 fill_record (struct sdc *sidecar)
 {
@@ -195,8 +218,10 @@
 {
   const struct cfg_sidecar *settings = &sidecar->settings;
   struct evl *loop = sidecar->loop;
-  struct gat_hooks gate_hooks
-      = { sidecar, send_reply, on_upstream_unreachable, get_config_version };
+  struct gat_hooks gate_hooks = {
+    sidecar,     send_reply,  on_upstream_unreachable, get_config_version,
+    on_answered, is_withdrawn
+  };
   struct syn_hooks sync_hooks = sdc_sync_hooks (sidecar);
   size_t memory = (size_t)settings->memory_mb * 1024 * 1024;
   struct gat_memory gate_memory = { memory / SDC_REQUEST_MEMORY_DIVISOR,
@@ -220,7 +245,9 @@
       = sto_create (loop, settings->platform_address, sidecar->platform);
   sidecar->gate = gat_create (loop, sidecar->platform, &sidecar->registration,
                               &gate_hooks, &gate_memory);
+  sdc_create_rollouts (sidecar);
   options.hub = sidecar->hub;
+  options.rollouts = sidecar->rollouts;
   sidecar->forwarder = fwd_create (&options);
   sidecar->publisher
       = pub_create (loop, sidecar->store, &sdc_publish_handlers, sidecar);
@@ -258,6 +285,8 @@
   srv_destroy (sidecar->metrics_server);
   fwd_destroy (sidecar->forwarder);
   gat_destroy (sidecar->gate);
+  wch_destroy (sidecar->rollout_watch);
+  rol_destroy (sidecar->rollouts);
   sto_destroy (sidecar->store);
   syn_destroy (sidecar->sync);
   hub_destroy (sidecar->hub);
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -55,6 +55,7 @@
   log_write (LOG_INFO, "sdc", "version %" PRIu64 " is in effect",
              snapshot->stamp.version);
   sdc_confirm_upstream (sidecar);
+  sdc_start_rollout_watch (sidecar);
 }
 
 void
@@ -133,10 +134,14 @@
     {
       wch_resume (sidecar->config_watch);
       wch_resume (sidecar->node_watch);
+      if (sidecar->rollout_watch != NULL)
+        wch_resume (sidecar->rollout_watch);
       return;
     }
   wch_suspend (sidecar->config_watch);
   wch_suspend (sidecar->node_watch);
+  if (sidecar->rollout_watch != NULL)
+    wch_suspend (sidecar->rollout_watch);
 }
 
 const struct wch_handlers sdc_config_handlers
--- a/src/sto/sto_request.h
+++ b/src/sto/sto_request.h
@@ -23,7 +23,8 @@
     STO_WATCH,   /* waits for changes of a kind after a revision */
     STO_CREATE,  /* creates an object; STO_CONFLICT when the name is taken */
     STO_REPLACE, /* replaces the content of an object */
-    STO_REMOVE   /* removes an object */
+    STO_SET_STATUS, /* replaces the status of an object */
+    STO_REMOVE      /* removes an object */
   };
 
   struct sto_request
@@ -36,7 +37,8 @@
                           that the object must have, 0 for any */
     uint32_t wait_ms;  /* STO_WATCH: longest wait for a change */
     bool allow_stale;  /* reads: the reply may be seconds out of date */
-    const json_t *content; /* STO_CREATE, STO_REPLACE: the new content */
+    const json_t *content; /* STO_CREATE, STO_REPLACE: the new content;
+                              STO_SET_STATUS: the new status */
   };
 
   enum sto_status
@@ -63,6 +65,7 @@
     bool removed;          /* the object is removed or being removed */
     const json_t *content; /* owned by the reply; null: missing or unreadable
                             */
+    const json_t *status;  /* the same of the status */
   };
 
   struct sto_reply
--- a/src/syn/syn.c
+++ b/src/syn/syn.c
@@ -480,6 +480,7 @@
   if (message->directory != dir_digest (sync->directory))
     send_directory (sync, inbound);
   syn_push_version (sync, subscriber);
+  sync->hooks.subscribed (sync->hooks.context, inbound);
 }
 
 /* Returns whether the directory has exactly this record.  It has not when a
@@ -524,6 +525,14 @@
   hub_reply (sync->hub, source, &frame);
 }
 
+void
+syn_forward (struct syn *sync, const Mesh__Frame *frame)
+{
+  for (const struct syn_subscriber *subscriber = sync->subscribers;
+       subscriber != NULL; subscriber = subscriber->next)
+    hub_reply (sync->hub, subscriber->inbound, frame);
+}
+
 void
 syn_report_suspect (struct syn *sync, dir_handle peer)
 {
--- a/src/syn/syn.h
+++ b/src/syn/syn.h
@@ -37,6 +37,8 @@
     void (*peer_suspected) (void *context, dir_handle peer);
     /* A parent acknowledged this node's record with this sequence.  */
     void (*record_acknowledged) (void *context, uint64_t sequence);
+    /* A node has subscribed on INBOUND.  */
+    void (*subscribed) (void *context, struct hub_inbound_link *inbound);
   };
 
   /* Creates the propagation for the node SELF of DIRECTORY.  It has no parents
@@ -65,6 +67,9 @@
      node's own.  Parents acknowledge this node's own record.  */
   void syn_publish (struct syn *sync, const struct mbr_member *member);
 
+  /* Sends FRAME, of another module, to the subscribers.  */
+  void syn_forward (struct syn *sync, const Mesh__Frame *frame);
+
   /* Reports to the watchers that PEER is unreachable.  */
   void syn_report_suspect (struct syn *sync, dir_handle peer);
 
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -1447,6 +1447,141 @@
   assert(message->base.descriptor == &mesh__members_ack__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mesh__rollout__init
+                     (Mesh__Rollout         *message)
+{
+  static const Mesh__Rollout init_value = MESH__ROLLOUT__INIT;
+  *message = init_value;
+}
+size_t mesh__rollout__get_packed_size
+                     (const Mesh__Rollout *message)
+{
+  assert(message->base.descriptor == &mesh__rollout__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mesh__rollout__pack
+                     (const Mesh__Rollout *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mesh__rollout__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mesh__rollout__pack_to_buffer
+                     (const Mesh__Rollout *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mesh__rollout__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mesh__Rollout *
+       mesh__rollout__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mesh__Rollout *)
+     protobuf_c_message_unpack (&mesh__rollout__descriptor,
+                                allocator, len, data);
+}
+void   mesh__rollout__free_unpacked
+                     (Mesh__Rollout *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mesh__rollout__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mesh__rollout_count__init
+                     (Mesh__RolloutCount         *message)
+{
+  static const Mesh__RolloutCount init_value = MESH__ROLLOUT_COUNT__INIT;
+  *message = init_value;
+}
+size_t mesh__rollout_count__get_packed_size
+                     (const Mesh__RolloutCount *message)
+{
+  assert(message->base.descriptor == &mesh__rollout_count__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mesh__rollout_count__pack
+                     (const Mesh__RolloutCount *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mesh__rollout_count__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mesh__rollout_count__pack_to_buffer
+                     (const Mesh__RolloutCount *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mesh__rollout_count__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mesh__RolloutCount *
+       mesh__rollout_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mesh__RolloutCount *)
+     protobuf_c_message_unpack (&mesh__rollout_count__descriptor,
+                                allocator, len, data);
+}
+void   mesh__rollout_count__free_unpacked
+                     (Mesh__RolloutCount *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mesh__rollout_count__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mesh__rollout_report__init
+                     (Mesh__RolloutReport         *message)
+{
+  static const Mesh__RolloutReport init_value = MESH__ROLLOUT_REPORT__INIT;
+  *message = init_value;
+}
+size_t mesh__rollout_report__get_packed_size
+                     (const Mesh__RolloutReport *message)
+{
+  assert(message->base.descriptor == &mesh__rollout_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mesh__rollout_report__pack
+                     (const Mesh__RolloutReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mesh__rollout_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mesh__rollout_report__pack_to_buffer
+                     (const Mesh__RolloutReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mesh__rollout_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mesh__RolloutReport *
+       mesh__rollout_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mesh__RolloutReport *)
+     protobuf_c_message_unpack (&mesh__rollout_report__descriptor,
+                                allocator, len, data);
+}
+void   mesh__rollout_report__free_unpacked
+                     (Mesh__RolloutReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mesh__rollout_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mesh__frame__init
                      (Mesh__Frame         *message)
 {
@@ -4373,7 +4508,368 @@
   (ProtobufCMessageInit) mesh__members_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__frame__field_descriptors[19] =
+static const ProtobufCFieldDescriptor mesh__rollout__field_descriptors[9] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Rollout, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Rollout, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Rollout, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "phase",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Rollout, phase),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stored",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Rollout, stored),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "duration_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Rollout, duration_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Rollout, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_age_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Rollout, store_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from_owner",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Rollout, from_owner),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mesh__rollout__field_indices_by_name[] = {
+  5,   /* field[5] = duration_ms */
+  8,   /* field[8] = from_owner */
+  6,   /* field[6] = left_ms */
+  3,   /* field[3] = phase */
+  2,   /* field[2] = revision */
+  0,   /* field[0] = service */
+  7,   /* field[7] = store_age_ms */
+  4,   /* field[4] = stored */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange mesh__rollout__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor mesh__rollout__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mesh.Rollout",
+  "Rollout",
+  "Mesh__Rollout",
+  "mesh",
+  sizeof(Mesh__Rollout),
+  9,
+  mesh__rollout__field_descriptors,
+  mesh__rollout__field_indices_by_name,
+  1,  mesh__rollout__number_ranges,
+  (ProtobufCMessageInit) mesh__rollout__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__rollout_count__field_descriptors[5] =
+{
+  {
+    "route",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__RolloutCount, route),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answers",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__RolloutCount, answers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bad",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__RolloutCount, bad),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seconds",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__RolloutCount, seconds),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "squares",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__RolloutCount, squares),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mesh__rollout_count__field_indices_by_name[] = {
+  1,   /* field[1] = answers */
+  2,   /* field[2] = bad */
+  0,   /* field[0] = route */
+  3,   /* field[3] = seconds */
+  4,   /* field[4] = squares */
+};
+static const ProtobufCIntRange mesh__rollout_count__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mesh__rollout_count__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mesh.RolloutCount",
+  "RolloutCount",
+  "Mesh__RolloutCount",
+  "mesh",
+  sizeof(Mesh__RolloutCount),
+  5,
+  mesh__rollout_count__field_descriptors,
+  mesh__rollout_count__field_indices_by_name,
+  1,  mesh__rollout_count__number_ranges,
+  (ProtobufCMessageInit) mesh__rollout_count__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__rollout_report__field_descriptors[8] =
+{
+  {
+    "rollout",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__RolloutReport, rollout),
+    &mesh__rollout__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__RolloutReport, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__RolloutReport, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__RolloutReport, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "old_calls",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__RolloutReport, old_calls),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gate_version",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__RolloutReport, gate_version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gate_calls",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__RolloutReport, gate_calls),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "counts",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__RolloutReport, n_counts),
+    offsetof(Mesh__RolloutReport, counts),
+    &mesh__rollout_count__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mesh__rollout_report__field_indices_by_name[] = {
+  7,   /* field[7] = counts */
+  6,   /* field[6] = gate_calls */
+  5,   /* field[5] = gate_version */
+  2,   /* field[2] = incarnation */
+  1,   /* field[1] = node */
+  3,   /* field[3] = number */
+  4,   /* field[4] = old_calls */
+  0,   /* field[0] = rollout */
+};
+static const ProtobufCIntRange mesh__rollout_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor mesh__rollout_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mesh.RolloutReport",
+  "RolloutReport",
+  "Mesh__RolloutReport",
+  "mesh",
+  sizeof(Mesh__RolloutReport),
+  8,
+  mesh__rollout_report__field_descriptors,
+  mesh__rollout_report__field_indices_by_name,
+  1,  mesh__rollout_report__number_ranges,
+  (ProtobufCMessageInit) mesh__rollout_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mesh__frame__field_descriptors[22] =
 {
   {
     "hello",
@@ -4603,6 +5099,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollout_order",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, rollout_order),
+    &mesh__rollout__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rollout_report",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, rollout_report),
+    &mesh__rollout_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rollout_state",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mesh__Frame, body_case),
+    offsetof(Mesh__Frame, rollout_state),
+    &mesh__rollout__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__frame__field_indices_by_name[] = {
   4,   /* field[4] = answer */
@@ -4621,14 +5153,18 @@
   7,   /* field[7] = query */
   8,   /* field[8] = query_reply */
   1,   /* field[1] = refusal */
+  19,   /* field[19] = rollout_order */
+  20,   /* field[20] = rollout_report */
+  21,   /* field[21] = rollout_state */
   14,   /* field[14] = subscribe */
   18,   /* field[18] = suspect */
   9,   /* field[9] = window_grant */
 };
-static const ProtobufCIntRange mesh__frame__number_ranges[1 + 1] =
+static const ProtobufCIntRange mesh__frame__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 22, 19 },
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor mesh__frame__descriptor =
 {
@@ -4638,10 +5174,10 @@
   "Mesh__Frame",
   "mesh",
   sizeof(Mesh__Frame),
-  19,
+  22,
   mesh__frame__field_descriptors,
   mesh__frame__field_indices_by_name,
-  1,  mesh__frame__number_ranges,
+  2,  mesh__frame__number_ranges,
   (ProtobufCMessageInit) mesh__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -47,6 +47,9 @@
 typedef struct Mesh__Members Mesh__Members;
 typedef struct Mesh__Suspect Mesh__Suspect;
 typedef struct Mesh__MembersAck Mesh__MembersAck;
+typedef struct Mesh__Rollout Mesh__Rollout;
+typedef struct Mesh__RolloutCount Mesh__RolloutCount;
+typedef struct Mesh__RolloutReport Mesh__RolloutReport;
 typedef struct Mesh__Frame Mesh__Frame;
 
 
@@ -872,6 +875,116 @@
     , 0 }
 
 
+/*
+ * A roll-out as its sender knows it.
+ */
+struct  Mesh__Rollout
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * to roll out
+   */
+  char *version;
+  /*
+   * of the operator's order in the store
+   */
+  uint64_t revision;
+  /*
+   * enum rol_phase
+   */
+  uint32_t phase;
+  /*
+   * enum rol_phase: status in the store
+   */
+  uint32_t stored;
+  /*
+   * as ordered
+   */
+  uint64_t duration_ms;
+  /*
+   * time until the deadline
+   */
+  int64_t left_ms;
+  /*
+   * Time in ms since a watcher of the store that gets answers sent the order.
+   */
+  uint32_t store_age_ms;
+  /*
+   * the sender takes itself to be the owner
+   */
+  protobuf_c_boolean from_owner;
+};
+#define MESH__ROLLOUT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mesh__rollout__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Answers of one version on one route, since the sender knows of the roll-out.
+ */
+struct  Mesh__RolloutCount
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the route
+   */
+  uint32_t route;
+  uint64_t answers;
+  uint64_t bad;
+  /*
+   * sum of the times in a slot of good answers, s
+   */
+  double seconds;
+  /*
+   * sum of their squares, s^2
+   */
+  double squares;
+};
+#define MESH__ROLLOUT_COUNT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mesh__rollout_count__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * Report of a node to the owner of a roll-out.  Counts are cumulative.
+ */
+struct  Mesh__RolloutReport
+{
+  ProtobufCMessage base;
+  Mesh__Rollout *rollout;
+  /*
+   * name of the sender
+   */
+  char *node;
+  /*
+   * of the sender
+   */
+  uint64_t incarnation;
+  /*
+   * increases with each report of the sender
+   */
+  uint64_t number;
+  /*
+   * calls of the sender at the old version
+   */
+  uint32_t old_calls;
+  /*
+   * Of the gate, when its upstream has the service of the roll-out.
+   */
+  char *gate_version;
+  /*
+   * calls that run or wait there
+   */
+  uint32_t gate_calls;
+  size_t n_counts;
+  Mesh__RolloutCount **counts;
+};
+#define MESH__ROLLOUT_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mesh__rollout_report__descriptor) \
+    , NULL, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
 typedef enum {
   MESH__FRAME__BODY__NOT_SET = 0,
   MESH__FRAME__BODY_HELLO = 1,
@@ -892,7 +1005,10 @@
   MESH__FRAME__BODY_MEMBERS = 16,
   MESH__FRAME__BODY_MEMBERS_ACK = 17,
   MESH__FRAME__BODY_PUSH = 18,
-  MESH__FRAME__BODY_SUSPECT = 19
+  MESH__FRAME__BODY_SUSPECT = 19,
+  MESH__FRAME__BODY_ROLLOUT_ORDER = 22,
+  MESH__FRAME__BODY_ROLLOUT_REPORT = 23,
+  MESH__FRAME__BODY_ROLLOUT_STATE = 24
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MESH__FRAME__BODY__CASE)
 } Mesh__Frame__BodyCase;
 
@@ -926,6 +1042,18 @@
      */
     Mesh__FetchReply *push;
     Mesh__Suspect *suspect;
+    /*
+     * passed on to subscribers
+     */
+    Mesh__Rollout *rollout_order;
+    /*
+     * to the owner
+     */
+    Mesh__RolloutReport *rollout_report;
+    /*
+     * the answer of the owner
+     */
+    Mesh__Rollout *rollout_state;
   };
 };
 #define MESH__FRAME__INIT \
@@ -1541,6 +1669,63 @@
 void   mesh__members_ack__free_unpacked
                      (Mesh__MembersAck *message,
                       ProtobufCAllocator *allocator);
+/* Mesh__Rollout methods */
+void   mesh__rollout__init
+                     (Mesh__Rollout         *message);
+size_t mesh__rollout__get_packed_size
+                     (const Mesh__Rollout   *message);
+size_t mesh__rollout__pack
+                     (const Mesh__Rollout   *message,
+                      uint8_t             *out);
+size_t mesh__rollout__pack_to_buffer
+                     (const Mesh__Rollout   *message,
+                      ProtobufCBuffer     *buffer);
+Mesh__Rollout *
+       mesh__rollout__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mesh__rollout__free_unpacked
+                     (Mesh__Rollout *message,
+                      ProtobufCAllocator *allocator);
+/* Mesh__RolloutCount methods */
+void   mesh__rollout_count__init
+                     (Mesh__RolloutCount         *message);
+size_t mesh__rollout_count__get_packed_size
+                     (const Mesh__RolloutCount   *message);
+size_t mesh__rollout_count__pack
+                     (const Mesh__RolloutCount   *message,
+                      uint8_t             *out);
+size_t mesh__rollout_count__pack_to_buffer
+                     (const Mesh__RolloutCount   *message,
+                      ProtobufCBuffer     *buffer);
+Mesh__RolloutCount *
+       mesh__rollout_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mesh__rollout_count__free_unpacked
+                     (Mesh__RolloutCount *message,
+                      ProtobufCAllocator *allocator);
+/* Mesh__RolloutReport methods */
+void   mesh__rollout_report__init
+                     (Mesh__RolloutReport         *message);
+size_t mesh__rollout_report__get_packed_size
+                     (const Mesh__RolloutReport   *message);
+size_t mesh__rollout_report__pack
+                     (const Mesh__RolloutReport   *message,
+                      uint8_t             *out);
+size_t mesh__rollout_report__pack_to_buffer
+                     (const Mesh__RolloutReport   *message,
+                      ProtobufCBuffer     *buffer);
+Mesh__RolloutReport *
+       mesh__rollout_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mesh__rollout_report__free_unpacked
+                     (Mesh__RolloutReport *message,
+                      ProtobufCAllocator *allocator);
 /* Mesh__Frame methods */
 void   mesh__frame__init
                      (Mesh__Frame         *message);
@@ -1658,6 +1843,15 @@
 typedef void (*Mesh__MembersAck_Closure)
                  (const Mesh__MembersAck *message,
                   void *closure_data);
+typedef void (*Mesh__Rollout_Closure)
+                 (const Mesh__Rollout *message,
+                  void *closure_data);
+typedef void (*Mesh__RolloutCount_Closure)
+                 (const Mesh__RolloutCount *message,
+                  void *closure_data);
+typedef void (*Mesh__RolloutReport_Closure)
+                 (const Mesh__RolloutReport *message,
+                  void *closure_data);
 typedef void (*Mesh__Frame_Closure)
                  (const Mesh__Frame *message,
                   void *closure_data);
@@ -1699,6 +1893,9 @@
 extern const ProtobufCMessageDescriptor mesh__members__descriptor;
 extern const ProtobufCMessageDescriptor mesh__suspect__descriptor;
 extern const ProtobufCMessageDescriptor mesh__members_ack__descriptor;
+extern const ProtobufCMessageDescriptor mesh__rollout__descriptor;
+extern const ProtobufCMessageDescriptor mesh__rollout_count__descriptor;
+extern const ProtobufCMessageDescriptor mesh__rollout_report__descriptor;
 extern const ProtobufCMessageDescriptor mesh__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/standins/lib/sst.c
+++ b/standins/lib/sst.c
@@ -14,7 +14,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#define MAX_OBJECTS 4096
+#define MAX_OBJECTS 12288
 #define MAX_EVENTS 1024
 #define MAX_FAULTS 64
 #define NAME_SIZE 128
@@ -32,6 +32,7 @@
   uint64_t revision;
   uint64_t created;
   json_t *spec;
+  json_t *status; /* null: none */
 };
 
 /* One change.  */
@@ -78,7 +79,8 @@
   struct lst waiting;
   uint64_t calls;
   uint64_t writes;
-  size_t page_size; /* 0: all objects in one page */
+  uint64_t status_writes; /* that took effect */
+  size_t page_size;       /* 0: all objects in one page */
   bool stale_lists_limited;
   size_t stale_count;     /* objects of a stale list */
   char *texts[MAX_TEXTS]; /* contents that are sent as they stand */
@@ -93,11 +95,11 @@
 static json_t *
 object_json (const struct object *object)
 {
-  return json_pack ("{s:{s:s, s:I, s:I, s:[], s:b}, s:O, s:n}", PFM_METADATA,
+  return json_pack ("{s:{s:s, s:I, s:I, s:[], s:b}, s:O, s:O?}", PFM_METADATA,
                     PFM_NAME, object->name, PFM_REVISION,
                     (json_int_t)object->revision, "CreatedRev",
                     (json_int_t)object->created, "Finalizers", PFM_DELETING, 0,
-                    PFM_SPEC, object->spec, PFM_STATUS);
+                    PFM_SPEC, object->spec, PFM_STATUS, object->status);
 }
 
 static struct object *
@@ -268,6 +270,7 @@
                * sizeof *object);
   wake_watches (store, copy.kind);
   json_decref (copy.spec);
+  json_decref (copy.status);
 }
 
 /* Copies the value of a query parameter.  Returns false when there is none. */
@@ -472,6 +475,51 @@
   json_decref (root);
 }
 
+/* Replaces the status of an object.  */
+static void
+write_status (struct sst *store, struct srv_connection *connection,
+              const char *kind, const char *name,
+              const struct htp_message *message)
+{
+  json_t *root
+      = json_loadb (buf_text (&message->body), message->body.length, 0, NULL);
+  const json_t *metadata = json_object_get (root, PFM_METADATA);
+  uint64_t revision = (uint64_t)json_integer_value (
+      json_object_get (metadata, PFM_REVISION));
+  json_t *status = json_object_get (root, PFM_STATUS);
+  struct object *object = find_object (store, kind, name);
+
+  if (status == NULL)
+    answer (store, connection, 400, NULL);
+  else if (object == NULL)
+    answer (store, connection, 404, NULL);
+  else if (!refuse_condition (store, connection, object, revision))
+    {
+      store->status_writes++;
+      store->revision++;
+      json_decref (object->status);
+      object->status = json_incref (status);
+      object->revision = store->revision;
+      add_change (store, object, false);
+      wake_watches (store, kind);
+      answer (store, connection, 200, object_json (object));
+    }
+  json_decref (root);
+}
+
+/* Cuts the path of a status off a name.  Returns whether it had one.  */
+static bool
+cut_status (char *name)
+{
+  size_t length = strlen (name);
+  size_t end = strlen (PFM_STATUS_PATH);
+
+  if (length <= end || strcmp (name + length - end, PFM_STATUS_PATH) != 0)
+    return false;
+  name[length - end] = '\0';
+  return true;
+}
+
 static void
 remove_call (struct sst *store, struct srv_connection *connection,
              struct object *object, const char *target)
@@ -509,7 +557,9 @@
       *name++ = '\0';
       decode_escapes (name);
     }
-  if (message->method == HTTP_POST || message->method == HTTP_PUT)
+  if (message->method == HTTP_PUT && name != NULL && cut_status (name))
+    write_status (store, connection, path, name, message);
+  else if (message->method == HTTP_POST || message->method == HTTP_PUT)
     write_object (store, connection, path, name, message);
   else if (message->method == HTTP_DELETE && name != NULL)
     remove_call (store, connection, find_object (store, path, name), target);
@@ -654,7 +704,10 @@
     free_waiting (waiting_at (link));
   srv_destroy (store->server);
   for (size_t i = 0; i < store->object_count; i++)
-    json_decref (store->objects[i].spec);
+    {
+      json_decref (store->objects[i].spec);
+      json_decref (store->objects[i].status);
+    }
   for (size_t i = 0; i < store->change_count; i++)
     json_decref (store->changes[i].event);
   for (size_t i = 0; i < store->text_count; i++)
@@ -826,3 +879,36 @@
 {
   return store->calls;
 }
+
+const json_t *
+sst_get_status (const struct sst *store, const char *kind, const char *name)
+{
+  const struct object *object = find_object (store, kind, name);
+
+  return object != NULL ? object->status : NULL;
+}
+
+void
+sst_put_status (struct sst *store, const char *kind, const char *name,
+                json_t *status)
+{
+  struct object *object = find_object (store, kind, name);
+
+  if (object == NULL)
+    {
+      json_decref (status);
+      return;
+    }
+  store->revision++;
+  json_decref (object->status);
+  object->status = status;
+  object->revision = store->revision;
+  add_change (store, object, false);
+  wake_watches (store, kind);
+}
+
+uint64_t
+sst_status_write_count (const struct sst *store)
+{
+  return store->status_writes;
+}
--- a/standins/lib/sst.h
+++ b/standins/lib/sst.h
@@ -80,6 +80,18 @@
   const json_t *sst_get (const struct sst *store, const char *kind,
                          const char *name);
 
+  /* Returns the status of an object, null when there is none.  */
+  const json_t *sst_get_status (const struct sst *store, const char *kind,
+                                const char *name);
+
+  /* Writes the status of an object as another writer does, at once and
+     whatever the fault; takes over STATUS.  */
+  void sst_put_status (struct sst *store, const char *kind, const char *name,
+                       json_t *status);
+
+  /* Returns the number of callers' writes of a status that took effect.  */
+  uint64_t sst_status_write_count (const struct sst *store);
+
   /* Returns the number of objects of a kind.  */
   size_t sst_count (const struct sst *store, const char *kind);
 
--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -29,6 +29,7 @@
   struct sup *upstream;
   struct srv_connection *connection;
   char id[NAME_SIZE];
+  bool is_spared; /* the fault is limited to other paths */
   struct evl_timer timer;
   struct lst_entry list;
   bool is_flood; /* it is answered without end */
@@ -42,8 +43,10 @@
   char name[NAME_SIZE];
   char service[NAME_SIZE];
   char data_centre[NAME_SIZE];
+  char version[NAME_SIZE];
   struct srv *server;
   enum sup_fault fault;
+  const char *fault_path; /* null: all */
   bool sends_late_copies;
   size_t body_size;
   char last_id[NAME_SIZE]; /* of the request answered or refused last */
@@ -238,9 +241,9 @@
 
 static void
 answer (struct sup *upstream, struct srv_connection *connection,
-        const char *id)
+        const char *id, enum sup_fault fault)
 {
-  switch (upstream->fault)
+  switch (fault)
     {
     case SUP_TRUNCATE:
       send_raw (connection, "HTTP/1.1 200 OK\r\n" PFM_REQUEST_ID ": ");
@@ -259,8 +262,8 @@
     default:
       break;
     }
-  start_answer (connection, upstream->fault == SUP_FAIL ? 500 : 200, id,
-                upstream->fault != SUP_UNSIGNED);
+  start_answer (connection, fault == SUP_FAIL ? 500 : 200, id,
+                fault != SUP_UNSIGNED);
   send_body (upstream, connection, id);
 }
 
@@ -306,6 +309,7 @@
   struct run *run = context;
   struct sup *upstream = run->upstream;
   struct srv_connection *connection = run->connection;
+  enum sup_fault fault = run->is_spared ? SUP_HEALTHY : upstream->fault;
   char id[NAME_SIZE];
 
   if (upstream->flood_filler != NULL)
@@ -316,7 +320,7 @@
   memcpy (id, run->id, sizeof id);
   note_last (upstream, connection, id, false);
   free_run (run);
-  answer (upstream, connection, id);
+  answer (upstream, connection, id, fault);
 }
 
 static void
@@ -384,6 +388,10 @@
       run->upstream = upstream;
       run->connection = connection;
       snprintf (run->id, sizeof run->id, "%s", id);
+      run->is_spared = upstream->fault_path != NULL
+                       && strncmp (htp_target (message), upstream->fault_path,
+                                   strlen (upstream->fault_path))
+                              != 0;
       lst_push_front (&upstream->runs, &run->list);
       upstream->running++;
       evl_timer_init (&run->timer, upstream->loop, on_done, run);
@@ -459,11 +467,12 @@
   buf_printf (&body,
               "{\"" PFM_ADDRESS "\":\"%s\",\"" PFM_BORN "\":%" PRIu64
               ",\"" PFM_INFO "\":{\"" PFM_SERVICE "\":\"%s\",\"" PFM_ZONE
-              "\":\"%s\",\"" PFM_VERSION "\":\"v1\",\"" PFM_SLOTS
+              "\":\"%s\",\"" PFM_SOFTWARE_VERSION "\":\"%s\",\"" PFM_SLOTS
               "\":%u},\"" PFM_STATUS "\":{\"" PFM_STATE "\":\"%s\",\"" PFM_SEQ
               "\":%" PRIu64 ",\"" PFM_COLD_LEFT_S "\":0}}",
               address, upstream->born, upstream->service,
-              upstream->data_centre, upstream->settings.slots,
+              upstream->data_centre, upstream->version,
+              upstream->settings.slots,
               upstream->draining ? PFM_STATE_DRAINING : PFM_STATE_READY,
               upstream->sequence);
   htp_put_header (output, "Content-Type", "application/json");
@@ -523,6 +532,8 @@
   snprintf (upstream->name, NAME_SIZE, "%s", settings->name);
   snprintf (upstream->service, NAME_SIZE, "%s", settings->service);
   snprintf (upstream->data_centre, NAME_SIZE, "%s", settings->data_centre);
+  snprintf (upstream->version, NAME_SIZE, "%s",
+            settings->version != NULL ? settings->version : "v1");
   evl_timer_init (&upstream->timer, loop, send_heartbeat, upstream);
   if (srv_create (loop, settings->address, &handlers, upstream, &limits,
                   &upstream->server)
@@ -566,6 +577,12 @@
   upstream->fault = fault;
 }
 
+void
+sup_set_fault_path (struct sup *upstream, const char *path)
+{
+  upstream->fault_path = path;
+}
+
 void
 sup_set_body_size (struct sup *upstream, size_t bytes)
 {
--- a/standins/lib/sup.h
+++ b/standins/lib/sup.h
@@ -24,6 +24,7 @@
     const char *name;
     const char *service;
     const char *data_centre;
+    const char *version; /* of its software; null: v1 */
     uint32_t slots;
     clk_time service_time;       /* time of a request, ns */
     clk_time heartbeat_interval; /* interval, ns */
@@ -63,6 +64,10 @@
   /* Sets the fault of the requests that follow.  */
   void sup_set_fault (struct sup *upstream, enum sup_fault fault);
 
+  /* Limits damaged, lost and failed responses to requests whose target begins
+     with PATH, null for all.  PATH must outlive the upstream.  */
+  void sup_set_fault_path (struct sup *upstream, const char *path);
+
   /* Sends a whole copy of the answer or refusal before, with its id, when the
      next request begins to run, or has no id.  */
   void sup_set_late_copies (struct sup *upstream, bool on);
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -1711,3 +1711,175 @@
   put_config (6);
   EXPECT_TRUE (run_until_converged (6, 1500));
 }
+
+/* Roll-outs of version v2 of the service orders, beside v1.  */
+class Rollouts : public SidecarMesh
+{
+protected:
+  Rollouts () { max_rollout_share = 0.1; }
+
+  /* Starts OLD and NEW upstreams of orders, and one VM of callers without an
+     upstream of orders.  */
+  void
+  start_mesh (size_t old_count = 3, size_t new_count = 3)
+  {
+    for (size_t i = 0; i < old_count; i++)
+      old_vms.push_back (add_vm ("orders", "a", "near", true));
+    caller = add_vm ("stock", "a", "near", true);
+    for (size_t i = 0; i < new_count; i++)
+      new_vms.push_back (add_vm ("orders", "a", "near", true, true, "v2"));
+    put_config (1);
+    ASSERT_TRUE (run_until_converged (1));
+    ASSERT_TRUE (run_until ([&] {
+      return status_of (caller, "/orders/") == 200
+             && status_of (old_vms[0], "/orders/") == 200;
+    }));
+    ASSERT_TRUE (run_until ([&] { return knows_versions (); }));
+  }
+
+  /* Returns whether every upstream has been announced with its version.  */
+  bool
+  knows_versions () const
+  {
+    return std::all_of (vms.begin (), vms.end (), [&] (const Vm &vm) {
+      const json_t *record = sst_get (store, "mesh-nodes", vm.name.c_str ());
+      const char *text
+          = json_string_value (json_object_get (record, "upstream"));
+
+      return text != nullptr && text[0] != '\0';
+    });
+  }
+
+  void
+  order (double seconds, const char *version = "v2")
+  {
+    sst_put (store, PFM_ROLLOUT_KIND, "orders",
+             json_pack ("{s:s, s:s, s:f}", PFM_SERVICE, "orders",
+                        PFM_TARGET_VERSION, version, PFM_DURATION_S, seconds));
+    ordered_at = evl_now (loop);
+  }
+
+  std::string
+  state () const
+  {
+    const char *text = json_string_value (json_object_get (
+        sst_get_status (store, PFM_ROLLOUT_KIND, "orders"), PFM_STATE));
+
+    return text != nullptr ? text : "";
+  }
+
+  uint64_t
+  arrivals (const std::vector<size_t> &indices) const
+  {
+    uint64_t sum = 0;
+
+    for (size_t i : indices)
+      if (vms[i].upstream != nullptr)
+        sum += sup_request_count (vms[i].upstream);
+    return sum;
+  }
+
+  /* Calls from all VMs with a sidecar, one after the other, until DONE or for
+     LIMIT_MS; counts answers by status.  */
+  bool
+  call_until (const std::function<bool ()> &done, int limit_ms,
+              const std::vector<std::string> &paths = { "/orders/" })
+  {
+    clk_time end = evl_now (loop) + limit_ms * CLK_MILLISECOND;
+    size_t next = 0;
+
+    while (!done () && evl_now (loop) < end)
+      {
+        std::vector<Peer> peers;
+
+        for (size_t i = 0; i < vms.size (); i++)
+          if (vms[i].sidecar != nullptr)
+            peers.push_back (send_call (i, paths[next++ % paths.size ()]));
+        run_until (
+            [&] {
+              bool all = true;
+
+              for (Peer &peer : peers)
+                {
+                  peer.receive ();
+                  all = all && response_status (peer) != 0;
+                }
+              return all;
+            },
+            1500);
+        for (const Peer &peer : peers)
+          {
+            calls++;
+            statuses[response_status (peer)]++;
+          }
+      }
+    return done ();
+  }
+
+  std::vector<size_t> old_vms;
+  std::vector<size_t> new_vms;
+  size_t caller = 0;
+  clk_time ordered_at = 0;
+  uint64_t calls = 0;
+  std::map<int, uint64_t> statuses;
+};
+
+/* Guards against requests that reach a version which was not ordered, also
+   when more upstreams have it than the one in use.  */
+TEST_F (Rollouts, NewVersionGetsNothingBeforeAnOrder)
+{
+  start_mesh (2, 2);
+  call_until ([] { return false; }, 1000);
+  EXPECT_GT (calls, 20u);
+  EXPECT_EQ (statuses[200], calls);
+  EXPECT_EQ (arrivals (new_vms), 0u);
+}
+
+/* Guards against a good version that is not completed in time, one that gets
+   too large a share before the decision, and calls that are cut when the old
+   upstreams end at "completed".  */
+TEST_F (Rollouts, GoodVersionIsCompleted)
+{
+  uint64_t decided_calls = 0;
+  uint64_t exposed = 0;
+
+  start_mesh ();
+  order (6);
+  ASSERT_TRUE (call_until (
+      [&] {
+        if (evl_now (loop) - ordered_at < 2900 * CLK_MILLISECOND)
+          {
+            decided_calls = calls;
+            exposed = arrivals (new_vms);
+          }
+        return state () == PFM_STATE_COMPLETED;
+      },
+      8000));
+  EXPECT_LE (evl_now (loop) - ordered_at, 6 * CLK_SECOND);
+  for (size_t i : old_vms)
+    kill_upstream (i);
+  call_until ([] { return false; }, 1000);
+  EXPECT_EQ (statuses[200], calls);
+  EXPECT_GT (exposed, 0u);
+  EXPECT_LE ((double)exposed, 0.1 * (double)decided_calls + 1);
+  EXPECT_EQ (sst_status_write_count (store), 2u);
+}
+
+/* Guards against a failing version that goes on to get requests.  */
+TEST_F (Rollouts, FailingVersionIsRolledBack)
+{
+  uint64_t before;
+
+  start_mesh ();
+  for (size_t i : new_vms)
+    sup_set_fault (vms[i].upstream, SUP_FAIL);
+  order (12);
+  ASSERT_TRUE (
+      call_until ([&] { return state () == PFM_STATE_ROLLED_BACK; }, 10000));
+  EXPECT_LT (arrivals (new_vms), 50u);
+  run_for (200);
+  before = arrivals (new_vms);
+  call_until ([] { return false; }, 1500);
+  EXPECT_EQ (arrivals (new_vms), before);
+  EXPECT_EQ (sst_status_write_count (store), 2u);
+}
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -59,6 +59,8 @@
   EXPECT_DOUBLE_EQ (settings.retry_ratio, 0.3);
   EXPECT_EQ (settings.retry_slack, 166);
   EXPECT_EQ (settings.retry_window, 12 * CLK_SECOND);
+  EXPECT_DOUBLE_EQ (settings.max_rollout_share, 0.1);
+  EXPECT_EQ (settings.rollback_time, 5 * CLK_SECOND);
 }
 
 /* Guards against a template that yields invalid settings when the platform
@@ -73,6 +75,7 @@
 
   EXPECT_TRUE (settings.first_start);
   EXPECT_DOUBLE_EQ (settings.cores, 1);
+  EXPECT_DOUBLE_EQ (settings.max_rollout_share, 0);
 }
 
 /* Guards against an example file that the program rejects.  */
--- a/tests/support/sidecar_mesh.cc
+++ b/tests/support/sidecar_mesh.cc
@@ -45,7 +45,8 @@
 size_t
 SidecarMesh::add_vm (const std::string &service,
                      const std::string &data_centre, const std::string &region,
-                     bool first_start, bool with_upstream)
+                     bool first_start, bool with_upstream,
+                     const std::string &version)
 {
   Vm vm;
 
@@ -53,6 +54,7 @@
   vm.data_centre = data_centre;
   vm.region = region;
   vm.service = service;
+  vm.version = version;
   vm.ip = 0x7f000101 + (uint32_t)vms.size ();
   vms.push_back (vm);
   start_sidecar (vms.size () - 1, first_start);
@@ -91,6 +93,8 @@
   settings.retry_ratio = 0.2;
   settings.retry_slack = retry_slack;
   settings.retry_window = 10 * CLK_SECOND;
+  settings.max_rollout_share = max_rollout_share;
+  settings.rollback_time = 5 * CLK_SECOND;
   vm.sidecar = sdc_create (loop, &settings, nullptr, &pfm_platform);
   ASSERT_NE (vm.sidecar, nullptr);
 }
@@ -116,6 +120,7 @@
   settings.name = name.c_str ();
   settings.service = vm.service.c_str ();
   settings.data_centre = vm.data_centre.c_str ();
+  settings.version = vm.version.c_str ();
   settings.slots = slots;
   settings.service_time = work;
   settings.heartbeat_interval = heartbeat;
--- a/tests/support/sidecar_mesh.h
+++ b/tests/support/sidecar_mesh.h
@@ -21,6 +21,7 @@
   std::string data_centre;
   std::string region;
   std::string service;
+  std::string version = "v1"; /* of its upstream's software */
   uint32_t ip = 0;
   struct sdc *sidecar = nullptr;
   struct sup *upstream = nullptr;
@@ -38,7 +39,7 @@
   size_t add_vm (const std::string &service,
                  const std::string &data_centre = "a",
                  const std::string &region = "r", bool first_start = false,
-                 bool with_upstream = true);
+                 bool with_upstream = true, const std::string &version = "v1");
 
   void start_sidecar (size_t vm, bool first_start = false);
   void kill_sidecar (size_t vm);
@@ -93,7 +94,8 @@
   clk_time heartbeat = 200 * CLK_MILLISECOND;
   clk_time grace = 6 * CLK_SECOND;
   int64_t retry_slack = 100;
-  double route_timeout_s = 0; /* of all routes; 0: the stand-in's */
+  double max_rollout_share = 0; /* 0: roll-outs are off */
+  double route_timeout_s = 0;   /* of all routes; 0: the stand-in's */
 
 private:
   uint64_t ids = 0;
