--- a/src/rol/rol.c
+++ b/src/rol/rol.c
@@ -654,8 +654,10 @@
 static void
 advance (struct rol *rollouts, struct rol_service *service, clk_time now)
 {
-  if (rollouts->store_current)
-    service->store_seen_at = now;
+  clk_time answered_at = sto_last_answer_time (rollouts->options.store);
+
+  if (answered_at > service->store_seen_at)
+    service->store_seen_at = answered_at;
   forward_store_news (rollouts, service);
   if (is_report_due (rollouts, service, now))
     {
--- a/src/rol/rol_internal.h
+++ b/src/rol/rol_internal.h
@@ -14,10 +14,6 @@
 /* Interval of the reports and decisions of a roll-out.  */
 #define ROL_REPORT_INTERVAL (200 * CLK_MILLISECOND)
 
-/* Recent period over which answers are judged besides the whole roll-out, in
-   decisions.  */
-#define ROL_RECENT_COUNT 10
-
 /* Routes by their place in counts; 0: the place is free.  */
 struct rol_routes
 {
@@ -72,10 +68,7 @@
   dir_handle reporter_count;
   struct rol_routes routes;
   struct rol_counts totals;
-  struct rol_counts recent[ROL_RECENT_COUNT]; /* totals at each decision */
-  size_t recent_count;
-  struct rol_counts at_switch; /* totals when the switch began */
-  bool has_switched;
+  struct rol_periods periods;
   struct rol_evidence evidence; /* of the last verdict */
 };
 
--- a/src/rol/rol_split.c
+++ b/src/rol/rol_split.c
@@ -41,7 +41,10 @@
           || (best != NULL && strcmp (version, best) == 0))
         continue;
       found = count_version (upstreams, count, version, &first);
-      if (found > best_count || (found == best_count && first < best_first))
+      if (found > best_count
+          || (found == best_count
+              && (first < best_first
+                  || (first == best_first && strcmp (version, best) < 0))))
         {
           best = version;
           best_count = found;
--- a/src/rol/rol_split.h
+++ b/src/rol/rol_split.h
@@ -69,8 +69,8 @@
   };
 
   /* Returns the version that most of COUNT upstreams have, of equal ones the
-     one that started first.  EXCLUDED is a version that does not count, or
-     null.  Returns null when there is none.  */
+     one that started first, and then the first by name.  EXCLUDED is a version
+     that does not count, or null.  Returns null when there is none.  */
   const char *rol_find_version (const struct rol_upstream *upstreams,
                                 size_t count, const char *excluded);
 
--- a/src/rol/rol_tally.c
+++ b/src/rol/rol_tally.c
@@ -202,61 +202,6 @@
   view->sees_most = 2 * reachable > dir_alive_count (directory);
 }
 
-/* Judges the counts of a period; the evidence of a bad verdict is kept.  */
-static enum rol_verdict
-judge_period (struct rol_tally *tally, const struct rol_counts *counts)
-{
-  struct rol_evidence evidence;
-  enum rol_verdict verdict = rol_judge (counts, &evidence);
-
-  if (verdict == ROL_BAD)
-    tally->evidence = evidence;
-  return verdict;
-}
-
-/* Judges the whole roll-out, the last two seconds of it, and the time since
-   the switch.  The old version gives no answers after the switch; those that
-   came before stand for it.  */
-static enum rol_verdict
-judge (struct rol_tally *tally, enum rol_phase phase)
-{
-  enum rol_verdict verdict = rol_judge (&tally->totals, &tally->evidence);
-  struct rol_counts period;
-
-  if (verdict == ROL_BAD)
-    return verdict;
-  if (tally->recent_count == ROL_RECENT_COUNT)
-    {
-      rol_subtract_counts (&tally->totals, &tally->recent[0], &period);
-      if (phase >= ROL_SWITCHING)
-        memcpy (period.old_version, tally->totals.old_version,
-                sizeof period.old_version);
-      if (judge_period (tally, &period) == ROL_BAD)
-        return ROL_BAD;
-    }
-  if (tally->has_switched)
-    {
-      rol_subtract_counts (&tally->totals, &tally->at_switch, &period);
-      memcpy (period.old_version, tally->totals.old_version,
-              sizeof period.old_version);
-      if (judge_period (tally, &period) == ROL_BAD)
-        return ROL_BAD;
-    }
-  return verdict;
-}
-
-static void
-remember (struct rol_tally *tally)
-{
-  if (tally->recent_count == ROL_RECENT_COUNT)
-    {
-      memmove (tally->recent, tally->recent + 1,
-               (ROL_RECENT_COUNT - 1) * sizeof *tally->recent);
-      tally->recent_count--;
-    }
-  tally->recent[tally->recent_count++] = tally->totals;
-}
-
 void
 rol_judge_service (struct rol *rollouts, struct rol_service *service)
 {
@@ -273,13 +218,9 @@
   tally = tally_of (service);
   if (tally->owner_since == CLK_NEVER)
     tally->owner_since = now;
-  if (service->run.phase >= ROL_SWITCHING && !tally->has_switched)
-    {
-      tally->at_switch = tally->totals;
-      tally->has_switched = true;
-    }
-  view.verdict = judge (tally, service->run.phase);
-  remember (tally);
+  view.verdict = rol_judge_periods (&tally->periods, &tally->totals,
+                                    service->run.phase >= ROL_SWITCHING,
+                                    &tally->evidence);
   view.has_upstreams = rol_current_plan (rollouts, service)->has_usable_target;
   view.is_settled = now - tally->owner_since >= SETTLING_TIME;
   view.store_is_current = now - service->store_seen_at < STORE_LIFETIME;
--- a/src/rol/rol_verdict.c
+++ b/src/rol/rol_verdict.c
@@ -3,11 +3,12 @@
 #include "rol/rol_verdict.h"
 
 #include <math.h>
+#include <string.h>
 
 /* Score of failures, in standard deviations, from which the new version is
    bad.  The counts are judged five times a second, for each route and over two
    periods, so a smaller one would be reached by chance.  */
-#define BAD_SCORE 4.
+#define BAD_SCORE 4.5
 
 /* Part of answers that the new version fails more than the old one below which
    the difference does not matter.  */
@@ -21,20 +22,31 @@
 #define SURE_TIME_RATIO 2.
 
 /* Standard errors by which the mean time may be wrong.  */
-#define TIME_ERRORS 2.5
+#define TIME_ERRORS 4.
 
 /* Good answers of either version below which their times are not compared.  */
-#define MIN_TIMED 8
+#define MIN_TIMED 15
 
 /* Difference of mean times that is not noticed by callers, s.  */
 #define MIN_TIME_DIFFERENCE 0.002
 
+/* A version that fails this part of its answers is bad if the old one fails at
+   most that part of this many answers at least; at small loads the score is
+   not reached.  */
+#define MOST_FAIL 0.5
+#define FEW_FAIL 0.05
+#define MIN_FEW_ANSWERS 20
+
+/* Answers of the old version shortly before the switch from which they stand
+   for it.  */
+#define MIN_BASELINE 40
+
 /* Answers of the new version from which one that is not bad is good.  */
 #define MIN_ANSWERS 20
 
 /* The old version fails alike when it fails this part of the new one's
    part.  */
-#define ALIKE 0.5
+#define ALIKE 0.35
 
 /* Answers of the old version that show whether it fails alike.  */
 #define MIN_ALIKE_ANSWERS 10
@@ -164,6 +176,20 @@
   return old_part < ALIKE * new_part;
 }
 
+/* Returns whether most answers of the new version fail and few of the old
+   one.  */
+static bool
+fails_mostly (const struct rol_count *old_version,
+              const struct rol_count *new_version)
+{
+  return new_version->bad >= ROL_MIN_BAD
+         && (double)new_version->bad
+                >= MOST_FAIL * (double)new_version->answers
+         && old_version->answers >= MIN_FEW_ANSWERS
+         && (double)old_version->bad
+                <= FEW_FAIL * (double)old_version->answers;
+}
+
 /* Finds the largest score and ratio of a route and of all routes.  */
 static void
 compare (const struct rol_counts *counts, struct rol_evidence *evidence)
@@ -202,6 +228,7 @@
   if (evidence != NULL)
     *evidence = found;
   if (found.failure_score >= BAD_SCORE || found.time_ratio >= BAD_TIME_RATIO
+      || fails_mostly (&found.old_version, &found.new_version)
       || rol_is_out_of_hand (&found.old_version, &found.new_version))
     return ROL_BAD;
   return found.new_version.answers >= MIN_ANSWERS ? ROL_GOOD : ROL_UNDECIDED;
@@ -230,3 +257,69 @@
                 &difference->new_version[i]);
     }
 }
+
+/* Judges what was added to TOTALS since BEFORE.  */
+static enum rol_verdict
+judge_since (const struct rol_periods *periods,
+             const struct rol_counts *totals, const struct rol_counts *before,
+             struct rol_evidence *evidence)
+{
+  struct rol_counts period;
+
+  rol_subtract_counts (totals, before, &period);
+  if (periods->has_switched)
+    memcpy (period.old_version, periods->baseline, sizeof period.old_version);
+  return rol_judge (&period, evidence);
+}
+
+static void
+remember (struct rol_periods *periods, const struct rol_counts *totals)
+{
+  if (periods->recent_count == ROL_RECENT_COUNT)
+    {
+      memmove (periods->recent, periods->recent + 1,
+               (ROL_RECENT_COUNT - 1) * sizeof *periods->recent);
+      periods->recent_count--;
+    }
+  periods->recent[periods->recent_count++] = *totals;
+}
+
+/* Notes the counts at the switch.  The last answers of the old version are the
+   ones to compare with, as the day may have become slow.  When they are too
+   few, the whole roll-out is judged.  */
+static void
+note_switch (struct rol_periods *periods, const struct rol_counts *totals)
+{
+  struct rol_counts recent;
+
+  periods->has_switched = true;
+  memcpy (periods->baseline, totals->old_version, sizeof periods->baseline);
+  if (periods->recent_count == 0)
+    return;
+  rol_subtract_counts (totals, &periods->recent[0], &recent);
+  if (rol_sum_counts (recent.old_version).answers < MIN_BASELINE)
+    return;
+  memcpy (periods->baseline, recent.old_version, sizeof periods->baseline);
+  periods->at_switch = *totals;
+}
+
+enum rol_verdict
+rol_judge_periods (struct rol_periods *periods,
+                   const struct rol_counts *totals, bool switched,
+                   struct rol_evidence *evidence)
+{
+  struct rol_evidence found;
+  enum rol_verdict verdict;
+
+  if (switched && !periods->has_switched)
+    note_switch (periods, totals);
+  verdict = judge_since (periods, totals, &periods->at_switch, evidence);
+  if (verdict != ROL_BAD && periods->recent_count == ROL_RECENT_COUNT
+      && judge_since (periods, totals, &periods->recent[0], &found) == ROL_BAD)
+    {
+      verdict = ROL_BAD;
+      *evidence = found;
+    }
+  remember (periods, totals);
+  return verdict;
+}
--- a/src/rol/rol_verdict.h
+++ b/src/rol/rol_verdict.h
@@ -58,6 +58,24 @@
     struct rol_count new_version[ROL_MAX_ROUTES];
   };
 
+/* Counts that are kept of the recent period, one a judgement.  */
+#define ROL_RECENT_COUNT 10
+
+  /* The periods over which counts are judged: the whole canary phase or the
+     whole time since the switch, and the last ROL_RECENT_COUNT judgements, so
+     that failures that begin late are not hidden by good answers before.
+     Zero-initialise.  */
+  struct rol_periods
+  {
+    struct rol_counts recent[ROL_RECENT_COUNT]; /* the oldest first */
+    size_t recent_count;
+    struct rol_counts at_switch; /* 0 before it, and at small loads */
+    /* What the old version answered shortly before the switch; stands for it
+       afterwards.  */
+    struct rol_count baseline[ROL_MAX_ROUTES];
+    bool has_switched;
+  };
+
   /* What decided a verdict, for the log.  */
   struct rol_evidence
   {
@@ -71,6 +89,13 @@
   enum rol_verdict rol_judge (const struct rol_counts *counts,
                               struct rol_evidence *evidence);
 
+  /* Judges TOTALS, which are cumulative, over all periods and adds them to the
+     recent ones.  SWITCHED: the old version gets no requests any more.  */
+  enum rol_verdict rol_judge_periods (struct rol_periods *periods,
+                                      const struct rol_counts *totals,
+                                      bool switched,
+                                      struct rol_evidence *evidence);
+
   /* Sets DIFFERENCE to what was added to BEFORE to give AFTER.  */
   void rol_subtract_counts (const struct rol_counts *after,
                             const struct rol_counts *before,
