--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -143,6 +143,10 @@
    may run the call; it is chosen.  */
 bool fwd_change_side (struct fwd_call *call);
 
+/* Returns the longest wait at the chosen upstream, given what its placement
+   allows: a call on trial does not wait for a slot of the new version.  */
+clk_time fwd_limit_wait (const struct fwd_call *call, clk_time max_wait);
+
 /* Returns whether the upstream of PEER has a version that may run the call. */
 bool fwd_allows (const struct fwd_call *call, dir_handle peer);
 
--- a/src/fwd/fwd_place.c
+++ b/src/fwd/fwd_place.c
@@ -188,7 +188,7 @@
           return;
         }
       peer = field->peers[choice.index];
-      if (fwd_send (call, peer, choice.max_wait))
+      if (fwd_send (call, peer, fwd_limit_wait (call, choice.max_wait)))
         return;
       fwd_exclude (call, peer);
     }
--- a/src/fwd/fwd_version.c
+++ b/src/fwd/fwd_version.c
@@ -4,6 +4,9 @@
 
 #include <string.h>
 
+/* Part of the time to the target for which a call on trial may wait.  */
+#define TRIAL_PART 10
+
 void
 fwd_choose_side (struct fwd_call *call)
 {
@@ -28,6 +31,19 @@
   return call->side != before;
 }
 
+clk_time
+fwd_limit_wait (const struct fwd_call *call, clk_time max_wait)
+{
+  clk_time limit
+      = (call->target - evl_now (call->forwarder->parts.loop)) / TRIAL_PART;
+
+  if (call->side != ROL_NEW || max_wait <= limit
+      || !rol_may_turn_back (call->forwarder->parts.rollouts, call->service,
+                             call->side))
+    return max_wait;
+  return limit > 0 ? limit : 0;
+}
+
 bool
 fwd_allows (const struct fwd_call *call, dir_handle peer)
 {
--- a/src/rol/rol.c
+++ b/src/rol/rol.c
@@ -24,6 +24,9 @@
    ROL_CONTACT_TIME.  */
 #define MAX_REPORT_INTERVAL (400 * CLK_MILLISECOND)
 
+/* Interval at which the owner is looked for.  */
+#define OWNER_INTERVAL (50 * CLK_MILLISECOND)
+
 /* Longest age of the store's last answer in messages.  */
 #define MAX_STORE_AGE (60 * CLK_SECOND)
 
@@ -130,22 +133,32 @@
   return hub_is_responsive (rollouts->options.hub, node);
 }
 
+/* Returns the owner, which is looked for among all nodes once an interval. */
 static dir_handle
-find_owner (const struct rol *rollouts, const struct rol_service *service)
+find_owner (const struct rol *rollouts, struct rol_service *service)
 {
-  return own_find_owner (rollouts->options.directory, "rollout", service->name,
-                         is_reachable, (void *)rollouts);
+  clk_time now = evl_now (rollouts->options.loop);
+
+  if (service->owner_found_at == 0
+      || now - service->owner_found_at >= OWNER_INTERVAL)
+    {
+      service->owner
+          = own_find_owner (rollouts->options.directory, "rollout",
+                            service->name, is_reachable, (void *)rollouts);
+      service->owner_found_at = now;
+    }
+  return service->owner;
 }
 
 bool
-rol_is_owner (const struct rol *rollouts, const struct rol_service *service)
+rol_is_owner (const struct rol *rollouts, struct rol_service *service)
 {
   return find_owner (rollouts, service) == rollouts->options.self;
 }
 
 void
-rol_fill_message (const struct rol *rollouts,
-                  const struct rol_service *service, Mesh__Rollout *message)
+rol_fill_message (const struct rol *rollouts, struct rol_service *service,
+                  Mesh__Rollout *message)
 {
   const struct rol_order *order = &service->run.order;
   clk_time now = evl_now (rollouts->options.loop);
@@ -499,7 +512,7 @@
 {
   for (size_t i = 0; i < rollouts->service_count; i++)
     {
-      const struct rol_service *service = rollouts->services[i];
+      struct rol_service *service = rollouts->services[i];
       Mesh__Frame frame = MESH__FRAME__INIT;
       Mesh__Rollout message;
 
--- a/src/rol/rol.h
+++ b/src/rol/rol.h
@@ -105,6 +105,11 @@
      side to try next; the same one when there is no other.  */
   enum rol_side rol_find_no_room (struct rol *rollouts, const char *service);
 
+  /* Returns whether a request of this side goes to the old version rather than
+     wait at the new one.  */
+  bool rol_may_turn_back (const struct rol *rollouts, const char *service,
+                          enum rol_side side);
+
   /* Returns whether the upstream of NODE may run a request of this side.  */
   bool rol_allows (struct rol *rollouts, const char *service,
                    enum rol_side side, dir_handle node);
--- a/src/rol/rol_internal.h
+++ b/src/rol/rol_internal.h
@@ -81,8 +81,10 @@
   struct rol_share share;
   struct rol_in_use in_use;
   struct rol_plan plan;
-  clk_time reported_at; /* to the owner */
-  uint64_t link;        /* of the report that awaits a reply */
+  clk_time reported_at;    /* to the owner */
+  dir_handle owner;        /* as found at OWNER_FOUND_AT */
+  clk_time owner_found_at; /* 0: never */
+  uint64_t link;           /* of the report that awaits a reply */
   bool awaits_reply;
   clk_time contact_at;    /* last message of an owner */
   clk_time store_seen_at; /* last time that the store was known to answer */
@@ -130,8 +132,7 @@
 bool rol_is_active (const struct rol_service *service);
 
 /* Fills in a message about a roll-out; its strings point into SERVICE.  */
-void rol_fill_message (const struct rol *rollouts,
-                       const struct rol_service *service,
+void rol_fill_message (const struct rol *rollouts, struct rol_service *service,
                        Mesh__Rollout *message);
 
 /* Sends the roll-out to the subscribers.  */
@@ -141,8 +142,7 @@
 void rol_report (struct rol *rollouts, struct rol_service *service);
 
 /* Returns whether this node is the owner.  */
-bool rol_is_owner (const struct rol *rollouts,
-                   const struct rol_service *service);
+bool rol_is_owner (const struct rol *rollouts, struct rol_service *service);
 
 /* Returns the place of a route in counts, adding it if there is room.  */
 size_t rol_find_route (struct rol_routes *routes, uint32_t hash);
--- a/src/rol/rol_phase.c
+++ b/src/rol/rol_phase.c
@@ -20,7 +20,12 @@
 
 /* The same as times after the switch, for one that began late.  */
 #define SHORTEST_SWITCH CLK_SECOND
-#define LONGEST_LATE_SWITCH (2 * CLK_SECOND)
+#define SHORTEST_FORCED (500 * CLK_MILLISECOND)
+#define LATE_FORCED (2 * CLK_SECOND)
+
+/* Deadlines in messages are rounded and age on their way; smaller differences
+   do not count, or two nodes would move them again and again.  */
+#define DEADLINE_TOLERANCE (50 * CLK_MILLISECOND)
 
 static void
 set_phase (struct rol_run *run, enum rol_phase phase, clk_time now)
@@ -85,17 +90,28 @@
       known->deadline
           = deadline != CLK_NEVER ? deadline : now + order->duration;
     }
-  else if (order->duration == known->duration && deadline < known->deadline)
+  else if (order->duration == known->duration
+           && deadline < known->deadline - DEADLINE_TOLERANCE)
     known->deadline = deadline;
   rol_take_stored (run, order->revision, order->stored, now);
 }
 
+/* Returns whether the operator has ordered the same version again: the object
+   was written since its final status, and has none any more.  */
+static bool
+is_ordered_again (const struct rol_run *run, const struct rol_order *order)
+{
+  return rol_is_final (run) && order->stored == ROL_NONE
+         && order->revision > run->order.revision;
+}
+
 bool
 rol_take_order (struct rol_run *run, const struct rol_order *order,
                 clk_time now)
 {
   if (run->phase != ROL_NONE
-      && strcmp (run->order.version, order->version) == 0)
+      && strcmp (run->order.version, order->version) == 0
+      && !is_ordered_again (run, order))
     {
       renew (run, order, now);
       return false;
@@ -151,12 +167,14 @@
   clk_time deadline = run->order.deadline;
   clk_time earliest = later_of (deadline - COMPLETION_TIME,
                                 run->switched_at + SHORTEST_SWITCH);
-  clk_time forced = later_of (deadline - FORCED_TIME,
-                              run->switched_at + LONGEST_LATE_SWITCH);
+  clk_time forced = deadline - FORCED_TIME;
 
-  if (!view->sees_most || !view->is_settled || now < earliest)
+  if (forced < run->switched_at + SHORTEST_FORCED)
+    forced = run->switched_at + LATE_FORCED;
+  if (!view->sees_most || !view->is_settled)
     return false;
-  return (view->all_know && view->old_is_idle) || now >= forced;
+  return now >= forced
+         || (now >= earliest && view->all_know && view->old_is_idle);
 }
 
 bool
--- a/src/rol/rol_plan.c
+++ b/src/rol/rol_plan.c
@@ -204,6 +204,13 @@
   return rol_place_again (rollouts, service);
 }
 
+bool
+rol_may_turn_back (const struct rol *rollouts, const char *service,
+                   enum rol_side side)
+{
+  return side == ROL_NEW && rol_phase_of (rollouts, service) == ROL_CANARY;
+}
+
 static bool
 is_canary (const struct rol_plan *plan, dir_handle node)
 {
--- a/src/rol/rol_split.c
+++ b/src/rol/rol_split.c
@@ -41,7 +41,7 @@
           || (best != NULL && strcmp (version, best) == 0))
         continue;
       found = count_version (upstreams, count, version, &first);
-      if (found > best_count
+      if (best == NULL || found > best_count
           || (found == best_count
               && (first < best_first
                   || (first == best_first && strcmp (version, best) < 0))))
@@ -54,6 +54,19 @@
   return best;
 }
 
+const char *
+rol_find_first_version (const struct rol_upstream *upstreams, size_t count)
+{
+  const struct rol_upstream *first = NULL;
+
+  for (size_t i = 0; i < count; i++)
+    if (first == NULL || upstreams[i].started_ms < first->started_ms
+        || (upstreams[i].started_ms == first->started_ms
+            && strcmp (upstreams[i].version, first->version) < 0))
+      first = &upstreams[i];
+  return first != NULL ? first->version : NULL;
+}
+
 static bool
 has_usable (const struct rol_upstream *upstreams, size_t count,
             const char *version)
@@ -78,7 +91,8 @@
                    const struct rol_upstream *upstreams, size_t count,
                    bool settled, clk_time now)
 {
-  const char *most = rol_find_version (upstreams, count, NULL);
+  const char *most = settled ? rol_find_version (upstreams, count, NULL)
+                             : rol_find_first_version (upstreams, count);
 
   if (most == NULL || strcmp (most, in_use->version) == 0)
     {
--- a/src/rol/rol_split.h
+++ b/src/rol/rol_split.h
@@ -74,9 +74,15 @@
   const char *rol_find_version (const struct rol_upstream *upstreams,
                                 size_t count, const char *excluded);
 
+  /* Returns the version of the upstream that started first, null when there is
+     none.  */
+  const char *rol_find_first_version (const struct rol_upstream *upstreams,
+                                      size_t count);
+
   /* Brings the version in use up to date.  It changes at once when no usable
-     upstream has it, or until SETTLED is true, as the upstreams of a node that
-     starts become known one by one.  */
+     upstream has it.  Until SETTLED is true it is that of the upstream that
+     started first: a node that starts learns of upstreams one by one, and may
+     not know yet of an order for a version that most of them have.  */
   void rol_update_in_use (struct rol_in_use *in_use,
                           const struct rol_upstream *upstreams, size_t count,
                           bool settled, clk_time now);
--- a/src/rol/rol_write.c
+++ b/src/rol/rol_write.c
@@ -105,7 +105,7 @@
 
 /* Returns whether this node writes the status now.  */
 static bool
-is_writer (const struct rol *rollouts, const struct rol_service *service,
+is_writer (const struct rol *rollouts, struct rol_service *service,
            enum rol_phase state, clk_time now)
 {
   if (rol_is_owner (rollouts, service))
--- a/src/syn/syn.c
+++ b/src/syn/syn.c
@@ -479,8 +479,10 @@
         = (struct snp_stamp){ message->held->version, message->held->hash };
   if (message->directory != dir_digest (sync->directory))
     send_directory (sync, inbound);
-  syn_push_version (sync, subscriber);
+  /* What the other modules send must be known before the first
+     configuration, with which the subscriber begins to place calls.  */
   sync->hooks.subscribed (sync->hooks.context, inbound);
+  syn_push_version (sync, subscriber);
 }
 
 /* Returns whether the directory has exactly this record.  It has not when a
