--- a/src/rol/rol.c
+++ b/src/rol/rol.c
@@ -199,7 +199,10 @@
   const struct rol_order *order = &service->run.order;
   struct log_entry entry;
 
-  if (!log_begin (&entry, LOG_WARNING, "rol", "roll-out", NULL))
+  if (!log_begin (&entry,
+                  service->run.phase == ROL_ROLLED_BACK ? LOG_WARNING
+                                                        : LOG_INFO,
+                  "rol", "roll-out", NULL))
     return;
   log_add_text (&entry, "service", service->name);
   log_add_text (&entry, "to", order->version);
--- a/src/rol/rol_write.c
+++ b/src/rol/rol_write.c
@@ -14,9 +14,10 @@
 #define INITIAL_BACKOFF (200 * CLK_MILLISECOND)
 #define MAX_BACKOFF (1600 * CLK_MILLISECOND)
 
-/* Time after a decision from which a node that watches the store writes the
-   status in place of an owner that has not: the store may refuse the owner. */
-#define SUBSTITUTE_DELAY (2 * CLK_SECOND)
+/* Time after a change of phase from which a node that watches the store writes
+   the status in place of an owner that has not: the store may refuse the
+   owner. */
+#define SUBSTITUTE_DELAY CLK_SECOND
 
 static enum ptf_rollout_state
 state_of (enum rol_phase phase)
@@ -106,11 +107,11 @@
 /* Returns whether this node writes the status now.  */
 static bool
 is_writer (const struct rol *rollouts, struct rol_service *service,
-           enum rol_phase state, clk_time now)
+           clk_time now)
 {
   if (rol_is_owner (rollouts, service))
     return true;
-  return state != ROL_CANARY && rollouts->store_current
+  return rollouts->store_current
          && now - service->run.phase_at >= SUBSTITUTE_DELAY;
 }
 
@@ -127,8 +128,7 @@
   json_t *status;
 
   if (state == ROL_NONE || service->write != NULL
-      || now < service->next_write_at
-      || !is_writer (rollouts, service, state, now))
+      || now < service->next_write_at || !is_writer (rollouts, service, now))
     return;
   status = rollouts->options.platform->make_rollout_status (
       state_of (state), service->run.order.version);
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -1754,19 +1754,20 @@
   }
 
   void
-  order (double seconds, const char *version = "v2")
+  order (double seconds, const char *version = "v2",
+         const char *service = "orders")
   {
-    sst_put (store, PFM_ROLLOUT_KIND, "orders",
-             json_pack ("{s:s, s:s, s:f}", PFM_SERVICE, "orders",
+    sst_put (store, PFM_ROLLOUT_KIND, service,
+             json_pack ("{s:s, s:s, s:f}", PFM_SERVICE, service,
                         PFM_TARGET_VERSION, version, PFM_DURATION_S, seconds));
     ordered_at = evl_now (loop);
   }
 
   std::string
-  state () const
+  state (const char *service = "orders") const
   {
     const char *text = json_string_value (json_object_get (
-        sst_get_status (store, PFM_ROLLOUT_KIND, "orders"), PFM_STATE));
+        sst_get_status (store, PFM_ROLLOUT_KIND, service), PFM_STATE));
 
     return text != nullptr ? text : "";
   }
@@ -2113,12 +2114,18 @@
                json_loads (json_of (text).c_str (), JSON_DECODE_ANY, nullptr));
       call_until ([] { return false; }, 200);
     }
+  sst_set_page_size (store, 100);
   for (int i = 0; i < 10000; i++)
-    sst_put (store, PFM_ROLLOUT_KIND, ("s" + std::to_string (i)).c_str (),
-             json_pack ("{s:s, s:s, s:i}", PFM_SERVICE,
-                        ("s" + std::to_string (i)).c_str (),
-                        PFM_TARGET_VERSION, "v2", PFM_DURATION_S, 12));
-  sst_set_page_size (store, 500);
+    {
+      sst_put (store, PFM_ROLLOUT_KIND, ("s" + std::to_string (i)).c_str (),
+               json_pack ("{s:s, s:s, s:i}", PFM_SERVICE,
+                          ("s" + std::to_string (i)).c_str (),
+                          PFM_TARGET_VERSION, "v2", PFM_DURATION_S, 12));
+      /* The stand-in shares the loop with the nodes, which must not stop for
+         seconds.  */
+      if (i % 100 == 99)
+        run_for (5);
+    }
   call_until ([] { return false; }, 1000);
   EXPECT_EQ (statuses[200], calls);
   EXPECT_EQ (arrivals (new_vms), 0u);
@@ -2127,3 +2134,57 @@
   EXPECT_TRUE (
       call_until ([&] { return state () == PFM_STATE_COMPLETED; }, 15000));
 }
+
+/* Guards against a roll-out that is decided by the answers of another one.  */
+TEST_F (Rollouts, TwoMayRunAtOnce)
+{
+  std::vector<size_t> new_stock;
+
+  start_mesh ();
+  add_vm ("stock", "a", "near");
+  run_for (20);
+  for (int i = 0; i < 2; i++)
+    new_stock.push_back (add_vm ("stock", "a", "near", false, true, "v2"));
+  ASSERT_TRUE (run_until_converged (1));
+  ASSERT_TRUE (run_until ([&] { return knows_versions (); }));
+  for (size_t i : new_stock)
+    sup_set_fault (vms[i].upstream, SUP_TRUNCATE);
+  order (8, "v2", "stock");
+  order (8);
+  ASSERT_TRUE (call_until (
+      [&] {
+        return state () == PFM_STATE_COMPLETED
+               && state ("stock") == PFM_STATE_ROLLED_BACK;
+      },
+      9000, { "/orders/", "/stock/" }));
+  EXPECT_LE (evl_now (loop) - ordered_at, 8 * CLK_SECOND);
+  EXPECT_LT (arrivals (new_stock), 60u);
+}
+
+/* Guards against a status that is never written because the store refuses the
+   owner and serves other nodes.  */
+TEST_F (Rollouts, StoreMayRefuseTheOwner)
+{
+  start_mesh ();
+  sst_set_fault (store, SST_BUSY, vms[find_owner ()].ip);
+  order (6);
+  EXPECT_TRUE (
+      call_until ([&] { return state () == PFM_STATE_COMPLETED; }, 12000));
+  EXPECT_EQ (statuses[200], calls);
+}
+
+/* Guards against an order that is held up by the one before it.  */
+TEST_F (Rollouts, NewOrderReplacesTheOneBefore)
+{
+  start_mesh ();
+  order (60, "v9");
+  call_until ([] { return false; }, 1000);
+  ASSERT_EQ (state (), PFM_STATE_RUNNING);
+  order (5);
+  ASSERT_TRUE (
+      call_until ([&] { return state () == PFM_STATE_COMPLETED; }, 7000));
+  EXPECT_STREQ (json_string_value (json_object_get (
+                    sst_get_status (store, PFM_ROLLOUT_KIND, "orders"),
+                    PFM_TARGET_VERSION)),
+                "v2");
+}
