--- a/src/cfg/cfg_sidecar.h
+++ b/src/cfg/cfg_sidecar.h
@@ -39,7 +39,9 @@
     clk_time retry_window;
     int64_t pipelined_requests; /* of a connection; 0: the default of srv */
     int64_t read_ahead_kb;      /* of a connection; 0: the default of srv */
-    int64_t log_level;          /* enum log_level */
+    double max_rollout_share;
+    clk_time rollback_time;
+    int64_t log_level; /* enum log_level */
   };
 
   /* Loads FILE; see cfg_load.  */
--- a/src/fwd/fwd_reply.c
+++ b/src/fwd/fwd_reply.c
@@ -52,11 +52,17 @@
 {
   end_try (call);
   if (answer->outcome == OUT_ANSWERED)
-    fwd_answer (call, answer);
+    {
+      fwd_count_answer (call, call->peer, answer->status >= 500);
+      fwd_answer (call, answer);
+    }
   else if (answer->outcome == OUT_NOT_RUN)
     fwd_take_refusal (call, call->peer, (enum gat_refusal)answer->refusal);
   else
-    take_unknown (call, call->peer, answer->reason);
+    {
+      fwd_count_answer (call, call->peer, true);
+      take_unknown (call, call->peer, answer->reason);
+    }
 }
 
 /* Takes memory for LENGTH more bytes of the call's answer.  When not enough is
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -61,7 +61,9 @@
       return false;
     }
   if (syn_handle_request (sidecar->sync, inbound, frame)
-      || quo_handle_request (sidecar->quota, inbound, frame))
+      || quo_handle_request (sidecar->quota, inbound, frame)
+      || (sidecar->rollouts != NULL
+          && rol_handle_request (sidecar->rollouts, inbound, frame)))
     return false;
   gat_handle_frame (sidecar->gate, inbound, frame);
   return true;
@@ -75,7 +77,9 @@
   if (frame->body_case == MESH__FRAME__BODY_ANSWER)
     syn_note_peer_version (sidecar->sync, peer, frame->answer->config_version);
   if (syn_handle_reply (sidecar->sync, peer, frame)
-      || quo_handle_reply (sidecar->quota, frame))
+      || quo_handle_reply (sidecar->quota, frame)
+      || (sidecar->rollouts != NULL
+          && rol_handle_reply (sidecar->rollouts, frame)))
     return false;
   return fwd_handle_reply (sidecar->forwarder, peer, frame);
 }
@@ -87,6 +91,8 @@
 
   gat_handle_inbound_closed (sidecar->gate, inbound);
   syn_remove_subscriber (sidecar->sync, inbound);
+  if (sidecar->rollouts != NULL)
+    rol_handle_inbound_closed (sidecar->rollouts, inbound);
 }
 
 static void
@@ -177,6 +183,23 @@
   return sdc_config_version (context);
 }
 
+static void
+on_answered (void *context, uint32_t route, bool bad, clk_time elapsed)
+{
+  struct sdc *sidecar = context;
+
+  if (sidecar->rollouts != NULL)
+    rol_count_run (sidecar->rollouts, route, bad, elapsed);
+}
+
+static bool
+is_withdrawn (void *context)
+{
+  struct sdc *sidecar = context;
+
+  return sidecar->rollouts != NULL && rol_is_withdrawn (sidecar->rollouts);
+}
+
 static void
 fill_record (struct sdc *sidecar)
 {
@@ -229,7 +252,9 @@
                                   .on_unreachable = on_upstream_unreachable,
                                   .config_version = get_config_version,
                                   .send_bulk_reply = send_bulk_reply,
-                                  .bulk_time = get_bulk_time };
+                                  .bulk_time = get_bulk_time,
+                                  .answered = on_answered,
+                                  .is_withdrawn = is_withdrawn };
   struct syn_hooks sync_hooks = sdc_sync_hooks (sidecar);
   size_t memory = (size_t)settings->memory_mb * 1024 * 1024;
   struct acc_limits limits = acc_limits_of (memory);
@@ -264,6 +289,8 @@
                              sidecar->self, rnd_system_seed () });
   options.hub = sidecar->hub;
   options.quota = sidecar->quota;
+  sdc_create_rollouts (sidecar);
+  options.rollouts = sidecar->rollouts;
   sidecar->forwarder = fwd_create (&options);
   sidecar->publisher
       = pub_create (loop, sidecar->store, &sdc_publish_handlers, sidecar);
@@ -302,6 +329,8 @@
   fwd_destroy (sidecar->forwarder);
   quo_destroy (sidecar->quota);
   gat_destroy (sidecar->gate);
+  wch_destroy (sidecar->rollout_watch);
+  rol_destroy (sidecar->rollouts);
   sto_destroy (sidecar->store);
   syn_destroy (sidecar->sync);
   hub_destroy (sidecar->hub);
--- a/src/syn/syn.c
+++ b/src/syn/syn.c
@@ -479,6 +479,9 @@
         = (struct snp_stamp){ message->held->version, message->held->hash };
   if (message->directory != dir_digest (sync->directory))
     send_directory (sync, inbound);
+  /* What the other modules send must be known before the first
+     configuration, with which the subscriber begins to place calls.  */
+  sync->hooks.subscribed (sync->hooks.context, inbound);
   syn_push_version (sync, subscriber);
 }
 
@@ -524,6 +527,14 @@
   hub_reply (sync->hub, source, &frame);
 }
 
+void
+syn_forward (struct syn *sync, const Mesh__Frame *frame)
+{
+  for (const struct syn_subscriber *subscriber = sync->subscribers;
+       subscriber != NULL; subscriber = subscriber->next)
+    hub_reply (sync->hub, subscriber->inbound, frame);
+}
+
 void
 syn_report_suspect (struct syn *sync, dir_handle peer)
 {
--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -32,6 +32,7 @@
   struct sup *upstream;
   struct srv_exchange *exchange;
   char id[NAME_SIZE];
+  bool is_spared; /* the fault is limited to other paths */
   struct evl_timer timer;
   struct lst_entry list;
   size_t body_size; /* of its answer; from the request, else the setting */
@@ -46,8 +47,10 @@
   char name[NAME_SIZE];
   char service[NAME_SIZE];
   char data_centre[NAME_SIZE];
+  char version[NAME_SIZE];
   struct srv *server;
   enum sup_fault fault;
+  const char *fault_path; /* null: all */
   bool sends_late_copies;
   size_t body_size;
   char last_id[NAME_SIZE]; /* of the request answered or refused last */
@@ -263,10 +266,10 @@
 }
 
 static void
-answer (struct sup *upstream, struct srv_exchange *exchange, const char *id,
-        size_t body_size)
+answer (struct srv_exchange *exchange, const char *id, size_t body_size,
+        enum sup_fault fault)
 {
-  switch (upstream->fault)
+  switch (fault)
     {
     case SUP_TRUNCATE:
       send_raw (exchange, "HTTP/1.1 200 OK\r\n" PFM_REQUEST_ID ": ");
@@ -285,8 +288,8 @@
     default:
       break;
     }
-  start_answer (exchange, upstream->fault == SUP_FAIL ? 500 : 200, id,
-                upstream->fault != SUP_UNSIGNED);
+  start_answer (exchange, fault == SUP_FAIL ? 500 : 200, id,
+                fault != SUP_UNSIGNED);
   send_body (exchange, id, body_size);
 }
 
@@ -333,6 +336,7 @@
   struct sup *upstream = run->upstream;
   struct srv_exchange *exchange = run->exchange;
   size_t body_size = run->body_size;
+  enum sup_fault fault = run->is_spared ? SUP_HEALTHY : upstream->fault;
   char id[NAME_SIZE];
 
   if (upstream->flood_filler != NULL)
@@ -343,7 +347,7 @@
   memcpy (id, run->id, sizeof id);
   note_last (upstream, exchange, id, false);
   free_run (run);
-  answer (upstream, exchange, id, body_size);
+  answer (exchange, id, body_size, fault);
 }
 
 static void
@@ -430,6 +434,10 @@
       run->exchange = exchange;
       run->body_size = wanted_size (upstream, htp_target (message));
       snprintf (run->id, sizeof run->id, "%s", id);
+      run->is_spared = upstream->fault_path != NULL
+                       && strncmp (htp_target (message), upstream->fault_path,
+                                   strlen (upstream->fault_path))
+                              != 0;
       lst_push_front (&upstream->runs, &run->list);
       upstream->running++;
       evl_timer_init (&run->timer, upstream->loop, on_done, run);
@@ -503,11 +511,12 @@
   buf_printf (&body,
               "{\"" PFM_ADDRESS "\":\"%s\",\"" PFM_BORN "\":%" PRIu64
               ",\"" PFM_INFO "\":{\"" PFM_SERVICE "\":\"%s\",\"" PFM_ZONE
-              "\":\"%s\",\"" PFM_VERSION "\":\"v1\",\"" PFM_SLOTS
+              "\":\"%s\",\"" PFM_SOFTWARE_VERSION "\":\"%s\",\"" PFM_SLOTS
               "\":%u},\"" PFM_STATUS "\":{\"" PFM_STATE "\":\"%s\",\"" PFM_SEQ
               "\":%" PRIu64 ",\"" PFM_COLD_LEFT_S "\":0}}",
               address, upstream->born, upstream->service,
-              upstream->data_centre, upstream->settings.slots,
+              upstream->data_centre, upstream->version,
+              upstream->settings.slots,
               upstream->draining ? PFM_STATE_DRAINING : PFM_STATE_READY,
               upstream->sequence);
   htp_put_header (output, "Content-Type", "application/json");
@@ -568,6 +577,8 @@
   snprintf (upstream->name, NAME_SIZE, "%s", settings->name);
   snprintf (upstream->service, NAME_SIZE, "%s", settings->service);
   snprintf (upstream->data_centre, NAME_SIZE, "%s", settings->data_centre);
+  snprintf (upstream->version, NAME_SIZE, "%s",
+            settings->version != NULL ? settings->version : "v1");
   evl_timer_init (&upstream->timer, loop, send_heartbeat, upstream);
   if (srv_create (loop, settings->address, &handlers, upstream, &limits,
                   &upstream->server)
@@ -612,6 +623,12 @@
   upstream->fault = fault;
 }
 
+void
+sup_set_fault_path (struct sup *upstream, const char *path)
+{
+  upstream->fault_path = path;
+}
+
 void
 sup_set_body_size (struct sup *upstream, size_t bytes)
 {
