--- a/tests/support/sidecar_mesh.h
+++ b/tests/support/sidecar_mesh.h
@@ -118,7 +118,6 @@
   double route_timeout_s = 0;            /* of all routes; 0: the stand-in's */
   void (*on_run) (const struct htp_message *message) = nullptr; /* see sup.h */
   double max_rollout_share = 0; /* 0: roll-outs are off */
-  double route_timeout_s = 0;   /* of all routes; 0: the stand-in's */
 
 private:
   uint64_t ids = 0;
