--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -34,14 +34,6 @@
   EXPECT_EQ (status_of (0, "/stock"), 404);
 }
 
-/* Returns TEXT with its single quotes replaced by double ones.  */
-static std::string
-json_of (std::string text)
-{
-  std::replace (text.begin (), text.end (), '\'', '"');
-  return text;
-}
-
 /* Content of entries that another writer may leave among the records.  */
 static std::vector<std::pair<const char *, std::string> >
 odd_contents ()
--- a/tests/support/sidecar_mesh.cc
+++ b/tests/support/sidecar_mesh.cc
@@ -13,6 +13,14 @@
 #include <set>
 #include <unistd.h>
 
+/* Returns TEXT with its single quotes replaced by double ones.  */
+std::string
+json_of (std::string text)
+{
+  std::replace (text.begin (), text.end (), '\'', '"');
+  return text;
+}
+
 SidecarMesh::SidecarMesh ()
     /* Below the ports that the system gives to outgoing connections, whose
        remains would be in the way.  */
--- a/tests/support/sidecar_mesh.h
+++ b/tests/support/sidecar_mesh.h
@@ -14,6 +14,9 @@
 #include <string>
 #include <vector>
 
+/* Returns TEXT with its single quotes replaced by double ones.  */
+std::string json_of (std::string text);
+
 /* One VM: a sidecar and its upstream, which come and go separately.  */
 struct Vm
 {
