--- a/src/acc/acc.c
+++ b/src/acc/acc.c
@@ -5,16 +5,17 @@
 #include <string.h>
 
 /* Each limit is the memory of the process divided by one of these.  Together
-   they take 0.80 of it.  A body of a request is in memory up to four times: as
+   they take 0.81 of it.  A body of a request is in memory up to four times: as
    it was read, in frames, at the gate, and in the request to the upstream.  A
    response is in memory twice while it is passed on.  Without the reserve the
-   limit of answers is still above that of one response at a gate.  */
+   limit of answers is still above that of one response at a gate.  The limit
+   of replies covers one response of each slot.  */
 #define CALLER_BODIES_DIVISOR 8
 #define GATE_BODIES_DIVISOR 8
 #define GATE_RESPONSES_DIVISOR 6
 #define ANSWERS_DIVISOR 5
-#define READ_AHEAD_DIVISOR 16
-#define REPLIES_DIVISOR 8
+#define READ_AHEAD_DIVISOR 32
+#define REPLIES_DIVISOR 6
 
 /* Answers up to this length may use the reserve, in bytes.  */
 #define SHORT_ANSWER (64u * 1024u)
--- a/src/chn/chn.c
+++ b/src/chn/chn.c
@@ -303,6 +303,13 @@
   return true;
 }
 
+void
+chn_flush (struct chn *channel)
+{
+  if (channel->state == CHN_OPEN)
+    flush (channel);
+}
+
 bool
 chn_is_open (const struct chn *channel)
 {
--- a/src/chn/chn.h
+++ b/src/chn/chn.h
@@ -47,6 +47,9 @@
      does nothing and returns true.  */
   bool chn_send (struct chn *channel, const Mesh__Frame *frame);
 
+  /* Sends what the socket takes now, before the end of the loop iteration.  */
+  void chn_flush (struct chn *channel);
+
   /* Returns whether the connection is established.  */
   bool chn_is_open (const struct chn *channel);
 
--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -135,6 +135,8 @@
 
   if (refusal == GAT_NOT_REFUSED && would_be_cut (call, 0))
     refusal = GAT_DRAINING;
+  if (refusal == GAT_NOT_REFUSED && !gat_has_room (call))
+    refusal = GAT_BUSY;
   call->state = GAT_RECEIVING;
   if (refusal == GAT_NOT_REFUSED)
     gat_run (call);
@@ -268,8 +270,7 @@
       gat_refuse (call, refusal);
       return;
     }
-  /* Half of the room is kept for the calls that run.  */
-  if (!gat_has_room (call, 0))
+  if (!gat_has_room (call))
     {
       gat_refuse (call, GAT_BUSY);
       return;
@@ -523,6 +524,7 @@
   gate->slot = 0;
   memset (&gate->kinds, 0, sizeof gate->kinds);
   gate->failed = 0;
+  gate->reply_bytes = 0;
   gate->keep_time = DEFAULT_KEEP_TIME;
   gate->upstream_count++;
   gate->upstream_start_ms = upstream->start_ms;
--- a/src/gat/gat.h
+++ b/src/gat/gat.h
@@ -41,7 +41,7 @@
     /* Sends an answer back.  */
     void (*send_reply) (void *context, struct hub_inbound_link *origin,
                         const Mesh__Frame *frame);
-    /* Returns whether LENGTH bytes of a reply fit beside those that wait to be
+    /* Returns whether LENGTH bytes of replies fit beside those that wait to be
        sent.  */
     bool (*has_room) (void *context, const struct hub_inbound_link *origin,
                       size_t length);
--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -64,7 +64,8 @@
   uint32_t running;
   clk_time slot; /* mean time of any call in a slot, ns; 0: unknown */
   struct gat_kinds kinds;
-  double failed; /* recent share of calls that the upstream failed */
+  size_t reply_bytes; /* expected of a response; see learn_reply */
+  double failed;      /* recent share of calls that the upstream failed */
   struct gat_idle idle[GAT_MAX_IDLE];
   size_t idle_count;
   clk_time keep_time; /* for which the upstream keeps idle connections */
@@ -88,9 +89,9 @@
 /* Fills in the load as a call of this kind meets it.  */
 void gat_load (const struct gat_call *call, Mesh__Load *load);
 
-/* Returns whether a reply of LENGTH bytes can be queued for the call's
-   sender.  */
-bool gat_has_room (const struct gat_call *call, size_t length);
+/* Returns whether the replies of the calls that run, and of this one, can be
+   queued for the call's sender.  */
+bool gat_has_room (const struct gat_call *call);
 
 /* Answers that the call was not run and frees it.  */
 void gat_refuse (struct gat_call *call, enum gat_refusal refusal);
--- a/src/gat/gat_run.c
+++ b/src/gat/gat_run.c
@@ -15,6 +15,9 @@
 #define SLOT_WEIGHT 32
 #define FAILED_WEIGHT 16.
 
+/* Weight of the newest response in the expected length.  */
+#define REPLY_WEIGHT 16
+
 /* Longest header of a response accepted, and shortest and longest limit of its
    body, in bytes.  */
 #define MAX_HEADER_BYTES (64u * 1024u)
@@ -87,11 +90,23 @@
 }
 
 bool
-gat_has_room (const struct gat_call *call, size_t length)
+gat_has_room (const struct gat_call *call)
 {
   const struct gat *gate = call->gate;
 
-  return gate->hooks.has_room (gate->hooks.context, call->origin, length);
+  return gate->hooks.has_room (gate->hooks.context, call->origin,
+                               (gate->running + 1) * gate->reply_bytes);
+}
+
+/* Learns the length of responses.  Longer ones count at once, so that replies
+   rarely find no room after their call has run.  */
+static void
+learn_reply (struct gat *gate, size_t length)
+{
+  if (length >= gate->reply_bytes)
+    gate->reply_bytes = length;
+  else
+    gate->reply_bytes -= (gate->reply_bytes - length) / REPLY_WEIGHT;
 }
 
 void
@@ -138,7 +153,9 @@
   Mesh__Header *pointers[HTP_MAX_HEADERS];
   struct gat *gate = call->gate;
 
-  if (!gat_has_room (call, response->body.length))
+  learn_reply (gate, response->body.length);
+  if (!gate->hooks.has_room (gate->hooks.context, call->origin,
+                             response->body.length))
     {
       gat_answer_unknown (call, "the link takes no more replies");
       return;
--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -230,6 +230,14 @@
   return bytes;
 }
 
+void
+hub_flush_replies (struct hub *hub)
+{
+  for (const struct lst_entry *at = hub->inbound_links.first; at != NULL;
+       at = at->next)
+    chn_flush (LST_ITEM (at, struct hub_inbound_link, entry)->channel);
+}
+
 bool
 hub_is_loopback (const struct hub_inbound_link *link)
 {
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -104,6 +104,9 @@
   /* Returns the bytes of replies that were not sent yet, on all links.  */
   size_t hub_unsent_replies (const struct hub *hub);
 
+  /* Sends as much of the queued replies as the links take now.  */
+  void hub_flush_replies (struct hub *hub);
+
   /* Returns whether LINK is the loopback of the node itself.  */
   bool hub_is_loopback (const struct hub_inbound_link *link);
 
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -97,8 +97,8 @@
 /* Returns the hooks of the propagation between nodes.  */
 struct syn_hooks sdc_sync_hooks (struct sdc *sidecar);
 
-/* Returns whether LENGTH bytes of a reply to ORIGIN fit beside those that wait
-   to be sent on links; 0: whether a further call may be taken.  */
+/* Returns whether LENGTH bytes of replies to ORIGIN fit beside those that wait
+   to be sent on links.  */
 bool sdc_has_reply_room (void *context, const struct hub_inbound_link *origin,
                          size_t length);
 
--- a/src/sdc/sdc_memory.c
+++ b/src/sdc/sdc_memory.c
@@ -4,15 +4,36 @@
 #include "met/met.h"
 #include "sdc/sdc_internal.h"
 
-/* Further calls from other nodes are refused while queued replies take more
-   than their limit divided by this.  The rest is for the calls that run.  */
-#define TAKE_CALLS_DIVISOR 2
+/* Links are closed while queued replies take more than their limit divided by
+   this.  */
+#define CLOSE_LINKS_DIVISOR 4
 
 /* A link on which queued replies make no progress for this long is closed when
-   further calls would be refused.  A node that pauses, or a link that loses
-   packets, goes on earlier.  */
+   they take much memory.  A node that pauses, or a link that loses packets,
+   goes on earlier.  */
 #define STALL_TIME CLK_SECOND
 
+static void
+log_no_room (size_t length, size_t queued, size_t limit)
+{
+  struct log_entry entry;
+
+  met_add (met_counter ("replies_without_room_total", ""), 1);
+  if (!log_begin (&entry, LOG_WARNING, "sdc", "no room for replies on links",
+                  NULL))
+    return;
+  log_add_number (&entry, "needed_bytes", (int64_t)length);
+  log_add_number (&entry, "queued_bytes", (int64_t)queued);
+  log_add_number (&entry, "max_bytes", (int64_t)limit);
+  log_end (&entry);
+}
+
+static bool
+fits (size_t queued, size_t length, size_t limit)
+{
+  return queued == 0 || queued + length <= limit;
+}
+
 bool
 sdc_has_reply_room (void *context, const struct hub_inbound_link *origin,
                     size_t length)
@@ -24,9 +45,15 @@
   if (hub_is_loopback (origin))
     return true;
   queued = hub_unsent_replies (sidecar->hub);
-  if (length == 0)
-    return queued <= limit / TAKE_CALLS_DIVISOR;
-  return queued == 0 || queued + length <= limit;
+  if (fits (queued, length, limit))
+    return true;
+  /* Replies of this loop iteration were not sent yet.  */
+  hub_flush_replies (sidecar->hub);
+  queued = hub_unsent_replies (sidecar->hub);
+  if (fits (queued, length, limit))
+    return true;
+  log_no_room (length, queued, limit);
+  return false;
 }
 
 static void
@@ -67,7 +94,7 @@
 {
   size_t queued = hub_unsent_replies (sidecar->hub);
 
-  if (queued > sidecar->account.limits.replies / TAKE_CALLS_DIVISOR)
+  if (queued > sidecar->account.limits.replies / CLOSE_LINKS_DIVISOR)
     close_stalled_links (sidecar, now, queued);
   set_gauges (&sidecar->account, queued);
 }
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -2,6 +2,7 @@
    the faults that the platform may have.  */
 
 #include "dir/dir.h"
+#include "met/met.h"
 #include "out/out.h"
 #include "pfm_names.h"
 #include "support/sidecar_mesh.h"
@@ -1711,3 +1712,156 @@
   put_config (6);
   EXPECT_TRUE (run_until_converged (6, 1500));
 }
+
+/* Guards against look-ups of a caller that wait for each other, and against a
+   request that may run only once and starts before its turn.  A shutdown in
+   the middle answers all of them and closes with the last.  */
+TEST_F (Sidecars, AnswerPipelinedRequestsInOrder)
+{
+  const std::string head
+      = " HTTP/1.1\r\nHost: mesh.example\r\n" PFM_REQUEST_ID ": ";
+  std::string text;
+
+  add_vm ("orders");
+  add_vm ("stock");
+  put_config (1);
+  ASSERT_TRUE (run_until_converged (1));
+  ASSERT_TRUE (run_until ([&] { return status_of (1, "/orders/") == 200; }));
+  sup_set_service_time (vms[0].upstream, 200 * CLK_MILLISECOND);
+  Peer peer = Peer::connect (address_of (1, calls_port));
+
+  for (const char *id : { "p-1", "p-2", "p-3" })
+    text += "GET /orders/" + head + id + "\r\n\r\n";
+  text += "POST /once/" + head + "p-4\r\nContent-Length: 0\r\n\r\n";
+  peer.send (text);
+  ASSERT_TRUE (run_until ([&] {
+    return sup_runs_of (vms[0].upstream, "p-1") == 1
+           && sup_runs_of (vms[0].upstream, "p-2") == 1
+           && sup_runs_of (vms[0].upstream, "p-3") == 1;
+  }));
+  peer.receive ();
+  EXPECT_TRUE (peer.received.empty ());
+  EXPECT_EQ (sup_runs_of (vms[0].upstream, "p-4"), 0u);
+  sdc_terminate (vms[1].sidecar);
+  ASSERT_TRUE (run_until_disconnected (peer));
+  size_t at = 0;
+
+  for (const char *id : { "p-1", "p-2", "p-3", "p-4" })
+    {
+      at = peer.received.find (std::string ("\r\n\r\n") + id, at);
+      ASSERT_NE (at, std::string::npos) << peer.received;
+      EXPECT_EQ (sup_runs_of (vms[0].upstream, id), 1u);
+    }
+  EXPECT_GT (peer.received.find ("Connection: close"),
+             peer.received.find ("\r\n\r\np-3"));
+}
+
+static void
+append_frame (std::string *text, const Mesh__Frame *frame)
+{
+  struct buf bytes = {};
+
+  EXPECT_EQ (frm_encode (frame, &bytes), FRM_OK);
+  text->append ((const char *)bytes.data, bytes.length);
+  buf_close (&bytes);
+}
+
+/* Returns the frames of a node that sends COUNT calls to the gate of
+   orders.  */
+static std::string
+frames_of_calls (unsigned count)
+{
+  Mesh__Hello hello = MESH__HELLO__INIT;
+  Mesh__CallId id = MESH__CALL_ID__INIT;
+  Mesh__Call call = MESH__CALL__INIT;
+  Mesh__Frame frame = MESH__FRAME__INIT;
+  std::string text;
+
+  hello.protocol = FRM_PROTOCOL;
+  hello.from = (char *)"silent";
+  frame.body_case = MESH__FRAME__BODY_HELLO;
+  frame.hello = &hello;
+  append_frame (&text, &frame);
+  call.id = &id;
+  call.method = (char *)"GET";
+  call.target = (char *)"/orders/";
+  call.service = (char *)"orders";
+  call.remaining_us = call.target_us = call.max_wait_us = 5000000;
+  frame.body_case = MESH__FRAME__BODY_CALL;
+  frame.call = &call;
+  for (id.number = 1; id.number <= count; id.number++)
+    {
+      Mesh__Header header = MESH__HEADER__INIT;
+      Mesh__Header *headers[] = { &header };
+      std::string value = "s-" + std::to_string (id.number);
+
+      header.name = (char *)PFM_REQUEST_ID;
+      header.value = (char *)value.c_str ();
+      call.headers = headers;
+      call.n_headers = 1;
+      append_frame (&text, &frame);
+    }
+  return text;
+}
+
+/* Guards against a node that reads no replies: they fill the memory of the
+   gate, or the gate refuses the calls of all other nodes for good.  */
+TEST_F (Sidecars, CloseLinksThatTakeNoReplies)
+{
+  const size_t body_size = 400 * 1000;
+  const uint64_t *queued = met_counter ("held_bytes", "kind=\"replies\"");
+  const uint64_t *dropped = met_counter ("replies_dropped_bytes_total", "");
+  size_t most = 0;
+
+  memory_mb = 16;
+  add_vm ("orders");
+  add_vm ("stock");
+  put_config (1);
+  ASSERT_TRUE (run_until_converged (1));
+  ASSERT_TRUE (run_until ([&] { return status_of (1, "/orders/") == 200; }));
+  sup_set_body_size (vms[0].upstream, body_size);
+  const size_t before = allocated_bytes ();
+  Peer silent = Peer::connect (address_of (0, links_port));
+
+  silent.send (frames_of_calls (100));
+  EXPECT_TRUE (run_until (
+      [&] {
+        most = std::max (most, allocated_bytes ());
+        return met_value (queued) > (uint64_t)memory_mb * 1024 * 1024 / 24;
+      },
+      2000));
+  run_until (
+      [&] {
+        most = std::max (most, allocated_bytes ());
+        return false;
+      },
+      1500);
+  EXPECT_LT (most - before, (size_t)memory_mb * 1024 * 1024 / 2);
+  sup_set_body_size (vms[0].upstream, 0);
+  EXPECT_TRUE (run_until ([&] { return status_of (1, "/orders/") == 200; }));
+  EXPECT_TRUE (run_until_disconnected (silent));
+  EXPECT_GT (met_value (dropped), 0u);
+}
+
+/* Guards against an answer that exceeds the memory of the caller's node, which
+   may have less than the node that runs the call, and against parts of it that
+   are counted for good.  */
+TEST_F (Sidecars, FailAnswersThatDoNotFitIntoMemory)
+{
+  memory_mb = 16;
+  slots = 1;
+  add_vm ("stock");
+  memory_mb = 256;
+  add_vm ("orders");
+  put_config (1);
+  ASSERT_TRUE (run_until_converged (1));
+  ASSERT_TRUE (run_until ([&] { return status_of (0, "/orders/") == 200; }));
+  for (int i = 0; i < 3; i++)
+    {
+      sup_set_body_size (vms[1].upstream, 4u * 1024u * 1024u);
+      EXPECT_EQ (status_of (0, "/once/", "", 900, "POST"), 502);
+      sup_set_body_size (vms[1].upstream, 2u * 1024u * 1024u);
+      EXPECT_TRUE (
+          run_until ([&] { return status_of (0, "/orders/") == 200; }));
+    }
+}
