--- a/src/chn/chn.c
+++ b/src/chn/chn.c
@@ -313,6 +313,13 @@
     evl_task_schedule (&channel->flush_task);
 }
 
+void
+chn_flush (struct chn *channel)
+{
+  if (channel->state == CHN_OPEN)
+    flush (channel);
+}
+
 bool
 chn_is_open (const struct chn *channel)
 {
--- a/src/chn/chn.h
+++ b/src/chn/chn.h
@@ -50,6 +50,9 @@
   /* Does the same with LENGTH bytes that frm_encode has written.  */
   void chn_send_encoded (struct chn *channel, const void *data, size_t length);
 
+  /* Sends what the socket takes now, before the end of the loop iteration.  */
+  void chn_flush (struct chn *channel);
+
   /* Returns whether the connection is established.  */
   bool chn_is_open (const struct chn *channel);
 
--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -145,6 +145,8 @@
 
   if (refusal == GAT_NOT_REFUSED && would_be_cut (call, 0))
     refusal = GAT_DRAINING;
+  if (refusal == GAT_NOT_REFUSED && !gat_has_room (call))
+    refusal = GAT_BUSY;
   call->state = GAT_RECEIVING;
   if (refusal == GAT_NOT_REFUSED)
     gat_run (call);
@@ -292,7 +294,7 @@
   if (refusal != GAT_NOT_REFUSED)
     return refusal;
   /* Half of the room is kept for the calls that run.  */
-  if (!gat_has_room (call, 0))
+  if (!gat_has_room (call))
     return GAT_BUSY;
   if (would_be_cut (call, wait))
     return GAT_DRAINING;
@@ -578,6 +580,7 @@
   gate->slot = 0;
   memset (&gate->kinds, 0, sizeof gate->kinds);
   gate->failed = 0;
+  gate->reply_bytes = 0;
   gate->keep_time = DEFAULT_KEEP_TIME;
   gate->upstream_count++;
   gate->upstream_start_ms = upstream->start_ms;
--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -71,6 +71,7 @@
   size_t expected_bytes; /* of long responses, of the calls that run */
   size_t granted_bytes;  /* of long bodies that are on their way */
   double receive_rate;   /* bytes per second of long bodies; 0: no limit */
+  size_t reply_bytes;    /* expected of a response; see learn_reply */
   double failed;         /* recent share of calls that the upstream failed */
   struct gat_idle idle[GAT_MAX_IDLE];
   size_t idle_count;
@@ -126,9 +127,9 @@
 /* Fills in the load as a call of this kind meets it.  */
 void gat_load (const struct gat_call *call, Mesh__Load *load);
 
-/* Returns whether a reply of LENGTH bytes can be queued for the call's
-   sender.  */
-bool gat_has_room (const struct gat_call *call, size_t length);
+/* Returns whether the replies of the calls that run, and of this one, can be
+   queued for the call's sender.  */
+bool gat_has_room (const struct gat_call *call);
 
 /* Answers that the call was not run and frees it.  */
 void gat_refuse (struct gat_call *call, enum gat_refusal refusal);
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -101,6 +101,9 @@
   void hub_reply (struct hub *hub, struct hub_inbound_link *link,
                   const Mesh__Frame *frame);
 
+  /* Sends as much of the queued replies as the links take now.  */
+  void hub_flush_replies (struct hub *hub);
+
   /* Returns whether LINK is the loopback of the node itself.  */
   bool hub_is_loopback (const struct hub_inbound_link *link);
 
