--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -482,3 +482,33 @@
                     PFM_TARGET_VERSION)),
                 "v2");
 }
+
+/* Guards against a version that answers well but several times slower.  */
+TEST_F (Rollouts, SlowVersionIsRolledBack)
+{
+  start_mesh ();
+  for (size_t i : new_vms)
+    sup_set_service_time (vms[i].upstream, 6 * work);
+  order (8);
+  EXPECT_TRUE (
+      call_until ([&] { return state () == PFM_STATE_ROLLED_BACK; }, 8000));
+}
+
+/* Guards against a good version that is taken for a bad one because some of
+   its upstreams are killed.  */
+TEST_F (Rollouts, KilledUpstreamsAreNotTakenForABadVersion)
+{
+  start_mesh ();
+  order (8);
+  call_until ([] { return false; }, 1000);
+  for (size_t i : { new_vms[0], new_vms[1] })
+    {
+      kill_upstream (i);
+      call_until ([] { return false; }, 500);
+      start_upstream (i);
+      call_until ([] { return false; }, 500);
+    }
+  EXPECT_TRUE (
+      call_until ([&] { return state () == PFM_STATE_COMPLETED; }, 6000));
+  EXPECT_EQ (statuses[200], calls);
+}
