--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -105,6 +105,7 @@
   struct gat *gate = call->gate;
 
   free_call (call);
+  gat_grant_bodies (gate);
   gat_next (gate);
 }
 
@@ -537,6 +538,7 @@
         }
       call = next;
     }
+  gat_grant_bodies (gate);
   gat_next (gate);
 }
 
--- /dev/null
+++ b/tests/gat_test.cc
@@ -0,0 +1,255 @@
+/* Tests the gate with frames that the test writes itself: long bodies that are
+   granted in windows, and their ends at any moment.  */
+
+#include "gat/gat.h"
+#include "out/out.h"
+#include "pfm.h"
+#include "support/loop_test.h"
+#include "wire/frm.h"
+
+#include <cstring>
+#include <vector>
+
+/* Its struct hub_peer has the name of a function.  */
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
+#include "hub/hub_internal.h"
+#pragma GCC diagnostic pop
+
+/* Smallest window of the gate, in bytes.  */
+static const uint32_t window = 32u * 1024u;
+
+class Gate : public LoopTest
+{
+protected:
+  struct Reply
+  {
+    uint64_t number;
+    int outcome; /* of an answer; -1: a grant */
+    int refusal;
+    uint32_t bytes; /* of a grant */
+    bool bulk;
+  };
+
+  void
+  SetUp () override
+  {
+    struct gat_hooks hooks = {};
+    struct gat_memory memory = { 1000000, 1000000 };
+
+    hooks.context = this;
+    hooks.send_reply = on_reply;
+    hooks.send_bulk_reply = on_bulk_reply;
+    hooks.has_room = has_room;
+    hooks.on_unreachable = ignore;
+    hooks.config_version = get_version;
+    hooks.bulk_time = get_bulk_time;
+    registration.state = REG_READY;
+    strcpy (registration.upstream.service, "orders");
+    strcpy (registration.upstream.name, "i-1");
+    registration.upstream.slots = 4;
+    registration.upstream.address = allocate_address ();
+    for (struct hub_inbound_link &link : links)
+      link.channel = reinterpret_cast<struct chn *> (this);
+    gate = gat_create (loop, &pfm_platform, &registration, &hooks, &memory);
+    gat_set_receive_rate (gate, 100000);
+    gat_apply_registration (gate);
+  }
+
+  void
+  TearDown () override
+  {
+    gat_destroy (gate);
+    run_for (5);
+  }
+
+  static void
+  note (void *context, const Mesh__Frame *frame, bool bulk)
+  {
+    Gate *test = static_cast<Gate *> (context);
+
+    if (frame->body_case == MESH__FRAME__BODY_WINDOW_GRANT)
+      test->replies.push_back ({ frame->window_grant->id->number, -1, 0,
+                                 frame->window_grant->bytes, bulk });
+    else if (frame->body_case == MESH__FRAME__BODY_ANSWER)
+      test->replies.push_back ({ frame->answer->id->number,
+                                 static_cast<int> (frame->answer->outcome),
+                                 static_cast<int> (frame->answer->refusal), 0,
+                                 bulk });
+  }
+
+  static void
+  on_reply (void *context, struct hub_inbound_link *link,
+            const Mesh__Frame *frame)
+  {
+    (void)link;
+    note (context, frame, false);
+  }
+
+  static void
+  on_bulk_reply (void *context, struct hub_inbound_link *link,
+                 const Mesh__Frame *frame)
+  {
+    (void)link;
+    note (context, frame, true);
+  }
+
+  static bool
+  has_room (void *context, const struct hub_inbound_link *link, size_t length)
+  {
+    (void)context;
+    (void)link;
+    (void)length;
+    return true;
+  }
+
+  static void
+  ignore (void *context)
+  {
+    (void)context;
+  }
+
+  static uint64_t
+  get_version (void *context)
+  {
+    (void)context;
+    return 1;
+  }
+
+  static clk_time
+  get_bulk_time (void *context, size_t bytes)
+  {
+    Gate *test = static_cast<Gate *> (context);
+
+    (void)bytes;
+    test->bulk_time_calls++;
+    return test->bulk_time;
+  }
+
+  /* Passes a copy of FRAME to the gate.  */
+  void
+  pass (const Mesh__Frame &frame, size_t link)
+  {
+    struct buf bytes = {};
+    Mesh__Frame *copy;
+
+    ASSERT_EQ (frm_encode (&frame, &bytes), FRM_OK);
+    ASSERT_EQ (frm_decode (bytes.data + FRM_HEADER_LENGTH,
+                           bytes.length - FRM_HEADER_LENGTH, &copy),
+               FRM_OK);
+    buf_close (&bytes);
+    gat_handle_frame (gate, &links[link], copy);
+  }
+
+  /* Announces a call with a long body.  */
+  void
+  call (uint64_t number, uint32_t body_bytes, size_t link = 0,
+        uint64_t remaining_ms = 60000, bool more = true)
+  {
+    Mesh__CallId id = MESH__CALL_ID__INIT;
+    Mesh__Call message = MESH__CALL__INIT;
+    Mesh__Frame frame = MESH__FRAME__INIT;
+    char method[] = "POST";
+    char target[] = "/orders/";
+    char service[] = "orders";
+
+    id.number = number;
+    message.id = &id;
+    message.method = method;
+    message.target = target;
+    message.service = service;
+    message.remaining_us = remaining_ms * 1000;
+    message.target_us = static_cast<uint32_t> (remaining_ms * 1000);
+    message.max_wait_us = 60000000;
+    message.is_bulk = true;
+    message.body_bytes = body_bytes;
+    message.more = more;
+    frame.body_case = MESH__FRAME__BODY_CALL;
+    frame.call = &message;
+    pass (frame, link);
+  }
+
+  void
+  part (uint64_t number, size_t length, bool more, size_t link = 0)
+  {
+    std::vector<uint8_t> data (length, 'x');
+    Mesh__CallId id = MESH__CALL_ID__INIT;
+    Mesh__BodyPart message = MESH__BODY_PART__INIT;
+    Mesh__Frame frame = MESH__FRAME__INIT;
+
+    id.number = number;
+    message.id = &id;
+    message.data.data = data.data ();
+    message.data.len = length;
+    message.more = more;
+    frame.body_case = MESH__FRAME__BODY_CALL_BODY;
+    frame.call_body = &message;
+    pass (frame, link);
+  }
+
+  void
+  cancel (uint64_t number, size_t link = 0)
+  {
+    Mesh__CallId id = MESH__CALL_ID__INIT;
+    Mesh__Cancel message = MESH__CANCEL__INIT;
+    Mesh__Frame frame = MESH__FRAME__INIT;
+
+    id.number = number;
+    message.id = &id;
+    frame.body_case = MESH__FRAME__BODY_CANCEL;
+    frame.cancel = &message;
+    pass (frame, link);
+  }
+
+  /* Returns the bytes that a call was granted.  */
+  uint32_t
+  granted (uint64_t number) const
+  {
+    uint32_t bytes = 0;
+
+    for (const Reply &reply : replies)
+      if (reply.number == number)
+        bytes += reply.bytes;
+    return bytes;
+  }
+
+  /* Returns why a call was not run, -1 when it was not refused.  */
+  int
+  refusal (uint64_t number) const
+  {
+    for (const Reply &reply : replies)
+      if (reply.number == number && reply.outcome == OUT_NOT_RUN)
+        return reply.refusal;
+    return -1;
+  }
+
+  struct reg registration = {};
+  struct hub_inbound_link links[2] = {};
+  struct gat *gate = nullptr;
+  std::vector<Reply> replies;
+  clk_time bulk_time = 0;
+  int bulk_time_calls = 0;
+};
+
+/* Guards against grants that never come again after a sender that held the
+   window has cancelled its call.  */
+TEST_F (Gate, GrantsTheNextBodyAfterACancellation)
+{
+  call (1, 100000);
+  call (2, 100000);
+  EXPECT_EQ (granted (1), window);
+  EXPECT_EQ (granted (2), 0u);
+  cancel (1);
+  EXPECT_EQ (granted (2), window);
+}
+
+/* Guards against the same when the link of that sender is lost.  */
+TEST_F (Gate, GrantsTheNextBodyAfterALostLink)
+{
+  call (1, 100000, 0);
+  call (1, 50000, 1);
+  EXPECT_EQ (granted (1), window);
+  gat_handle_inbound_closed (gate, &links[0]);
+  EXPECT_EQ (granted (1), 2 * window);
+  EXPECT_EQ (gat_in_progress (gate), 1u);
+}
