--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -334,6 +334,15 @@
   gat_next (gate);
 }
 
+/* The deadline of a call has passed, and parts of its body are missing.  */
+static void
+on_receive_deadline (void *context)
+{
+  struct gat_call *call = context;
+
+  gat_refuse (call, call->is_shortened ? GAT_DRAINING : GAT_EXPIRED);
+}
+
 /* Asks for the long body of a call, unless it would be refused.  */
 static void
 request_body (struct gat_call *call)
@@ -448,13 +457,17 @@
   lst_push_front (&gate->calls, &call->list);
   gate->call_count++;
   count_caller (call);
-  evl_timer_init (&call->timer, gate->loop, NULL, call);
+  evl_timer_init (&call->timer, gate->loop, on_receive_deadline, call);
   if (!take_memory (call, message->body.len))
     return;
+  if (message->body_bytes == 0 && !message->more)
+    {
+      admit (call);
+      return;
+    }
+  evl_timer_set (&call->timer, call->deadline);
   if (message->body_bytes > 0)
     request_body (call);
-  else if (!message->more)
-    admit (call);
 }
 
 /* Adds a part of a body that came in several frames.  */
@@ -484,8 +497,10 @@
     memcpy (message->body.data + message->body.len, part->data.data,
             part->data.len);
   message->body.len += part->data.len;
-  if (!part->more)
-    admit (call);
+  if (part->more)
+    return;
+  evl_timer_stop (&call->timer);
+  admit (call);
 }
 
 static void
@@ -608,7 +623,11 @@
   for (struct gat_call *call = gat_call_at (gate->calls.first); call != NULL;
        call = gat_call_at (call->list.next))
     if (call->state != GAT_RUNNING)
-      shorten_deadline (call);
+      {
+        shorten_deadline (call);
+        if (call->state == GAT_RECEIVING)
+          evl_timer_set (&call->timer, call->deadline);
+      }
   que_limit_deadlines (&gate->queue, latest);
   plan_expiry (gate);
 }
--- a/tests/gat_test.cc
+++ b/tests/gat_test.cc
@@ -253,3 +253,27 @@
   EXPECT_EQ (granted (1), 2 * window);
   EXPECT_EQ (gat_in_progress (gate), 1u);
 }
+
+/* Guards against a sender that takes a grant and sends nothing: its call would
+   hold the window, and the memory of its call, until its link is closed.  */
+TEST_F (Gate, RefusesACallWhoseBodyDoesNotArriveByTheDeadline)
+{
+  call (1, 100000, 0, 5000);
+  call (2, 100000, 0, 60000);
+  gat_set_end (gate, evl_now (loop) + 50 * CLK_MILLISECOND);
+  EXPECT_EQ (granted (2), 0u);
+  ASSERT_TRUE (run_until ([&] { return refusal (1) >= 0; }, 2000));
+  EXPECT_EQ (refusal (1), GAT_DRAINING);
+}
+
+TEST_F (Gate, RefusesACallWhoseDeadlineEndsWhileItsBodyIsAwaited)
+{
+  gat_set_receive_rate (gate, 10000000);
+  call (1, 600000, 0, 100);
+  EXPECT_GT (granted (1), 0u);
+  ASSERT_TRUE (run_until ([&] { return refusal (1) >= 0; }, 2000));
+  EXPECT_EQ (refusal (1), GAT_EXPIRED);
+  EXPECT_EQ (gat_in_progress (gate), 0u);
+  part (1, 1000, true);
+  EXPECT_EQ (replies.back ().number, 1u);
+}
