--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -7,6 +7,7 @@
 #include "gat/gat_log.h"
 #include "plc/plc.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -428,6 +429,35 @@
                       message->tenant_rate, now);
 }
 
+/* Returns whether the body with LENGTH more bytes agrees with the length that
+   was announced, MORE of it being expected.  Refuses the call when it does
+   not: it must not run with a part of its body.  */
+static bool
+check_length (struct gat_call *call, size_t length, bool more)
+{
+  const Mesh__Call *message = call->frame->call;
+  size_t total = message->body.len + length;
+
+  if (message->body_bytes <= FRM_MAX_BODY_LENGTH
+      && (total == message->body_bytes
+          || (more && total < message->body_bytes)))
+    return true;
+  log_write (LOG_WARNING, "gat",
+             "refused a call: %zu bytes of its body came, and %" PRIu32
+             " were announced",
+             total, message->body_bytes);
+  gat_refuse (call, GAT_BUSY);
+  return false;
+}
+
+/* Returns the length of the body as far as the call tells it.  */
+static size_t
+announced_bytes (const Mesh__Call *message)
+{
+  return message->body_bytes > message->body.len ? message->body_bytes
+                                                 : message->body.len;
+}
+
 static void
 start_call (struct gat *gate, struct hub_inbound_link *origin,
             Mesh__Frame *frame)
@@ -458,7 +488,7 @@
   gate->call_count++;
   count_caller (call);
   evl_timer_init (&call->timer, gate->loop, on_receive_deadline, call);
-  if (!take_memory (call, message->body.len))
+  if (!take_memory (call, announced_bytes (message)))
     return;
   if (message->body_bytes == 0 && !message->more)
     {
@@ -466,7 +496,7 @@
       return;
     }
   evl_timer_set (&call->timer, call->deadline);
-  if (message->body_bytes > 0)
+  if (message->body_bytes > 0 && check_length (call, 0, message->more))
     request_body (call);
 }
 
@@ -487,9 +517,12 @@
       gat_refuse (call, GAT_BUSY);
       return;
     }
+  if (message->body_bytes > 0
+      && !check_length (call, part->data.len, part->more))
+    return;
   gat_count_received (call, part->data.len);
   gat_grant_bodies (gate);
-  if (!take_memory (call, part->data.len))
+  if (message->body_bytes == 0 && !take_memory (call, part->data.len))
     return;
   message->body.data
       = mem_resize (message->body.data, message->body.len + part->data.len, 1);
--- a/tests/gat_test.cc
+++ b/tests/gat_test.cc
@@ -277,3 +277,50 @@
   part (1, 1000, true);
   EXPECT_EQ (replies.back ().number, 1u);
 }
+
+/* Guards against a body that does not fit into the memory for bodies: it would
+   be sent in part, and refused only then.  */
+TEST_F (Gate, RefusesABodyBeyondItsMemoryAtOnce)
+{
+  for (uint32_t bytes : { 1000001u, 70u * 1024u * 1024u, UINT32_MAX })
+    {
+      replies.clear ();
+      call (1, bytes);
+      EXPECT_EQ (refusal (1), GAT_BUSY) << bytes;
+      EXPECT_EQ (granted (1), 0u) << bytes;
+    }
+  EXPECT_EQ (gat_in_progress (gate), 0u);
+}
+
+/* Guards against bodies that fit one by one and not together: the later one is
+   refused before it was sent, and fits once the earlier one has ended.  */
+TEST_F (Gate, KeepsMemoryForTheBodiesThatItHasAskedFor)
+{
+  call (1, 600000);
+  call (2, 600000);
+  EXPECT_EQ (refusal (1), -1);
+  EXPECT_EQ (refusal (2), GAT_BUSY);
+  cancel (1);
+  call (3, 600000);
+  EXPECT_EQ (refusal (3), -1);
+}
+
+/* Guards against a body that counts as whole although parts of it are missing,
+   and against one that is longer than was announced.  */
+TEST_F (Gate, RunsNoCallWithABodyOfAnotherLength)
+{
+  call (1, 100000);
+  part (1, 10, false);
+  EXPECT_EQ (refusal (1), GAT_BUSY);
+  call (2, 1000);
+  part (2, 2000, false);
+  EXPECT_EQ (refusal (2), GAT_BUSY);
+  call (3, 1000, 0, 60000, false);
+  EXPECT_EQ (refusal (3), GAT_BUSY);
+  call (4, 1000);
+  part (4, 1000, true);
+  EXPECT_EQ (refusal (4), -1);
+  part (4, 0, false);
+  EXPECT_EQ (refusal (4), -1);
+  EXPECT_EQ (gat_in_progress (gate), 1u);
+}
