--- a/src/gat/gat_run.c
+++ b/src/gat/gat_run.c
@@ -32,6 +32,7 @@
 
 /* The same where other frames may come between two parts.  */
 #define BULK_PART_SIZE (16u * 1024u)
+
 /* Connections that are lost within this time count as one failure.  */
 #define LOSS_TIME (100 * CLK_MILLISECOND)
 
@@ -40,12 +41,14 @@
 #define KEEP_NUMERATOR 3
 #define KEEP_DENOMINATOR 4
 
+/* Sends a frame of an answer.  One that is paced is not overtaken by others of
+   the same call: an answer without a body has no other frames.  */
 static void
-send_frame (struct gat_call *call, const Mesh__Frame *frame)
+send_frame (struct gat_call *call, const Mesh__Frame *frame, bool is_paced)
 {
   struct gat *gate = call->gate;
 
-  if (call->frame->call->is_bulk)
+  if (is_paced && call->frame->call->is_bulk)
     gate->hooks.send_bulk_reply (gate->hooks.context, call->origin, frame);
   else
     gate->hooks.send_reply (gate->hooks.context, call->origin, frame);
@@ -76,7 +79,7 @@
       part.data.data = (uint8_t *)data + at;
       part.data.len = size;
       part.more = at + size < length;
-      send_frame (call, &frame);
+      send_frame (call, &frame, true);
     }
 }
 
@@ -101,7 +104,7 @@
     }
   frame.body_case = MESH__FRAME__BODY_ANSWER;
   frame.answer = answer;
-  send_frame (call, &frame);
+  send_frame (call, &frame, body != NULL);
   if (answer->more && body != NULL)
     send_parts (call, body->data + part, body->length - part);
 }
--- a/tests/gat_test.cc
+++ b/tests/gat_test.cc
@@ -324,3 +324,13 @@
   EXPECT_EQ (refusal (4), -1);
   EXPECT_EQ (gat_in_progress (gate), 1u);
 }
+
+/* Guards against refusals that wait behind the long responses of the link.  */
+TEST_F (Gate, SendsRefusalsBeforeLongResponses)
+{
+  registration.state = REG_LEAVING;
+  call (1, 100000);
+  ASSERT_EQ (replies.size (), 1u);
+  EXPECT_EQ (refusal (1), GAT_LEAVING);
+  EXPECT_FALSE (replies[0].bulk);
+}
