--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -175,7 +175,10 @@
   gat_check_link (gate);
   while (has_free_slot (gate)
          && (call = que_pop (&gate->queue, evl_now (gate->loop))) != NULL)
-    run_admitted (call);
+    {
+      run_admitted (call);
+      gat_check_link (gate);
+    }
   gate->is_dequeuing = false;
   plan_expiry (gate);
 }
--- a/src/gat/gat_bulk.c
+++ b/src/gat/gat_bulk.c
@@ -6,6 +6,10 @@
    is longer, further ones wait.  */
 #define MAX_LINK_TIME (300 * CLK_MILLISECOND)
 
+/* Shortest time until a full link is looked at again: while its load is of
+   calls that run, it does not fall with time.  */
+#define MIN_CHECK_TIME (5 * CLK_MILLISECOND)
+
 /* Size of a long response, in bytes, before one was seen.  */
 #define ASSUMED_BULK_BYTES (64u * 1024u)
 
@@ -64,8 +68,13 @@
 {
   clk_time now = evl_now (gate->loop);
   clk_time time = link_time (gate, 0);
+  clk_time wait = time - MAX_LINK_TIME;
 
-  gate->queue.is_link_full = time > MAX_LINK_TIME;
-  if (gate->queue.is_link_full)
-    evl_timer_set (&gate->link_timer, now + time - MAX_LINK_TIME + 1);
+  gate->queue.is_link_full = wait > 0;
+  if (wait < MIN_CHECK_TIME)
+    wait = MIN_CHECK_TIME;
+  evl_timer_set (&gate->link_timer,
+                 gate->queue.is_link_full && gate->queue.count > 0
+                     ? now + wait
+                     : CLK_NEVER);
 }
--- a/tests/gat_test.cc
+++ b/tests/gat_test.cc
@@ -121,9 +121,10 @@
   {
     Gate *test = static_cast<Gate *> (context);
 
-    (void)bytes;
     test->bulk_time_calls++;
-    return test->bulk_time;
+    return test->bulk_time
+           + static_cast<clk_time> (static_cast<double> (bytes)
+                                    * test->ns_per_byte);
   }
 
   /* Passes a copy of FRAME to the gate.  */
@@ -228,6 +229,7 @@
   struct gat *gate = nullptr;
   std::vector<Reply> replies;
   clk_time bulk_time = 0;
+  double ns_per_byte = 0;
   int bulk_time_calls = 0;
 };
 
@@ -334,3 +336,41 @@
   EXPECT_EQ (refusal (1), GAT_LEAVING);
   EXPECT_FALSE (replies[0].bulk);
 }
+
+/* Guards against a wake-up a nanosecond later, over and over, while the call
+   that the link waits for runs.  */
+TEST_F (Gate, LooksAtAFullLinkRarely)
+{
+  Listener upstream (registration.upstream.address);
+
+  registration.upstream.slots = 2;
+  call (1, 0, 0, 60000, false);
+  bulk_time = 300 * CLK_MILLISECOND + 1;
+  call (2, 0, 0, 600000, false);
+  call (3, 0, 0, 600000, false);
+  call (4, 0, 0, 600000, false);
+  bulk_time_calls = 0;
+  run_for (100);
+  EXPECT_LT (bulk_time_calls, 100);
+}
+
+/* Guards against all calls that waited for the link starting at once when it
+   takes one more.  A response takes 200 ms, and 300 ms are the limit.  */
+TEST_F (Gate, StartsNoMoreLongResponsesThanTheLinkTakes)
+{
+  Listener upstream (registration.upstream.address);
+  std::vector<Peer> connections (3);
+  size_t count = 0;
+
+  registration.upstream.slots = 1;
+  for (uint64_t number = 1; number <= 3; number++)
+    call (number, 0, 0, 60000, false);
+  ns_per_byte = 200.0 * CLK_MILLISECOND / 65536;
+  registration.upstream.slots = 4;
+  gat_apply_registration (gate);
+  run_for (50);
+  while (count < connections.size () && upstream.accept (&connections[count]))
+    count++;
+  EXPECT_EQ (count, 2u);
+  EXPECT_EQ (gat_in_progress (gate), 3u);
+}
