--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -674,10 +674,27 @@
   gate->receive_rate = bytes_per_second;
 }
 
+/* Returns a call of which parts of the body are missing, null when there is
+   none.  */
+static struct gat_call *
+find_receiving (const struct gat *gate)
+{
+  struct gat_call *call = gat_call_at (gate->calls.first);
+
+  while (call != NULL && call->state != GAT_RECEIVING)
+    call = gat_call_at (call->list.next);
+  return call;
+}
+
 void
 gat_drain (struct gat *gate)
 {
+  struct gat_call *call;
+
   gate->stopping = true;
+  /* They would be refused when their bodies are complete.  */
+  while ((call = find_receiving (gate)) != NULL)
+    gat_refuse (call, GAT_DRAINING);
 }
 
 void
--- a/src/gat/gat.h
+++ b/src/gat/gat.h
@@ -102,7 +102,8 @@
      long bodies; 0: no limit, as at first.  */
   void gat_set_receive_rate (struct gat *gate, double bytes_per_second);
 
-  /* Refuses new calls from now on; waiting and running ones go on.  */
+  /* Refuses new calls from now on, and those whose bodies are not complete;
+     waiting and running ones go on.  */
   void gat_drain (struct gat *gate);
 
   /* Returns the calls that wait or run.  */
--- a/tests/gat_test.cc
+++ b/tests/gat_test.cc
@@ -374,3 +374,15 @@
   EXPECT_EQ (count, 2u);
   EXPECT_EQ (gat_in_progress (gate), 3u);
 }
+
+/* Guards against a shutdown that waits for bodies of calls that it refuses
+   afterwards.  */
+TEST_F (Gate, RefusesAwaitedBodiesWhenItDrains)
+{
+  call (1, 100000);
+  call (2, 100000);
+  gat_drain (gate);
+  EXPECT_EQ (refusal (1), GAT_DRAINING);
+  EXPECT_EQ (refusal (2), GAT_DRAINING);
+  EXPECT_EQ (gat_in_progress (gate), 0u);
+}
