--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -304,7 +304,7 @@
   if (would_be_cut (call, wait))
     return GAT_DRAINING;
   if (wait > message->max_wait_us * CLK_MICROSECOND
-      || call->arrival + wait + gat_service_of (call) > call->deadline)
+      || evl_now (gate->loop) + wait + gat_service_of (call) > call->deadline)
     return GAT_BUSY;
   return GAT_NOT_REFUSED;
 }
--- a/tests/gat_test.cc
+++ b/tests/gat_test.cc
@@ -386,3 +386,16 @@
   EXPECT_EQ (refusal (2), GAT_DRAINING);
   EXPECT_EQ (gat_in_progress (gate), 0u);
 }
+
+/* Guards against calls that start so late, after their bodies were awaited,
+   that they are cut off: they are not run, and their senders are told.  */
+TEST_F (Gate, CountsTheTimeForTheBodyAgainstTheDeadline)
+{
+  Listener upstream (registration.upstream.address);
+
+  call (1, 1000, 0, 1000);
+  EXPECT_EQ (granted (1), 1000u);
+  run_for (970);
+  part (1, 1000, false);
+  EXPECT_NE (refusal (1), -1);
+}
