--- a/tests/hub_test.cc
+++ b/tests/hub_test.cc
@@ -4,12 +4,25 @@
 #include "scf.h"
 #include "support/sidecar_mesh.h"
 
+#include <algorithm>
 #include <string>
+#include <vector>
+
+/* Length of the body of the request that began to run last.  */
+static size_t last_body_length;
+
+static void
+note_run (const struct htp_message *message)
+{
+  last_body_length = message->body.length;
+}
 
 class LongBodies : public SidecarMesh
 {
 protected:
-  /* Makes /stock/ a route with long responses.  */
+  LongBodies () { on_run = note_run; }
+
+  /* Makes /stock/ a route with long responses, or requests.  */
   void
   put_bulk_config (uint64_t version)
   {
@@ -26,12 +39,13 @@
       const char *path
           = json_string_value (json_object_get (spec, PFM_PATH_PREFIX));
 
+      if (json_object_get (spec, PFM_MAX_BODY_BYTES) != nullptr)
+        json_object_set_new (spec, PFM_MAX_BODY_BYTES, json_integer (3000000));
       if (path == nullptr)
         continue;
       json_object_set_new (spec, PFM_TIMEOUT_S, json_real (20));
       if (std::string (path) == "/stock/")
-        json_object_set_new (spec, PFM_ROUTE_TYPE,
-                             json_string (PFM_ROUTE_DOWNLOAD));
+        json_object_set_new (spec, PFM_ROUTE_TYPE, json_string (route_type));
     }
     sst_put (store, PFM_CONFIG_KIND, PFM_CONFIG_NAME, document);
   }
@@ -51,6 +65,8 @@
              && status_of (0, "/stock/", "", 5000) == 200;
     }));
   }
+
+  const char *route_type = PFM_ROUTE_DOWNLOAD;
 };
 
 /* Guards against short calls, pings and configurations that wait behind long
@@ -103,3 +119,149 @@
   EXPECT_TRUE (run_until (
       [&] { return status_of (0, "/stock/", "", 10000) == 200; }, 15000));
 }
+
+class LongRequests : public LongBodies
+{
+protected:
+  /* Starts two nodes; /stock/ is a route with long requests.  */
+  void
+  start_upload_mesh ()
+  {
+    route_type = PFM_ROUTE_UPLOAD;
+    start_mesh ();
+  }
+
+  /* Sends a request with a body of BYTES from the node of orders.  */
+  Peer
+  upload (size_t bytes, int timeout_ms = 20000)
+  {
+    Peer peer = Peer::connect (address_of (0, calls_port));
+    const std::string part (16384, 'b');
+
+    peer.send ("POST /stock/ HTTP/1.1\r\nHost: mesh.example\r\n" PFM_REQUEST_ID
+               ": "
+               + next_request_id () + "\r\n" PFM_TIMEOUT_MS ": "
+               + std::to_string (timeout_ms)
+               + "\r\nContent-Length: " + std::to_string (bytes) + "\r\n\r\n");
+    for (size_t left = bytes; left > 0; left -= std::min (left, part.size ()))
+      {
+        peer.send (part.substr (0, std::min (left, part.size ())));
+        if (left > part.size ())
+          run_for (1);
+      }
+    return peer;
+  }
+
+  /* Runs the loop until a part of a body of a megabyte has reached the gate:
+     each of its windows takes two iterations or more.  */
+  void
+  run_into_body ()
+  {
+    int iterations = 0;
+
+    run_until ([&] { return ++iterations > 20; });
+  }
+
+  bool
+  is_answered (Peer &peer)
+  {
+    peer.receive ();
+    return response_status (peer) != 0;
+  }
+};
+
+/* Guards against bodies of which parts are lost, or are sent again, between
+   the windows.  */
+TEST_F (LongRequests, ArriveWhole)
+{
+  start_upload_mesh ();
+  uint64_t runs = sup_run_count (vms[1].upstream);
+  Peer caller = upload (150001);
+
+  ASSERT_TRUE (run_until ([&] { return is_answered (caller); }, 15000));
+  EXPECT_EQ (response_status (caller), 200);
+  EXPECT_EQ (sup_run_count (vms[1].upstream), runs + 1);
+  EXPECT_EQ (last_body_length, 150001u);
+}
+
+/* Guards against a window that stays closed after a caller has left in the
+   middle of its body.  */
+TEST_F (LongRequests, GoOnAfterACallerHasLeft)
+{
+  start_upload_mesh ();
+  uint64_t runs = sup_run_count (vms[1].upstream);
+  Peer first = upload (1000000);
+
+  run_into_body ();
+  first.close (true);
+  Peer second = upload (50000);
+  ASSERT_TRUE (run_until ([&] { return is_answered (second); }, 10000));
+  EXPECT_EQ (response_status (second), 200);
+  EXPECT_EQ (last_body_length, 50000u);
+  EXPECT_EQ (sup_run_count (vms[1].upstream), runs + 1);
+}
+
+/* Guards against a call that waits for a gate that is gone, and against one
+   that runs with a part of its body.  */
+TEST_F (LongRequests, EndWithTheGate)
+{
+  start_upload_mesh ();
+  uint64_t runs = sup_run_count (vms[1].upstream);
+  Peer caller = upload (1000000, 6000);
+
+  run_into_body ();
+  kill_sidecar (1);
+  ASSERT_TRUE (run_until ([&] { return is_answered (caller); }, 8000));
+  EXPECT_GE (response_status (caller), 500);
+  EXPECT_EQ (sup_run_count (vms[1].upstream), runs);
+  start_sidecar (1);
+  ASSERT_TRUE (run_until_converged (1));
+  EXPECT_TRUE (run_until (
+      [&] {
+        Peer next = upload (40000, 2000);
+
+        run_until ([&] { return is_answered (next); });
+        return response_status (next) == 200;
+      },
+      15000));
+}
+
+/* Guards against bodies that keep each other from being complete, and against
+   short calls that wait behind them.  */
+TEST_F (LongRequests, AreAllServedBesideShortCalls)
+{
+  start_upload_mesh ();
+  std::vector<Peer> callers;
+
+  for (int i = 0; i < 4; i++)
+    callers.push_back (upload (60000));
+  EXPECT_EQ (status_of (0, "/orders/"), 200);
+  EXPECT_EQ (status_of (1, "/orders/"), 200);
+  for (Peer &caller : callers)
+    {
+      ASSERT_TRUE (run_until ([&] { return is_answered (caller); }, 15000));
+      EXPECT_EQ (response_status (caller), 200);
+    }
+}
+
+/* Guards against a body that no gate can hold and that waits until its
+   deadline.  A node of 16 MB holds 2 MB of bodies at its gate.  */
+TEST_F (LongRequests, AreRefusedAtOnceBeyondTheMemory)
+{
+  memory_mb = 256;
+  start_upload_mesh ();
+  kill_sidecar (1);
+  memory_mb = 16;
+  start_sidecar (1);
+  ASSERT_TRUE (run_until_converged (1));
+  ASSERT_TRUE (run_until (
+      [&] { return status_of (0, "/stock/", "", 2000, "POST") == 200; }));
+  uint64_t runs = sup_run_count (vms[1].upstream);
+  Peer caller = upload (2500000);
+  clk_time sent = evl_now (loop);
+
+  ASSERT_TRUE (run_until ([&] { return is_answered (caller); }, 15000));
+  EXPECT_EQ (response_status (caller), 503);
+  EXPECT_LT (evl_now (loop) - sent, 5 * CLK_SECOND);
+  EXPECT_EQ (sup_run_count (vms[1].upstream), runs);
+}
