--- a/src/fwd/fwd_send.c
+++ b/src/fwd/fwd_send.c
@@ -91,6 +91,7 @@
       message->more = true;
       return;
     }
+  call->sent_bytes = body->length;
   message->body.data = body->data;
   message->body.len = body->length < PART_SIZE ? body->length : PART_SIZE;
   message->more = body->length > PART_SIZE;
--- a/tests/hub_test.cc
+++ b/tests/hub_test.cc
@@ -3,6 +3,7 @@
 #include "pfm_names.h"
 #include "scf.h"
 #include "support/sidecar_mesh.h"
+#include "wire/frm.h"
 
 #include <algorithm>
 #include <string>
@@ -265,3 +266,153 @@
   EXPECT_LT (evl_now (loop) - sent, 5 * CLK_SECOND);
   EXPECT_EQ (sup_run_count (vms[1].upstream), runs);
 }
+
+/* A gate that the test plays itself: a node whose sidecar was killed.  */
+class ForgedGrants : public LongRequests
+{
+protected:
+  /* Reads the frames that came from the caller's node and answers pings.  */
+  void
+  read_frames (Peer &link)
+  {
+    size_t at = 0;
+
+    link.receive ();
+    while (link.received.size () - at >= FRM_HEADER_LENGTH)
+      {
+        const uint8_t *data
+            = reinterpret_cast<const uint8_t *> (link.received.data ()) + at;
+        size_t length = (size_t)data[0] << 24 | (size_t)data[1] << 16
+                        | (size_t)data[2] << 8 | data[3];
+        Mesh__Frame *frame;
+
+        if (link.received.size () - at < FRM_HEADER_LENGTH + length)
+          break;
+        ASSERT_EQ (frm_decode (data + FRM_HEADER_LENGTH, length, &frame),
+                   FRM_OK);
+        take_frame (link, *frame);
+        frm_free (frame);
+        at += FRM_HEADER_LENGTH + length;
+      }
+    link.received.erase (0, at);
+  }
+
+  void
+  take_frame (const Peer &link, const Mesh__Frame &frame)
+  {
+    if (frame.body_case == MESH__FRAME__BODY_PING)
+      {
+        Mesh__Pong pong = MESH__PONG__INIT;
+        Mesh__Frame reply = MESH__FRAME__INIT;
+
+        pong.nonce = frame.ping->nonce;
+        reply.body_case = MESH__FRAME__BODY_PONG;
+        reply.pong = &pong;
+        send_frame (link, reply);
+      }
+    else if (frame.body_case == MESH__FRAME__BODY_CALL)
+      {
+        number = frame.call->id->number;
+        body_bytes = frame.call->body_bytes;
+        received += frame.call->body.len;
+      }
+    else if (frame.body_case == MESH__FRAME__BODY_CALL_BODY)
+      {
+        received += frame.call_body->data.len;
+        is_complete = !frame.call_body->more;
+      }
+  }
+
+  static void
+  send_frame (const Peer &link, const Mesh__Frame &frame)
+  {
+    struct buf bytes = {};
+
+    frm_encode (&frame, &bytes);
+    link.send (std::string (reinterpret_cast<const char *> (bytes.data),
+                            bytes.length));
+    buf_close (&bytes);
+  }
+
+  static void
+  grant (const Peer &link, uint64_t call, uint32_t bytes)
+  {
+    Mesh__CallId id = MESH__CALL_ID__INIT;
+    Mesh__WindowGrant message = MESH__WINDOW_GRANT__INIT;
+    Mesh__Frame frame = MESH__FRAME__INIT;
+
+    id.number = call;
+    message.id = &id;
+    message.bytes = bytes;
+    frame.body_case = MESH__FRAME__BODY_WINDOW_GRANT;
+    frame.window_grant = &message;
+    send_frame (link, frame);
+  }
+
+  /* Takes the place of the node of stock.  */
+  void
+  play_gate (const Listener &listener, Peer &link)
+  {
+    ASSERT_TRUE (run_until ([&] { return listener.accept (&link); }));
+    run_until (
+        [&] {
+          read_frames (link);
+          return false;
+        },
+        400);
+  }
+
+  uint64_t number = 0; /* of the call */
+  uint32_t body_bytes = 0;
+  size_t received = 0; /* bytes of its body */
+  bool is_complete = false;
+};
+
+/* Guards against a body that is sent a second time when a gate grants what was
+   sent unasked, and against grants of nothing, of 4 GB, twice, or for other
+   calls.  */
+TEST_F (ForgedGrants, MoveNoBytesTwice)
+{
+  start_upload_mesh ();
+  kill_sidecar (1);
+  Listener listener (address_of (1, links_port));
+  Peer link;
+
+  play_gate (listener, link);
+  for (size_t bytes : { 1000u, 100000u })
+    {
+      received = 0;
+      number = 0;
+      is_complete = bytes == 1000;
+      Peer caller = upload (bytes, 3000);
+      ASSERT_TRUE (run_until ([&] {
+        read_frames (link);
+        return number != 0;
+      }));
+      EXPECT_EQ (body_bytes, bytes == 1000 ? 0u : bytes);
+      grant (link, number, 0);
+      grant (link, number + 1, 50000);
+      grant (link, number, 20000);
+      grant (link, number, 20000);
+      run_until (
+          [&] {
+            read_frames (link);
+            return false;
+          },
+          50);
+      EXPECT_EQ (received, bytes == 1000 ? 1000u : 40000u);
+      grant (link, number, UINT32_MAX);
+      grant (link, number, UINT32_MAX);
+      run_until (
+          [&] {
+            read_frames (link);
+            return false;
+          },
+          50);
+      EXPECT_EQ (received, bytes);
+      EXPECT_TRUE (is_complete);
+      caller.close (true);
+      run_for (10);
+      read_frames (link);
+    }
+}
