--- a/src/srv/srv_connection.c
+++ b/src/srv/srv_connection.c
@@ -200,7 +200,8 @@
   evl_timer_set (&connection->timer, loop_now (connection) + time);
 }
 
-/* Sends 100 Continue to a caller that expects it before it sends the body.  */
+/* Sends 100 Continue to a caller that expects it before it sends the body.
+   While a response is being sent, it waits for its end.  */
 static void
 send_continue (struct srv_connection *connection)
 {
@@ -378,11 +379,15 @@
 on_socket (void *context, int events)
 {
   struct srv_connection *connection = context;
+  bool was_sending = connection->first != NULL;
 
   if ((events & EVL_WRITE) != 0)
     {
       if (!srv_flush (connection))
         return;
+      if (was_sending && connection->first == NULL && connection->reading
+          && connection->reader.header_complete)
+        send_continue (connection);
       srv_advance (connection);
     }
   if ((events & EVL_READ) != 0 && connection->state != SRV_CLOSED)
--- a/tests/srv_test.cc
+++ b/tests/srv_test.cc
@@ -753,3 +753,98 @@
   EXPECT_EQ (peer.received.find ("first"), std::string::npos);
   EXPECT_EQ (count_of (peer.received, "HTTP/1.1 200 "), 2u);
 }
+
+/* Guards against a caller that waits for its interim response in vain because
+   the response before was still being sent when it asked.  */
+TEST_F (Pipeline, SendsContinueAfterALongResponse)
+{
+  Peer peer = Peer::connect (address);
+
+  peer.send (request ("/1")
+             + "POST /2 HTTP/1.1\r\nExpect: 100-continue\r\n"
+               "Content-Length: 4\r\n\r\n");
+  ASSERT_TRUE (run_until_pending (1));
+  respond_to (0, std::string (LARGE_BODY, 'x'));
+  ASSERT_TRUE (run_until ([&] {
+    peer.receive ();
+    return peer.received.size () > LARGE_BODY;
+  }));
+  ASSERT_TRUE (run_until_received (peer, "HTTP/1.1 100 Continue", 250));
+  peer.send ("body");
+  EXPECT_TRUE (run_until_pending (1));
+}
+
+/* Guards against calls that nest once for each request of a pipeline, and
+   against answers that are lost or given twice.  */
+TEST_F (Pipeline, AnswersAThousandRequestsInTheirHandler)
+{
+  const size_t count = 1000;
+  Peer peer = Peer::connect (address);
+  std::string text;
+
+  respond_immediately = true;
+  for (size_t i = 0; i < count; i++)
+    text += request ("/" + std::to_string (i));
+  peer.send (text);
+  ASSERT_TRUE (run_until ([&] {
+    peer.receive ();
+    return count_of (peer.received, "HTTP/1.1 200 ") == count;
+  }));
+  EXPECT_EQ (targets.size (), count);
+  EXPECT_EQ (srv_request_count (server), 0u);
+}
+
+/* Guards against exchanges that are used after their connection was closed by
+   one of them: the others are reported, and answers to them are ignored.  */
+TEST_F (Pipeline, AbortsAConnectionFromOneOfItsRequests)
+{
+  Peer peer = Peer::connect (address);
+
+  peer.send (request ("/1") + request ("/2") + request ("/3")
+             + request ("/once"));
+  ASSERT_TRUE (run_until_pending (3));
+  struct srv_exchange *second = pending[1];
+
+  pending.erase (pending.begin () + 1);
+  srv_abort (second);
+  respond_to (0, "first");
+  EXPECT_EQ (srv_request_count (server), 0u);
+  ASSERT_TRUE (run_until ([&] { return disconnected_count == 1; }));
+  ASSERT_TRUE (run_until_disconnected (peer));
+  EXPECT_TRUE (pending.empty ());
+  EXPECT_EQ (targets.size (), 3u);
+  EXPECT_TRUE (peer.received.empty ());
+}
+
+/* Guards against other bytes for callers that do not pipeline than before
+   there was pipelining.  */
+TEST_F (Server, SendsTheBytesThatItSentWithoutPipelining)
+{
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string closed = "Connection: close\r\n";
+  const std::string done = "Content-Length: 4\r\n\r\ndone";
+  const std::string none = "Content-Length: 0\r\n\r\n";
+  const struct
+  {
+    std::string request;
+    std::string response;
+  } cases[] = {
+    { get, ok + done },
+    { "HEAD /1 HTTP/1.1\r\n\r\n", ok + none },
+    { "GET /1 HTTP/1.1\r\nConnection: close\r\n\r\n", ok + closed + done },
+    { "GET /1 HTTP/1.0\r\n\r\n", ok + closed + done },
+    { "BAD\r\n\r\n", "HTTP/1.1 400 Bad Request\r\n" + closed + none },
+    { "POST /1 HTTP/1.1\r\nContent-Length: 1001\r\n\r\n",
+      "HTTP/1.1 413 Payload Too Large\r\n" + closed + none },
+    { "GET /1 HT", "HTTP/1.1 408 Request Timeout\r\n" + closed + none }
+  };
+
+  for (const auto &example : cases)
+    {
+      Peer peer = Peer::connect (address);
+
+      peer.send (example.request);
+      run_until_disconnected (peer, 350);
+      EXPECT_EQ (peer.received, example.response) << example.request;
+    }
+}
