--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -355,9 +355,12 @@
   enum gat_refusal refusal = check_admission (call, wait);
 
   if (refusal != GAT_NOT_REFUSED)
-    gat_refuse (call, refusal);
-  else
-    gat_grant_bodies (call->gate);
+    {
+      gat_refuse (call, refusal);
+      return;
+    }
+  gat_log_receiving (call, wait);
+  gat_grant_bodies (call->gate);
 }
 
 /* Ends the deadline of a call with the process.  */
--- a/src/gat/gat_log.c
+++ b/src/gat/gat_log.c
@@ -36,15 +36,59 @@
   log_add_number (entry, "slots", gate->registration->upstream.slots);
 }
 
+/* Returns whether the call would run now if the link of the VM took its long
+   bodies.  */
+static bool
+waits_for_link (const struct gat_call *call)
+{
+  const struct gat *gate = call->gate;
+
+  return call->frame->call->is_bulk
+         && gate->running < gate->registration->upstream.slots;
+}
+
+/* Adds what the link of the VM is to carry for a call with long bodies.  */
+static void
+add_link (struct log_entry *entry, const struct gat_call *call)
+{
+  const struct gat *gate = call->gate;
+
+  if (!call->frame->call->is_bulk)
+    return;
+  log_add_ms (entry, "link_wait_ms", gat_link_wait (call));
+  log_add_ms (entry, "body_wait_ms", gat_receive_wait (call));
+  log_add_number (entry, "expected_bytes", (int64_t)gate->expected_bytes);
+  log_add_number (entry, "granted_bytes", (int64_t)gate->granted_bytes);
+}
+
+void
+gat_log_receiving (const struct gat_call *call, clk_time wait)
+{
+  struct log_entry entry;
+
+  met_add (met_counter ("gate_bodies_awaited_total", ""), 1);
+  if (!log_begin (&entry, LOG_INFO, "gat", "body awaited", call->id))
+    return;
+  add_load (&entry, call);
+  add_link (&entry, call);
+  log_add_number (&entry, "body_bytes", call->frame->call->body_bytes);
+  log_add_ms (&entry, "wait_ms", wait);
+  log_add_ms (&entry, "left_ms", call->deadline - now_of (call));
+  log_end (&entry);
+}
+
 void
 gat_log_queued (const struct gat_call *call, clk_time wait)
 {
   struct log_entry entry;
 
   met_add (met_counter ("gate_queued_total", ""), 1);
+  if (waits_for_link (call))
+    met_add (met_counter ("gate_link_queued_total", ""), 1);
   if (!log_begin (&entry, LOG_INFO, "gat", "queued", call->id))
     return;
   add_load (&entry, call);
+  add_link (&entry, call);
   log_add_ms (&entry, "wait_ms", wait);
   log_add_number (&entry, "priority", call->frame->call->priority);
   if (tenant_of (call) != NULL)
@@ -103,9 +147,12 @@
   snprintf (labels, sizeof labels, "reason=\"%s\"",
             gat_refusal_name (refusal));
   met_add (met_counter ("gate_refused_total", labels), 1);
+  if (refusal == GAT_BUSY && waits_for_link (call))
+    met_add (met_counter ("gate_link_refused_total", ""), 1);
   if (!log_begin (&entry, LOG_INFO, "gat", "not run", call->id))
     return;
   add_load (&entry, call);
+  add_link (&entry, call);
   log_add_text (&entry, "reason", gat_refusal_name (refusal));
   log_add_ms (&entry, "wait_ms", gat_expect_wait (call));
   log_add_ms (&entry, "max_wait_ms",
--- a/src/gat/gat_log.h
+++ b/src/gat/gat_log.h
@@ -8,6 +8,10 @@
 /* The call waits for a slot, for WAIT as expected.  */
 void gat_log_queued (const struct gat_call *call, clk_time wait);
 
+/* The gate asks for the long body of the call, which would wait for WAIT as
+   expected, the time for the body included.  */
+void gat_log_receiving (const struct gat_call *call, clk_time wait);
+
 /* The call is sent to the upstream.  */
 void gat_log_started (const struct gat_call *call);
 
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -120,6 +120,9 @@
      sent, in ns; 0 when the rate has no limit.  */
   clk_time hub_bulk_time (const struct hub *hub, size_t bytes);
 
+  /* Returns the bytes of long bodies that wait for the limited rate.  */
+  size_t hub_bulk_bytes (const struct hub *hub);
+
   /* Returns the bytes of replies that were not sent yet, on all links.  */
   size_t hub_unsent_replies (const struct hub *hub);
 
--- a/src/hub/hub_bulk.c
+++ b/src/hub/hub_bulk.c
@@ -118,3 +118,9 @@
 {
   return pac_time_of (&hub->pacer, (double)(hub->bulk_bytes + bytes));
 }
+
+size_t
+hub_bulk_bytes (const struct hub *hub)
+{
+  return hub->bulk_bytes;
+}
--- a/src/sdc/sdc_memory.c
+++ b/src/sdc/sdc_memory.c
@@ -76,7 +76,7 @@
 }
 
 static void
-set_gauges (const struct acc *account, size_t queued)
+set_gauges (const struct acc *account, size_t queued, size_t bulk)
 {
   met_set (met_counter ("held_bytes", "kind=\"unsent\""),
            account->used[ACC_UNSENT]);
@@ -87,6 +87,7 @@
   met_set (met_counter ("held_bytes", "kind=\"bodies\""),
            account->caller_bodies.used_bytes);
   met_set (met_counter ("held_bytes", "kind=\"replies\""), queued);
+  met_set (met_counter ("link_waiting_bytes", ""), bulk);
 }
 
 void
@@ -96,5 +97,5 @@
 
   if (queued > sidecar->account.limits.replies / CLOSE_LINKS_DIVISOR)
     close_stalled_links (sidecar, now, queued);
-  set_gauges (&sidecar->account, queued);
+  set_gauges (&sidecar->account, queued, hub_bulk_bytes (sidecar->hub));
 }
