--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -7,6 +7,7 @@
 #include "gat/gat_log.h"
 #include "plc/plc.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -105,6 +106,7 @@
   struct gat *gate = call->gate;
 
   free_call (call);
+  gat_grant_bodies (gate);
   gat_next (gate);
 }
 
@@ -173,7 +175,10 @@
   gat_check_link (gate);
   while (has_free_slot (gate)
          && (call = que_pop (&gate->queue, evl_now (gate->loop))) != NULL)
-    run_admitted (call);
+    {
+      run_admitted (call);
+      gat_check_link (gate);
+    }
   gate->is_dequeuing = false;
   plan_expiry (gate);
 }
@@ -299,7 +304,7 @@
   if (would_be_cut (call, wait))
     return GAT_DRAINING;
   if (wait > message->max_wait_us * CLK_MICROSECOND
-      || call->arrival + wait + gat_service_of (call) > call->deadline)
+      || evl_now (gate->loop) + wait + gat_service_of (call) > call->deadline)
     return GAT_BUSY;
   return GAT_NOT_REFUSED;
 }
@@ -333,6 +338,15 @@
   gat_next (gate);
 }
 
+/* The deadline of a call has passed, and parts of its body are missing.  */
+static void
+on_receive_deadline (void *context)
+{
+  struct gat_call *call = context;
+
+  gat_refuse (call, call->is_shortened ? GAT_DRAINING : GAT_EXPIRED);
+}
+
 /* Asks for the long body of a call, unless it would be refused.  */
 static void
 request_body (struct gat_call *call)
@@ -341,9 +355,12 @@
   enum gat_refusal refusal = check_admission (call, wait);
 
   if (refusal != GAT_NOT_REFUSED)
-    gat_refuse (call, refusal);
-  else
-    gat_grant_bodies (call->gate);
+    {
+      gat_refuse (call, refusal);
+      return;
+    }
+  gat_log_receiving (call, wait);
+  gat_grant_bodies (call->gate);
 }
 
 /* Ends the deadline of a call with the process.  */
@@ -418,6 +435,35 @@
                       message->tenant_rate, now);
 }
 
+/* Returns whether the body with LENGTH more bytes agrees with the length that
+   was announced, MORE of it being expected.  Refuses the call when it does
+   not: it must not run with a part of its body.  */
+static bool
+check_length (struct gat_call *call, size_t length, bool more)
+{
+  const Mesh__Call *message = call->frame->call;
+  size_t total = message->body.len + length;
+
+  if (message->body_bytes <= FRM_MAX_BODY_LENGTH
+      && (total == message->body_bytes
+          || (more && total < message->body_bytes)))
+    return true;
+  log_write (LOG_WARNING, "gat",
+             "refused a call: %zu bytes of its body came, and %" PRIu32
+             " were announced",
+             total, message->body_bytes);
+  gat_refuse (call, GAT_BUSY);
+  return false;
+}
+
+/* Returns the length of the body as far as the call tells it.  */
+static size_t
+announced_bytes (const Mesh__Call *message)
+{
+  return message->body_bytes > message->body.len ? message->body_bytes
+                                                 : message->body.len;
+}
+
 static void
 start_call (struct gat *gate, struct hub_inbound_link *origin,
             Mesh__Frame *frame)
@@ -447,13 +493,17 @@
   lst_push_front (&gate->calls, &call->list);
   gate->call_count++;
   count_caller (call);
-  evl_timer_init (&call->timer, gate->loop, NULL, call);
-  if (!take_memory (call, message->body.len))
+  evl_timer_init (&call->timer, gate->loop, on_receive_deadline, call);
+  if (!take_memory (call, announced_bytes (message)))
     return;
-  if (message->body_bytes > 0)
+  if (message->body_bytes == 0 && !message->more)
+    {
+      admit (call);
+      return;
+    }
+  evl_timer_set (&call->timer, call->deadline);
+  if (message->body_bytes > 0 && check_length (call, 0, message->more))
     request_body (call);
-  else if (!message->more)
-    admit (call);
 }
 
 /* Adds a part of a body that came in several frames.  */
@@ -473,9 +523,12 @@
       gat_refuse (call, GAT_BUSY);
       return;
     }
+  if (message->body_bytes > 0
+      && !check_length (call, part->data.len, part->more))
+    return;
   gat_count_received (call, part->data.len);
   gat_grant_bodies (gate);
-  if (!take_memory (call, part->data.len))
+  if (message->body_bytes == 0 && !take_memory (call, part->data.len))
     return;
   message->body.data
       = mem_resize (message->body.data, message->body.len + part->data.len, 1);
@@ -483,8 +536,10 @@
     memcpy (message->body.data + message->body.len, part->data.data,
             part->data.len);
   message->body.len += part->data.len;
-  if (!part->more)
-    admit (call);
+  if (part->more)
+    return;
+  evl_timer_stop (&call->timer);
+  admit (call);
 }
 
 static void
@@ -537,6 +592,7 @@
         }
       call = next;
     }
+  gat_grant_bodies (gate);
   gat_next (gate);
 }
 
@@ -606,7 +662,11 @@
   for (struct gat_call *call = gat_call_at (gate->calls.first); call != NULL;
        call = gat_call_at (call->list.next))
     if (call->state != GAT_RUNNING)
-      shorten_deadline (call);
+      {
+        shorten_deadline (call);
+        if (call->state == GAT_RECEIVING)
+          evl_timer_set (&call->timer, call->deadline);
+      }
   que_limit_deadlines (&gate->queue, latest);
   plan_expiry (gate);
 }
@@ -617,10 +677,27 @@
   gate->receive_rate = bytes_per_second;
 }
 
+/* Returns a call of which parts of the body are missing, null when there is
+   none.  */
+static struct gat_call *
+find_receiving (const struct gat *gate)
+{
+  struct gat_call *call = gat_call_at (gate->calls.first);
+
+  while (call != NULL && call->state != GAT_RECEIVING)
+    call = gat_call_at (call->list.next);
+  return call;
+}
+
 void
 gat_drain (struct gat *gate)
 {
+  struct gat_call *call;
+
   gate->stopping = true;
+  /* They would be refused when their bodies are complete.  */
+  while ((call = find_receiving (gate)) != NULL)
+    gat_refuse (call, GAT_DRAINING);
 }
 
 void
