--- a/src/rol/rol.c
+++ b/src/rol/rol.c
@@ -403,7 +403,8 @@
   if (service == NULL)
     return NULL;
   rol_apply_order (rollouts, service, &order, "another node");
-  if (strcmp (service->run.order.version, order.version) != 0)
+  if (strcmp (service->run.order.version, order.version) != 0
+      || rol_is_earlier (&service->run, &order))
     return NULL;
   store_seen_at = now - (clk_time)message->store_age_ms * CLK_MILLISECOND;
   if (store_seen_at > service->store_seen_at)
--- a/src/rol/rol_phase.c
+++ b/src/rol/rol_phase.c
@@ -69,8 +69,11 @@
 static void
 begin (struct rol_run *run, const struct rol_order *order, clk_time now)
 {
+  uint64_t replaced = run->order.revision;
+
   memset (run, 0, sizeof *run);
   run->order = *order;
+  run->replaced_revision = replaced;
   if (order->deadline == CLK_NEVER)
     run->order.deadline = now + order->duration;
   set_phase (run, is_final_phase (order->stored) ? order->stored : ROL_CANARY,
@@ -97,18 +100,32 @@
 }
 
 /* Returns whether the operator has ordered the same version again: the object
-   was written since its final status, and has none any more.  */
+   was written since its final status, and has none any more.  The order may
+   already have the status running when this node hears of it.  */
 static bool
 is_ordered_again (const struct rol_run *run, const struct rol_order *order)
 {
-  return rol_is_final (run) && order->stored == ROL_NONE
+  return rol_is_final (run) && !is_final_phase (order->stored)
          && order->revision > run->order.revision;
 }
 
+bool
+rol_is_earlier (const struct rol_run *run, const struct rol_order *order)
+{
+  if (run->phase == ROL_NONE)
+    return false;
+  /* Only a new order takes a final status away.  */
+  return order->revision <= run->replaced_revision
+         || (is_final_phase (order->stored) && !rol_is_final (run)
+             && order->revision < run->order.revision);
+}
+
 bool
 rol_take_order (struct rol_run *run, const struct rol_order *order,
                 clk_time now)
 {
+  if (rol_is_earlier (run, order))
+    return false;
   if (run->phase != ROL_NONE
       && strcmp (run->order.version, order->version) == 0
       && !is_ordered_again (run, order))
--- a/src/rol/rol_phase.h
+++ b/src/rol/rol_phase.h
@@ -25,6 +25,8 @@
     enum rol_phase phase;
     clk_time switched_at; /* when this node learned of the switch */
     clk_time phase_at;    /* when this node learned of the phase */
+    /* Last known revision of the order that this one replaced; 0: none.  */
+    uint64_t replaced_revision;
   };
 
   /* What the owner sees when it decides.  */
@@ -44,6 +46,11 @@
   bool rol_take_order (struct rol_run *run, const struct rol_order *order,
                        clk_time now);
 
+  /* Returns whether ORDER is one that the known order has replaced, although
+     both may be for the same version.  */
+  bool rol_is_earlier (const struct rol_run *run,
+                       const struct rol_order *order);
+
   /* Takes a phase of the same order from another node.  Returns whether the
      phase has changed.  */
   bool rol_take_phase (struct rol_run *run, enum rol_phase phase,
--- a/tests/rol_test.cc
+++ b/tests/rol_test.cc
@@ -458,6 +458,51 @@
   EXPECT_EQ (run.phase, ROL_CANARY);
 }
 
+/* Guards against the final status of an earlier order for the same version
+   that ends the one which replaced it: a node that has not heard of the new
+   order still sends the old one.  */
+TEST_F (Phases, EarlierOrderForTheSameVersionDoesNotEndTheNewOne)
+{
+  start ();
+  rol_take_stored (&run, 12, ROL_ROLLED_BACK, now);
+  ASSERT_TRUE (take (order ("v2", 15)));
+  EXPECT_FALSE (take (order ("v2", 12, ROL_ROLLED_BACK)));
+  EXPECT_EQ (run.phase, ROL_CANARY);
+  EXPECT_EQ (run.order.stored, ROL_NONE);
+  run = {};
+  ASSERT_TRUE (take (order ("v2", 15)));
+  EXPECT_FALSE (take (order ("v2", 12, ROL_COMPLETED)));
+  EXPECT_EQ (run.phase, ROL_CANARY);
+  EXPECT_FALSE (take (order ("v2", 16, ROL_ROLLED_BACK)));
+  EXPECT_EQ (run.phase, ROL_ROLLED_BACK);
+}
+
+/* Guards against a phase of an earlier order, whose status was never written,
+   that is taken for one of a later order for the same version.  */
+TEST_F (Phases, PhaseOfAnEarlierOrderIsToldApart)
+{
+  struct rol_order first = order ("v2", 10);
+  struct rol_order again = order ("v2", 30);
+
+  ASSERT_TRUE (take (first));
+  ASSERT_TRUE (take (order ("v3", 20)));
+  ASSERT_TRUE (take (again));
+  EXPECT_TRUE (rol_is_earlier (&run, &first));
+  EXPECT_FALSE (rol_is_earlier (&run, &again));
+}
+
+/* Guards against a node that ignores an order for the same version because it
+   first hears of it when its status is "running": its requests would go to
+   upstreams that stop at the end of the roll-out.  */
+TEST_F (Phases, RepeatedOrderMayBeHeardOfWhenItRuns)
+{
+  start ();
+  rol_take_stored (&run, 12, ROL_ROLLED_BACK, now);
+  EXPECT_TRUE (take (order ("v2", 16, ROL_CANARY)));
+  EXPECT_EQ (run.phase, ROL_CANARY);
+  EXPECT_EQ (run.order.stored, ROL_CANARY);
+}
+
 /* Guards against a finished roll-out that starts again after all nodes have
    lost their memory, and a running one that does not.  */
 TEST_F (Phases, StatusInTheStoreSurvivesARestart)
