--- a/src/rol/rol_tally.c
+++ b/src/rol/rol_tally.c
@@ -122,9 +122,10 @@
   reporter->phase = (enum rol_phase)report->rollout->phase;
   reporter->old_calls = report->old_calls;
   reporter->gate_calls = report->gate_calls;
+  /* An upstream without a version is an old one; a node without an upstream
+     of the service has neither counts nor calls.  */
   reporter->has_old_gate
-      = report->gate_version[0] != '\0'
-        && strcmp (report->gate_version, service->run.order.version) != 0;
+      = strcmp (report->gate_version, service->run.order.version) != 0;
   if (report->n_counts > 0)
     take_counts (tally, reporter, report, !reporter->has_old_gate);
 }
--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -16,10 +16,12 @@
   /* Starts OLD and NEW upstreams of orders, and one VM of callers without an
      upstream of orders.  */
   void
-  start_mesh (size_t old_count = 3, size_t new_count = 3)
+  start_mesh (size_t old_count = 3, size_t new_count = 3,
+              const std::string &old_version = "v1")
   {
     for (size_t i = 0; i < old_count; i++)
-      old_vms.push_back (add_vm ("orders", "a", "near", true));
+      old_vms.push_back (
+          add_vm ("orders", "a", "near", true, true, old_version));
     /* Of equally many, the version that started first is in use.  */
     run_for (20);
     caller = add_vm ("stock", "a", "near", true);
@@ -259,6 +261,20 @@
   EXPECT_EQ (arrivals (new_vms), before);
 }
 
+/* Guards against answers of upstreams that name no version which are counted
+   for the new version: a good one is rolled back when they fail.  */
+TEST_F (Rollouts, OldUpstreamsMayHaveNoVersion)
+{
+  start_mesh (3, 3, "");
+  for (size_t i : old_vms)
+    sup_set_fault (vms[i].upstream, SUP_FAIL);
+  order (6);
+  call_until ([&] { return state () == PFM_STATE_ROLLED_BACK; }, 2500);
+  EXPECT_EQ (state (), PFM_STATE_RUNNING);
+  ASSERT_TRUE (
+      call_until ([&] { return state () == PFM_STATE_COMPLETED; }, 5000));
+}
+
 /* Guards against a roll-out that stops, or is decided without counts, when its
    owner is killed in canary.  */
 TEST_F (Rollouts, OwnerMayBeKilledInCanary)
