--- a/src/rol/rol_tally.c
+++ b/src/rol/rol_tally.c
@@ -203,6 +203,18 @@
   view->sees_most = 2 * reachable > dir_alive_count (directory);
 }
 
+/* Returns whether an owner that may not have all reports yet can judge.  After
+   the switch the old version gets no more answers: those that are missing at
+   the first judgement are missing for good.  */
+static bool
+has_both_versions (const struct rol_service *service)
+{
+  const struct rol_counts *totals = &service->tally->totals;
+
+  return service->run.phase < ROL_SWITCHING
+         && rol_sum_counts (totals->old_version).answers > 0;
+}
+
 void
 rol_judge_service (struct rol *rollouts, struct rol_service *service)
 {
@@ -219,11 +231,12 @@
   tally = tally_of (service);
   if (tally->owner_since == CLK_NEVER)
     tally->owner_since = now;
-  view.verdict = rol_judge_periods (&tally->periods, &tally->totals,
-                                    service->run.phase >= ROL_SWITCHING,
-                                    &tally->evidence);
-  view.has_upstreams = rol_current_plan (rollouts, service)->has_usable_target;
   view.is_settled = now - tally->owner_since >= SETTLING_TIME;
+  if (view.is_settled || has_both_versions (service))
+    view.verdict = rol_judge_periods (&tally->periods, &tally->totals,
+                                      service->run.phase >= ROL_SWITCHING,
+                                      &tally->evidence);
+  view.has_upstreams = rol_current_plan (rollouts, service)->has_usable_target;
   view.store_is_current = now - service->store_seen_at < STORE_LIFETIME;
   look_at_nodes (rollouts, tally, &view, now);
   if (rol_decide (&service->run, &view, now))
--- a/tests/rol_test.cc
+++ b/tests/rol_test.cc
@@ -3,6 +3,7 @@
 
 #include "base/err.h"
 #include "base/rnd.h"
+#include "own/own.h"
 #include "pfm.h"
 #include "pfm_names.h"
 #include "rol/rol_phase.h"
@@ -17,6 +18,11 @@
 #include <string>
 #include <vector>
 
+extern "C"
+{
+#include "rol/rol_internal.h"
+}
+
 /* ---- Verdict ---- */
 
 static const int route_count = 3;
@@ -821,3 +827,125 @@
       EXPECT_EQ (order.stored, ROL_NONE) << status;
     }
 }
+
+/* ---- Owner ---- */
+
+/* A node that owns the roll-out of v2 of the service orders, which has begun
+   the switch, and another one with an upstream of v2.  */
+class Owner : public testing::Test
+{
+protected:
+  Owner ()
+  {
+    struct rol_options options = {};
+    static const struct hub_handlers handlers = {};
+
+    merge ("a", "v2");
+    merge ("b", "v2");
+    self = own_find_owner (
+        directory, "rollout", "orders",
+        [] (void *, dir_handle) { return true; }, nullptr);
+    hub_create (loop, { 0x7f000001, 0 }, directory, self, &handlers, nullptr,
+                &hub);
+    options.loop = loop;
+    options.hub = hub;
+    options.directory = directory;
+    options.self = self;
+    options.max_share = 0.1;
+    options.rollback_time = 5 * CLK_SECOND;
+    options.hooks.forward = [] (void *, const Mesh__Frame *) {};
+    options.hooks.withdrawn = [] (void *) {};
+    rollouts = rol_create (&options);
+    service = rol_add_service (rollouts, "orders");
+  }
+
+  ~Owner () override
+  {
+    rol_destroy (rollouts);
+    hub_destroy (hub);
+    dir_destroy (directory);
+    evl_destroy (loop);
+  }
+
+  void
+  merge (const char *name, const char *version)
+  {
+    struct mbr_member member = {};
+    dir_handle handle;
+
+    snprintf (member.name, sizeof member.name, "%s", name);
+    snprintf (member.service, sizeof member.service, "orders");
+    snprintf (member.version, sizeof member.version, "%s", version);
+    member.incarnation = 1;
+    dir_merge (directory, &member, 0, &handle);
+  }
+
+  void
+  begin_switch ()
+  {
+    struct rol_order order = {};
+
+    snprintf (order.service, sizeof order.service, "orders");
+    snprintf (order.version, sizeof order.version, "v2");
+    order.duration = 60 * CLK_SECOND;
+    order.deadline = evl_now (loop) + 10 * CLK_SECOND;
+    order.revision = 10;
+    rol_apply_order (rollouts, service, &order, "the test");
+    rol_take_phase (&service->run, ROL_SWITCHING, evl_now (loop));
+  }
+
+  /* Takes a report of a gate of VERSION with cumulative counts.  */
+  void
+  report (const char *node, const char *version, uint64_t answers,
+          uint64_t bad)
+  {
+    Mesh__RolloutReport report = MESH__ROLLOUT_REPORT__INIT;
+    Mesh__RolloutCount count = MESH__ROLLOUT_COUNT__INIT;
+    Mesh__RolloutCount *counts[] = { &count };
+    Mesh__Rollout message;
+
+    rol_fill_message (rollouts, service, &message);
+    count.route = 1;
+    count.answers = answers;
+    count.bad = bad;
+    count.seconds = (double)(answers - bad) * 0.01;
+    count.squares = (double)(answers - bad) * 0.0001;
+    report.rollout = &message;
+    report.node = (char *)node;
+    report.incarnation = 1;
+    report.number = ++number;
+    report.gate_version = (char *)version;
+    report.counts = counts;
+    report.n_counts = 1;
+    rol_take_report (rollouts, service, nullptr, &report);
+  }
+
+  struct evl *loop = evl_create ();
+  struct dir *directory = dir_create ();
+  dir_handle self = DIR_NONE;
+  struct hub *hub = nullptr;
+  struct rol *rollouts = nullptr;
+  struct rol_service *service = nullptr;
+  uint64_t number = 0;
+};
+
+/* Guards against an owner that takes over after the switch, judges before the
+   gates of the old version have reported, and so sends back a good version on
+   a day on which both fail.  */
+TEST_F (Owner, JudgesWhenAllHaveReported)
+{
+  begin_switch ();
+  report ("a", "v2", 200, 60);
+  rol_judge_service (rollouts, service);
+  EXPECT_EQ (service->run.phase, ROL_SWITCHING);
+  report ("b", "v1", 200, 60);
+  ASSERT_NE (service->tally, nullptr);
+  service->tally->owner_since -= CLK_SECOND;
+  rol_judge_service (rollouts, service);
+  report ("a", "v2", 300, 90);
+  rol_judge_service (rollouts, service);
+  EXPECT_EQ (service->run.phase, ROL_SWITCHING);
+  report ("a", "v2", 500, 290);
+  rol_judge_service (rollouts, service);
+  EXPECT_EQ (service->run.phase, ROL_ROLLED_BACK);
+}
