--- a/src/rol/rol_internal.h
+++ b/src/rol/rol_internal.h
@@ -144,6 +144,22 @@
 /* Returns whether this node is the owner.  */
 bool rol_is_owner (const struct rol *rollouts, struct rol_service *service);
 
+/* Returns the owner of a roll-out, DIR_NONE when no node is reachable.  */
+dir_handle rol_find_owner (const struct rol *rollouts,
+                           struct rol_service *service);
+
+/* Passes on that the store answers, if that is due.  */
+void rol_forward_store_age (struct rol *rollouts, struct rol_service *service);
+
+/* Returns whether the upstream of this node has the service of a
+   roll-out.  */
+bool rol_has_gate_of (const struct rol *rollouts,
+                      const struct rol_service *service);
+
+/* Starts the counts anew when the version of this node's upstream has
+   changed.  */
+void rol_follow_upstream (struct rol *rollouts, struct rol_service *service);
+
 /* Returns the place of a route in counts, adding it if there is room.  */
 size_t rol_find_route (struct rol_routes *routes, uint32_t hash);
 
