--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -103,6 +103,31 @@
    many, further calls stay in the queue, where urgent ones overtake.  */
 void gat_check_link (struct gat *gate);
 
+/* Frees a call without an answer.  */
+void gat_free_call (struct gat_call *call);
+
+/* Schedules the next look at calls that have waited too long.  */
+void gat_plan_expiry (struct gat *gate);
+
+/* Returns why the registered upstream cannot run CALL.  */
+enum gat_refusal gat_check_upstream (const struct gat *gate,
+                                     const Mesh__Call *call);
+
+/* Runs, queues or refuses a call whose body is complete.  */
+void gat_admit (struct gat_call *call);
+
+/* Asks for the long body of a call, unless it would be refused.  */
+void gat_request_body (struct gat_call *call);
+
+/* Ends the deadline of a call with the process.  */
+void gat_shorten_deadline (struct gat_call *call);
+
+/* Callbacks of timers: calls have waited too long; the link takes long
+   responses again; the body of a call has not arrived by its deadline.  */
+void gat_expire_waiting (void *gate);
+void gat_resume_link (void *gate);
+void gat_end_awaiting (void *call);
+
 /* Returns the call of a place in the list of calls, null after the last.  */
 struct gat_call *gat_call_at (const struct lst_entry *link);
 
--- a/src/quo/quo_ask.c
+++ b/src/quo/quo_ask.c
@@ -168,6 +168,16 @@
   return NULL;
 }
 
+/* Returns the wait in a reply.  No owner tells a longer one than
+   QUO_LONGEST_RETRY; a damaged reply must not refuse a tenant for longer.  */
+static clk_time
+wait_of (const Mesh__QuotaReply *reply)
+{
+  clk_time wait = (clk_time)reply->wait_us * CLK_MICROSECOND;
+
+  return wait < QUO_LONGEST_RETRY ? wait : QUO_LONGEST_RETRY;
+}
+
 bool
 quo_handle_reply (struct quo *quota, const Mesh__Frame *frame)
 {
@@ -188,7 +198,7 @@
     take_answer (tenant,
                  reply->granted < QUO_MAX_WANTED ? reply->granted
                                                  : QUO_MAX_WANTED,
-                 (clk_time)reply->wait_us * CLK_MICROSECOND);
+                 wait_of (reply));
   else
     ask_again (tenant);
   quo_schedule (tenant);
--- a/src/rol/rol_gate.c
+++ b/src/rol/rol_gate.c
@@ -2,13 +2,6 @@
 
 #include "rol/rol_internal.h"
 
-#include "base/err.h"
-#include "base/log.h"
-#include "base/mem.h"
-
-#include <inttypes.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 size_t
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -86,6 +86,13 @@
   int64_t settings_mtime_ns; /* of the settings file, since the epoch */
 };
 
+/* Handlers of the links between nodes, and hooks of the gate.  */
+extern const struct hub_handlers sdc_hub_handlers;
+struct gat_hooks sdc_gate_hooks (struct sdc *sidecar);
+
+/* Takes the steps of a shutdown that are due.  */
+void sdc_check_shutdown (struct sdc *sidecar, clk_time now);
+
 /* Handlers of the watches of the store and of the publisher.  */
 extern const struct wch_handlers sdc_config_handlers;
 extern const struct wch_handlers sdc_node_handlers;
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -1,4 +1,4 @@
-/* Creation of a sidecar and its components, its run and its shutdown.  */
+/* Creation of a sidecar and its components, and its run.  */
 
 #include "base/err.h"
 #include "base/log.h"
@@ -49,157 +49,6 @@
 static const struct srv_limits internal_limits
     = { { 16384, 256u * 1024u }, 5 * CLK_SECOND, 120 * CLK_SECOND, 256, 0, 0 };
 
-static bool
-on_request (void *context, struct hub_inbound_link *inbound,
-            Mesh__Frame *frame)
-{
-  struct sdc *sidecar = context;
-
-  if (frame->body_case == MESH__FRAME__BODY_HELLO)
-    {
-      sdc_handle_hello (sidecar, frame->hello);
-      return false;
-    }
-  if (syn_handle_request (sidecar->sync, inbound, frame)
-      || quo_handle_request (sidecar->quota, inbound, frame)
-      || (sidecar->rollouts != NULL
-          && rol_handle_request (sidecar->rollouts, inbound, frame)))
-    return false;
-  gat_handle_frame (sidecar->gate, inbound, frame);
-  return true;
-}
-
-static bool
-on_reply (void *context, dir_handle peer, Mesh__Frame *frame)
-{
-  struct sdc *sidecar = context;
-
-  if (frame->body_case == MESH__FRAME__BODY_ANSWER)
-    syn_note_peer_version (sidecar->sync, peer, frame->answer->config_version);
-  if (syn_handle_reply (sidecar->sync, peer, frame)
-      || quo_handle_reply (sidecar->quota, frame)
-      || (sidecar->rollouts != NULL
-          && rol_handle_reply (sidecar->rollouts, frame)))
-    return false;
-  return fwd_handle_reply (sidecar->forwarder, peer, frame);
-}
-
-static void
-on_inbound_closed (void *context, struct hub_inbound_link *inbound)
-{
-  struct sdc *sidecar = context;
-
-  gat_handle_inbound_closed (sidecar->gate, inbound);
-  syn_remove_subscriber (sidecar->sync, inbound);
-  if (sidecar->rollouts != NULL)
-    rol_handle_inbound_closed (sidecar->rollouts, inbound);
-}
-
-static void
-on_connected (void *context, dir_handle peer)
-{
-  struct sdc *sidecar = context;
-
-  syn_peer_connected (sidecar->sync, peer);
-}
-
-static void
-on_link_closed (void *context, dir_handle peer, uint64_t link, bool opened)
-{
-  struct sdc *sidecar = context;
-
-  fwd_handle_link_closed (sidecar->forwarder, peer, link, opened);
-  quo_handle_link_closed (sidecar->quota, link);
-}
-
-static void
-on_ping_overdue (void *context, dir_handle peer, uint64_t link)
-{
-  struct sdc *sidecar = context;
-
-  fwd_handle_ping_overdue (sidecar->forwarder, peer, link);
-}
-
-static void
-on_health_changed (void *context, dir_handle peer, enum hub_health health)
-{
-  static const char *const names[] = { "healthy", "silent", "lost" };
-  struct sdc *sidecar = context;
-  const struct mbr_member *member = dir_get (sidecar->directory, peer);
-
-  log_write (LOG_INFO, "sdc", "node %s is %s",
-             member != NULL ? member->name : "?", names[health]);
-  syn_refresh_roles (sidecar->sync);
-  quo_note_health (sidecar->quota, peer, health);
-}
-
-static const struct hub_handlers hub_handlers
-    = { on_request,      on_reply,     on_inbound_closed, on_link_closed,
-        on_ping_overdue, on_connected, on_health_changed };
-
-static void
-send_reply (void *context, struct hub_inbound_link *inbound,
-            const Mesh__Frame *frame)
-{
-  struct sdc *sidecar = context;
-
-  hub_reply (sidecar->hub, inbound, frame);
-}
-
-static void
-send_bulk_reply (void *context, struct hub_inbound_link *inbound,
-                 const Mesh__Frame *frame)
-{
-  struct sdc *sidecar = context;
-
-  hub_reply_bulk (sidecar->hub, inbound, frame);
-}
-
-static clk_time
-get_bulk_time (void *context, size_t bytes)
-{
-  struct sdc *sidecar = context;
-
-  return hub_bulk_time (sidecar->hub, bytes);
-}
-
-static void
-on_upstream_unreachable (void *context)
-{
-  struct sdc *sidecar = context;
-
-  if (!reg_mark_unreachable (&sidecar->registration))
-    return;
-  log_write (LOG_WARNING, "sdc",
-             "upstream %s refused a connection; it gets no calls until its "
-             "next heartbeat",
-             sidecar->registration.upstream.name);
-  gat_apply_registration (sidecar->gate);
-}
-
-static uint64_t
-get_config_version (void *context)
-{
-  return sdc_config_version (context);
-}
-
-static void
-on_answered (void *context, uint32_t route, bool bad, clk_time elapsed)
-{
-  struct sdc *sidecar = context;
-
-  if (sidecar->rollouts != NULL)
-    rol_count_run (sidecar->rollouts, route, bad, elapsed);
-}
-
-static bool
-is_withdrawn (void *context)
-{
-  struct sdc *sidecar = context;
-
-  return sidecar->rollouts != NULL && rol_is_withdrawn (sidecar->rollouts);
-}
-
 static void
 fill_record (struct sdc *sidecar)
 {
@@ -246,15 +95,7 @@
 {
   const struct cfg_sidecar *settings = &sidecar->settings;
   struct evl *loop = sidecar->loop;
-  struct gat_hooks gate_hooks = { .context = sidecar,
-                                  .send_reply = send_reply,
-                                  .has_room = sdc_has_reply_room,
-                                  .on_unreachable = on_upstream_unreachable,
-                                  .config_version = get_config_version,
-                                  .send_bulk_reply = send_bulk_reply,
-                                  .bulk_time = get_bulk_time,
-                                  .answered = on_answered,
-                                  .is_withdrawn = is_withdrawn };
+  struct gat_hooks gate_hooks = sdc_gate_hooks (sidecar);
   struct syn_hooks sync_hooks = sdc_sync_hooks (sidecar);
   size_t memory = (size_t)settings->memory_mb * 1024 * 1024;
   struct acc_limits limits = acc_limits_of (memory);
@@ -272,7 +113,7 @@
 
   acc_init (&sidecar->account, memory);
   if (hub_create (loop, settings->mesh_address, sidecar->directory,
-                  sidecar->self, &hub_handlers, sidecar, &sidecar->hub)
+                  sidecar->self, &sdc_hub_handlers, sidecar, &sidecar->hub)
       != HUB_OK)
     return false;
   hub_set_bulk_rate (sidecar->hub, settings->link_mbps * BULK_BYTES_PER_MBIT);
@@ -348,21 +189,6 @@
   free (sidecar);
 }
 
-void
-sdc_terminate (struct sdc *sidecar)
-{
-  if (sidecar->stopping)
-    return;
-  log_write (LOG_INFO, "sdc", "shutting down");
-  sidecar->stopping = true;
-  sidecar->shutdown
-      = stp_begin (evl_now (sidecar->loop), sidecar->settings.grace_period);
-  fwd_set_drain_deadline (sidecar->forwarder, sidecar->shutdown.answer_by,
-                          sidecar->shutdown.screen_at);
-  gat_set_end (sidecar->gate, sidecar->shutdown.answer_by);
-  srv_drain (sidecar->caller_server);
-}
-
 static void
 on_terminate (void *context)
 {
@@ -404,62 +230,6 @@
   buf_close (&diagnostics);
 }
 
-/* Drains the gate and publishes that this node leaves.  Until then the
-   upstream still receives calls, because it is reachable only through this
-   node.  */
-static void
-leave_mesh (struct sdc *sidecar)
-{
-  if (sidecar->record.state == MBR_LEAVING)
-    return;
-  gat_drain (sidecar->gate);
-  sidecar->record.state = MBR_LEAVING;
-  sdc_publish_record (sidecar);
-  /* When the upstream drains or none is registered, the node leaves for
-     good.  */
-  if (sidecar->registration.state == REG_LEAVING
-      || sidecar->registration.state == REG_NONE)
-    pub_withdraw (sidecar->publisher);
-}
-
-static struct stp_steps
-find_shutdown_steps (const struct sdc *sidecar, clk_time now)
-{
-  struct stp_state state
-      = { .now = now,
-          .last_request_at = srv_last_request_time (sidecar->caller_server),
-          .is_accepting = srv_is_accepting (sidecar->caller_server),
-          .request_count = srv_request_count (sidecar->caller_server),
-          .call_count = gat_in_progress (sidecar->gate),
-          .unsent_bytes = hub_unsent_replies (sidecar->hub) };
-
-  return stp_check (&sidecar->shutdown, &state);
-}
-
-static void
-check_shutdown (struct sdc *sidecar, clk_time now)
-{
-  struct stp_steps steps;
-
-  if (!sidecar->stopping)
-    return;
-  steps = find_shutdown_steps (sidecar, now);
-  if (steps.drain)
-    leave_mesh (sidecar);
-  if (steps.stop_accepting && srv_is_accepting (sidecar->caller_server))
-    {
-      /* Reads the requests that have arrived meanwhile.  */
-      srv_stop_accepting (sidecar->caller_server);
-      steps = find_shutdown_steps (sidecar, now);
-    }
-  if (!steps.stop)
-    return;
-  fwd_fail_all (sidecar->forwarder);
-  sidecar->stopped = true;
-  if (sidecar->owns_loop)
-    evl_stop (sidecar->loop);
-}
-
 static void
 check_upstream (struct sdc *sidecar, clk_time now)
 {
@@ -492,7 +262,7 @@
   sdc_check_memory (sidecar, now);
   if (read_settings_mtime (sidecar->file) != sidecar->settings_mtime_ns)
     reload_settings (sidecar);
-  check_shutdown (sidecar, now);
+  sdc_check_shutdown (sidecar, now);
   evl_timer_set (&sidecar->tick, now + TICK_INTERVAL);
 }
 
