--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,7 +1,6 @@
 """Fault soak: real processes, faults from outside, promises checked.
 
 Usage: run.py BUILD [--seed N] [--seeds N] [--seconds S] [--vms N] [--network N]
-              [--quotas]
 
 Without --seed, tests/soak/seeds.txt is played.  Each seed draws a series of
 faults that may overlap: sidecars killed, stopped, frozen and started again;
@@ -319,8 +318,7 @@
         soak.check_runs(ended)
         soak.check_keys(ended)
         soak.check_logs(directory)
-        if options.quotas:
-            soak.check_quota()
+        soak.check_quota()
         served = sum(o.status == 200 for o in callers.outcomes)
         print(f"seed {seed}: {len(soak.actions)} faults, "
               f"{len(callers.outcomes)} calls, {served} served, "
@@ -348,8 +346,6 @@
     parser.add_argument("--network", type=int, default=77,
                         help="second number of all addresses, for soaks that "
                              "run side by side")
-    parser.add_argument("--quotas", action="store_true",
-                        help="judge the runs of the tenant beyond its quota")
     options = parser.parse_args()
     if options.seed is not None:
         seeds = range(options.seed, options.seed + options.seeds)
