--- a/src/gat/gat_call.c
+++ b/src/gat/gat_call.c
@@ -143,7 +143,7 @@
   return false;
 }
 
-/* Returns the length of the body as far as the call tells it.  */
+/* Returns the length of the body that the call announces or has already.  */
 static size_t
 announced_bytes (const Mesh__Call *message)
 {
--- a/src/quo/quo_ask.c
+++ b/src/quo/quo_ask.c
@@ -168,7 +168,7 @@
   return NULL;
 }
 
-/* Returns the wait in a reply.  No owner tells a longer one than
+/* Returns the wait in a reply.  No owner reports a longer one than
    QUO_LONGEST_RETRY; a damaged reply must not refuse a tenant for longer.  */
 static clk_time
 wait_of (const Mesh__QuotaReply *reply)
--- a/src/quo/quo_bucket.c
+++ b/src/quo/quo_bucket.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Longest wait that a bucket tells, and the furthest that places of refused
+/* Longest wait that a bucket reports, and the furthest that places of refused
    askers reach ahead.  */
 #define LONGEST_WAIT (2 * CLK_SECOND)
 
@@ -19,7 +19,8 @@
   char *name;
   double credit;
   clk_time filled_at;
-  clk_time promised_until; /* credit until then was told to refused askers */
+  clk_time
+      promised_until; /* credit until then was promised to refused nodes */
   clk_time used_at;
 };
 
--- a/src/quo/quo_lease.h
+++ b/src/quo/quo_lease.h
@@ -78,7 +78,7 @@
   void quo_lease_refuse (struct quo_lease *lease, clk_time wait, clk_time now);
 
   /* Returns whether one more request behind WAITING others can get credit by
-     DEADLINE, as the owner's last reply tells.  */
+     DEADLINE, according to the owner's last reply.  */
   bool quo_lease_may_wait (const struct quo_lease *lease, uint32_t waiting,
                            double rate, clk_time deadline, clk_time now);
 
--- a/src/quo/quo_serve.c
+++ b/src/quo/quo_serve.c
@@ -92,10 +92,10 @@
     take_floor_or_refuse (request);
 }
 
-/* Returns the first request that gets no credit in time as the owner's last
-   reply tells, null when there is none.  */
+/* Returns the first request that gets no credit in time according to the
+   owner's last reply, null when there is none.  */
 static struct quo_request *
-find_hopeless (struct quo_tenant *tenant, clk_time now)
+find_unservable (struct quo_tenant *tenant, clk_time now)
 {
   for (uint32_t place = 0; place < tenant->waiting_count; place++)
     {
@@ -114,7 +114,7 @@
   clk_time now = evl_now (tenant->quota->parts.loop);
   struct quo_request *request;
 
-  while ((request = find_hopeless (tenant, now)) != NULL)
+  while ((request = find_unservable (tenant, now)) != NULL)
     refuse (request);
 }
 
--- a/src/quo/quo_share.c
+++ b/src/quo/quo_share.c
@@ -50,11 +50,11 @@
 struct centre
 {
   const char *name;
-  unsigned heard;
+  unsigned connected;
   unsigned silent;
 };
 
-/* Data centres that are told apart.  */
+/* Data centres that are distinguished.  */
 #define MAX_CENTRES 32
 
 static struct centre *
@@ -73,28 +73,29 @@
 /* Takes in how each node is seen.  A dead one stays as it was last.  */
 static void
 look_at_nodes (struct quo_share *share, const struct dir *directory,
-               enum quo_sight (*look) (void *context, dir_handle node),
-               void *context, enum quo_sight *sights, struct centre *centres)
+               enum quo_link_state (*look) (void *context, dir_handle node),
+               void *context, enum quo_link_state *states,
+               struct centre *centres)
 {
   for (dir_handle node = 0; node < dir_handle_limit (directory); node++)
     {
       const struct mbr_member *member = dir_get (directory, node);
       struct centre *centre;
 
-      sights[node] = QUO_UNSEEN;
+      states[node] = QUO_UNKNOWN;
       if (member == NULL || member->state == MBR_DEAD)
         continue;
-      sights[node] = look (context, node);
-      if (sights[node] == QUO_SILENT)
+      states[node] = look (context, node);
+      if (states[node] == QUO_SILENT)
         share->silent[node] = true;
-      else if (sights[node] == QUO_HEARD)
+      else if (states[node] == QUO_CONNECTED)
         share->silent[node] = false;
       centre = find_centre (centres, member->data_centre);
       if (centre == NULL)
         continue;
-      if (sights[node] == QUO_HEARD)
-        centre->heard++;
-      else if (share->silent[node] && sights[node] != QUO_UNSEEN)
+      if (states[node] == QUO_CONNECTED)
+        centre->connected++;
+      else if (share->silent[node] && states[node] != QUO_UNKNOWN)
         centre->silent++;
     }
 }
@@ -102,7 +103,7 @@
 /* Returns the part of the known nodes that are not silent.  */
 static double
 count_part (struct quo_share *share, const struct dir *directory,
-            const enum quo_sight *sights, struct centre *centres)
+            const enum quo_link_state *states, struct centre *centres)
 {
   size_t known = 0;
   size_t silent = 0;
@@ -116,9 +117,9 @@
         continue;
       centre = find_centre (centres, member->data_centre);
       if (member->state != MBR_DEAD && centre != NULL
-          && (sights[node] == QUO_UNSEEN
-              || (sights[node] == QUO_LOST && !share->silent[node])))
-        share->silent[node] = centre->silent > centre->heard;
+          && (states[node] == QUO_UNKNOWN
+              || (states[node] == QUO_DISCONNECTED && !share->silent[node])))
+        share->silent[node] = centre->silent > centre->connected;
       if (member->state != MBR_DEAD || share->silent[node])
         known++;
       if (share->silent[node])
@@ -129,17 +130,17 @@
 
 double
 quo_share_check (struct quo_share *share, const struct dir *directory,
-                 enum quo_sight (*look) (void *context, dir_handle node),
+                 enum quo_link_state (*look) (void *context, dir_handle node),
                  void *context, clk_time now)
 {
   dir_handle limit = dir_handle_limit (directory);
   struct centre centres[MAX_CENTRES] = { 0 };
-  enum quo_sight *sights = mem_alloc (limit, sizeof *sights);
+  enum quo_link_state *states = mem_alloc (limit, sizeof *states);
 
   reserve (share, limit);
-  look_at_nodes (share, directory, look, context, sights, centres);
-  share->seen = count_part (share, directory, sights, centres);
-  free (sights);
+  look_at_nodes (share, directory, look, context, states, centres);
+  share->seen = count_part (share, directory, states, centres);
+  free (states);
   if (share->seen <= share->part)
     {
       share->part = share->seen;
--- a/src/quo/quo_share.h
+++ b/src/quo/quo_share.h
@@ -21,12 +21,13 @@
 #define QUO_SHARE_HOLD (1500 * CLK_MILLISECOND)
 
   /* How a node is seen.  */
-  enum quo_sight
+  enum quo_link_state
   {
-    QUO_UNSEEN, /* nothing is known of its link */
-    QUO_HEARD,  /* it is connected */
-    QUO_LOST,   /* its connection failed: as when its process has ended */
-    QUO_SILENT  /* it stopped to answer on an open link */
+    QUO_UNKNOWN,      /* nothing is known of its link */
+    QUO_CONNECTED,    /* it is connected */
+    QUO_DISCONNECTED, /* its connection failed: as when its process has ended
+                       */
+    QUO_SILENT        /* it stopped to answer on an open link */
   };
 
   struct quo_share
@@ -45,12 +46,12 @@
   void quo_share_close (struct quo_share *share);
 
   /* Looks at all nodes again.  A node that was silent counts as silent until
-     it is heard, also when later connections to it fail or it is declared
-     dead; one that is unseen or lost counts like most of those of its data
-     centre.  Returns the part in effect.  */
+     it is connected again, also when later connections to it fail or it is
+     declared dead; one that is unseen or lost counts like most of those of its
+     data centre.  Returns the part in effect.  */
   double quo_share_check (struct quo_share *share, const struct dir *directory,
-                          enum quo_sight (*look) (void *context,
-                                                  dir_handle node),
+                          enum quo_link_state (*look) (void *context,
+                                                       dir_handle node),
                           void *context, clk_time now);
 
   /* Returns the part of the known nodes that are in the data centre of SELF
--- a/src/quo/quo_watch.c
+++ b/src/quo/quo_watch.c
@@ -143,22 +143,22 @@
   probe->sent_at = now;
 }
 
-static enum quo_sight
+static enum quo_link_state
 look (void *context, dir_handle node)
 {
   const struct quo *quota = context;
   const struct hub *hub = quota->parts.hub;
 
   if (node == quota->parts.self || hub_is_connected (hub, node))
-    return QUO_HEARD;
+    return QUO_CONNECTED;
   switch (hub_health (hub, node))
     {
     case HUB_TIMED_OUT:
       return QUO_SILENT;
     case HUB_DISCONNECTED:
-      return QUO_LOST;
+      return QUO_DISCONNECTED;
     default:
-      return QUO_UNSEEN;
+      return QUO_UNKNOWN;
     }
 }
 
--- a/src/rol/rol.c
+++ b/src/rol/rol.c
@@ -17,7 +17,7 @@
    without a gate of the service report less often.  */
 #define FREQUENT_REPORTERS 150
 
-/* Longest interval of reports: an owner that is alive is heard of within
+/* Longest interval of reports: an owner that is alive replies within
    ROL_CONTACT_TIME.  */
 #define MAX_REPORT_INTERVAL (400 * CLK_MILLISECOND)
 
--- a/src/rol/rol_internal.h
+++ b/src/rol/rol_internal.h
@@ -124,7 +124,7 @@
 bool rol_apply_order (struct rol *rollouts, struct rol_service *service,
                       const struct rol_order *order, const char *source);
 
-/* Logs a change of phase, tells other nodes and has the status written.  */
+/* Logs a change of phase, notifies other nodes and has the status written.  */
 void rol_announce_phase (struct rol *rollouts, struct rol_service *service,
                          const char *reason);
 
--- a/src/rol/rol_phase.c
+++ b/src/rol/rol_phase.c
@@ -101,7 +101,7 @@
 
 /* Returns whether the operator has ordered the same version again: the object
    was written since its final status, and has none any more.  The order may
-   already have the status running when this node hears of it.  */
+   already have the status running when this node receives it.  */
 static bool
 is_ordered_again (const struct rol_run *run, const struct rol_order *order)
 {
--- a/src/rol/rol_verdict.h
+++ b/src/rol/rol_verdict.h
@@ -25,7 +25,7 @@
 {
 #endif
 
-/* Routes that are told apart; the last place sums up all further ones.  */
+/* Routes that are counted apart; the last place sums up all further ones.  */
 #define ROL_MAX_ROUTES 32
 
 /* Bad answers below which a version is never judged as bad.  */
--- a/src/shr/shr.h
+++ b/src/shr/shr.h
@@ -20,7 +20,7 @@
 {
 #endif
 
-/* Tenants that are told apart; further ones are never over their share.  */
+/* Tenants that are distinguished; further ones are never over their share.  */
 #define SHR_MAX_TENANTS 128
 
 /* Handle of no tenant.  */
