--- a/tests/cli_test.cc
+++ b/tests/cli_test.cc
@@ -9,6 +9,7 @@
 #include "cli/cli_versions.h"
 #include "cli/cli_write.h"
 #include "http/http_admin.h"
+#include "support/loopback.h"
 #include "support/memory_platform.h"
 #include "support/support.h"
 
@@ -64,14 +65,9 @@
 
   admin_fixture ()
   {
-    struct sockaddr_in where;
-    socklen_t size = sizeof where;
-    int socket = net_listen ({ 0x7f000001, 0 });
     http_admin_hooks hooks = {};
 
-    getsockname (socket, (struct sockaddr *)&where, &size);
-    close (socket);
-    settings.admin_address = { 0x7f000001, ntohs (where.sin_port) };
+    settings.admin_address = loopback_allocate_address ();
     hooks.context = this;
     hooks.trace = trace;
     EXPECT_EQ (http_admin_create (&settings, nullptr, &hooks, &admin),
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -6,6 +6,7 @@
 #include "http/http_announcement.h"
 #include "http/http_header.h"
 #include "support/fake_gate.h"
+#include "support/loopback.h"
 #include "view/view.h"
 
 #include <gtest/gtest.h>
@@ -27,18 +28,6 @@
 deadline_ms = 3000
 )";
 
-uint16_t
-find_free_port ()
-{
-  struct sockaddr_in where;
-  socklen_t size = sizeof where;
-  int socket = net_listen ({ 0x7f000001, 0 });
-
-  getsockname (socket, (struct sockaddr *)&where, &size);
-  close (socket);
-  return ntohs (where.sin_port);
-}
-
 /* A front whose only member is a scripted gate.  */
 struct front_fixture
 {
@@ -63,7 +52,7 @@
                SNP_OK);
     view_publish (view_create (snapshot, &member, 1, &self));
     snp_release (snapshot);
-    settings.http_address = { 0x7f000001, find_free_port () };
+    settings.http_address = loopback_allocate_address ();
     settings.http_threads = 8;
     settings.http_max_body_bytes = 100000;
     EXPECT_EQ (http_front_create (&settings, runner, &front), HTTP_OK)
@@ -318,7 +307,7 @@
     return response;
   };
 
-  settings.admin_address = { 0x7f000001, find_free_port () };
+  settings.admin_address = loopback_allocate_address ();
   hooks.is_ready = [] (void *) { return true; };
   ASSERT_EQ (http_admin_create (&settings, NULL, &hooks, &admin), HTTP_OK);
   EXPECT_TRUE (contains (ask (), " 200 "));
--- a/tests/support/frame_client.cc
+++ b/tests/support/frame_client.cc
@@ -2,6 +2,8 @@
 
 #include "support/frame_client.h"
 
+#include "support/loopback.h"
+
 #include <cstring>
 #include <fcntl.h>
 #include <gtest/gtest.h>
@@ -15,13 +17,8 @@
     : off (disabled), limit_ms (peer_limit_ms)
 {
   struct up_announcement announcement = {};
-  struct sockaddr_in name = {};
-  socklen_t size = sizeof name;
-  int probe = net_listen ({ INADDR_LOOPBACK, 0 });
 
-  getsockname (probe, (struct sockaddr *)&name, &size);
-  close (probe);
-  settings.mesh_address = { INADDR_LOOPBACK, ntohs (name.sin_port) };
+  settings.mesh_address = loopback_allocate_address ();
   settings.gate_threads = threads;
   settings.gate_queue_capacity = TEST_QUEUE_CAPACITY;
   strcpy (settings.environment, "trial");
--- a/tests/support/loop_test.cc
+++ b/tests/support/loop_test.cc
@@ -2,6 +2,8 @@
 
 #include "support/loop_test.h"
 
+#include "support/loopback.h"
+
 #include <cerrno>
 #include <fcntl.h>
 #include <sys/socket.h>
@@ -135,8 +137,5 @@
 struct net_address
 LoopTest::allocate_address ()
 {
-  /* Below the ports that the system gives to outgoing connections.  */
-  static uint16_t port = (uint16_t)(10000 + getpid () % 20000);
-
-  return { 0x7f000001, ++port };
+  return loopback_allocate_address ();
 }
--- a/tests/support/sidecar_mesh.cc
+++ b/tests/support/sidecar_mesh.cc
@@ -6,6 +6,7 @@
 #include "pfm.h"
 #include "pfm_names.h"
 #include "scf.h"
+#include "support/loopback.h"
 
 #include <algorithm>
 #include <csignal>
@@ -21,10 +22,16 @@
   return text;
 }
 
-SidecarMesh::SidecarMesh ()
-    /* Below the ports that the system gives to outgoing connections, whose
-       remains would be in the way.  */
-    : base_port ((uint16_t)(10000 + 10 * (getpid () % 2200)))
+/* Returns the first port of the meshes of this process.  */
+static uint16_t
+mesh_base_port ()
+{
+  static const uint16_t port = loopback_reserve_range ();
+
+  return port;
+}
+
+SidecarMesh::SidecarMesh () : base_port (mesh_base_port ())
 {
   signal (SIGPIPE, SIG_IGN);
   store = sst_create (loop, { 0, (uint16_t)(base_port + store_port) });
