--- a/tests/support/load_sim.cc
+++ b/tests/support/load_sim.cc
@@ -2,6 +2,7 @@
 
 #include "support/load_sim.h"
 
+#include "ovr/ovr.h"
 #include "que/que.h"
 
 #include <algorithm>
@@ -31,6 +32,7 @@
   clk_time start;
   clk_time work;
   int bounces = 0;
+  uint32_t handle = SHR_NONE; /* of its tenant at the gate */
 };
 
 struct server
@@ -62,6 +64,9 @@
           servers.back ()->speed
               = load.speeds[servers.size () % load.speeds.size ()];
         }
+    for (size_t i = 0; i < load.data_centres * load.nodes; i++)
+      reports.push_back (ovr_create ());
+    result.types.resize (load.call_types.size ());
     known.resize (load.data_centres * load.nodes * servers.size ());
     for (struct plc_load &entry : known)
       entry.slots = load.slots;
@@ -73,6 +78,8 @@
     for (const std::unique_ptr<server> &gate : servers)
       for (size_t i = 0; i < gate->queue.count; i++)
         drop (gate->queue.items[i].call);
+    for (struct ovr *table : reports)
+      ovr_destroy (table);
   }
 
   replay (const replay &) = delete;
@@ -133,8 +140,9 @@
   plan_arrival (const sim_call_type *kind)
   {
     const sim_event *entry = current ();
-    double rate
-        = kind->calls_per_s * (entry != nullptr ? entry->load_factor : 1);
+    bool changed = entry != nullptr
+                   && (entry->tenant == 0 || entry->tenant == kind->tenant);
+    double rate = kind->calls_per_s * (changed ? entry->load_factor : 1);
 
     at (now + ms (-std::log (1 - rnd_unit (&random)) * 1e3 / rate),
         [this, kind] { arrive (kind); });
@@ -158,6 +166,7 @@
         kind->service_ms
         * std::exp (kind->sigma * normal () - kind->sigma * kind->sigma / 2));
     result.calls++;
+    tally (item).calls++;
     place (item);
   }
 
@@ -174,6 +183,60 @@
                : PLC_OTHER_REGION;
   }
 
+  sim_tally &
+  tally (const std::shared_ptr<call> &item)
+  {
+    return result.types[(size_t)(item->kind - load.call_types.data ())];
+  }
+
+  struct ovr_key
+  key_of (const std::shared_ptr<call> &item, size_t index) const
+  {
+    return { item->kind->tenant, (uint32_t)index,
+             (uint32_t)(item->kind - load.call_types.data ()) };
+  }
+
+  /* Sets what the reports on the call's tenant say.  Returns whether there are
+     any.  */
+  bool
+  apply_reports (const std::shared_ptr<call> &item,
+                 std::vector<struct plc_candidate> &candidates) const
+  {
+    bool found = false;
+
+    for (size_t i = 0; i < candidates.size (); i++)
+      {
+        struct ovr_key key = key_of (item, i);
+        const struct ovr_report *report
+            = ovr_find (reports[item->node], &key, now);
+
+        if (report == nullptr)
+          continue;
+        candidates[i].load.expected_wait = report->wait;
+        candidates[i].load.reported_at = now;
+        found = true;
+      }
+    return found;
+  }
+
+  /* Chooses as fwd_place does.  */
+  struct plc_choice
+  choose (const std::shared_ptr<call> &item,
+          const std::vector<struct plc_candidate> &candidates,
+          const struct plc_call &wanted)
+  {
+    std::vector<struct plc_candidate> reported = candidates;
+    bool found = apply_reports (item, reported);
+    struct plc_choice choice = placement (reported.data (), reported.size (),
+                                          &wanted, now, &choices);
+
+    if (choice.index == PLC_NONE && found && item->bounces == 0
+        && rnd_below (&choices, OVR_SAMPLE_INTERVAL) == 0)
+      choice = placement (candidates.data (), candidates.size (), &wanted, now,
+                          &choices);
+    return choice;
+  }
+
   void
   place (const std::shared_ptr<call> &item)
   {
@@ -191,13 +254,14 @@
         candidates[i].usable = true;
         candidates[i].round_trip = 2 * one_way[candidates[i].locality];
       }
-    struct plc_choice choice = placement (
-        candidates.data (), candidates.size (), &wanted, now, &choices);
+    struct plc_choice choice = choose (item, candidates, wanted);
     if (choice.index == PLC_NONE || item->bounces > 2 * max_bounces)
       {
         result.refused++;
+        (item->bounces == 0 ? tally (item).unsent : tally (item).wasted)++;
         return;
       }
+    tally (item).sent++;
     known[item->node * servers.size () + choice.index].sent_since_report++;
     known[item->node * servers.size () + choice.index].last_sent_at = now;
     at (now + one_way[candidates[choice.index].locality],
@@ -220,7 +284,7 @@
              service > 0 ? service : gate.slot,
              item->start + ms (item->kind->target_ms),
              item->start + ms (item->kind->deadline_ms),
-             SHR_NONE,
+             item->handle,
              false };
   }
 
@@ -238,6 +302,8 @@
   admit (const std::shared_ptr<call> &item, struct plc_choice choice)
   {
     server &gate = *servers[choice.index];
+    item->handle = shr_acquire (&gate.queue.shares, item->kind->tenant,
+                                item->kind->weight, now);
     struct que_item entry = make_item (item, gate);
     clk_time wait = expect_wait (gate, entry);
 
@@ -271,6 +337,8 @@
     clk_time time = (clk_time)((double)item->work * slow / gate.speed);
 
     gate.running++;
+    shr_charge (&gate.queue.shares, item->handle, service_of (item, gate),
+                now);
     at (now + time, [this, item, index, time] { end (item, index, time); });
   }
 
@@ -288,6 +356,9 @@
     while ((next = que_expire (&gate.queue, now)) != nullptr)
       {
         result.refused++; /* as fwd does: it is not placed again */
+        tally (*static_cast<std::shared_ptr<call> *> (next)).wasted++;
+        shr_release (&gate.queue.shares,
+                     (*static_cast<std::shared_ptr<call> *> (next))->handle);
         drop (next);
       }
     next = que_pop (&gate.queue, now);
@@ -310,7 +381,18 @@
   answer (const std::shared_ptr<call> &item, size_t index, bool done)
   {
     server &gate = *servers[index];
+    shr_fade (&gate.queue.shares, now);
     struct que_item entry = make_item (item, gate);
+    bool over
+        = load.uses_reports && shr_is_over (&gate.queue.shares, entry.tenant);
+    clk_time over_wait = 0;
+
+    if (over)
+      {
+        entry.target_time += now - item->start;
+        entry.deadline += now - item->start;
+        over_wait = expect_wait (gate, entry);
+      }
     struct plc_load report
         = { gate.running,
             load.slots,
@@ -325,19 +407,42 @@
             0 };
 
     drop (entry.call);
+    shr_release (&gate.queue.shares, item->handle);
     at (now + one_way[locality (item->node, index)],
-        [this, item, index, done, report] {
-          take_report (item, index, done, report);
+        [this, item, index, done, report, over, over_wait] {
+          take_share (item, index, over, over_wait);
+          take_report (item, index, done, over, report);
         });
   }
 
+  void
+  take_share (const std::shared_ptr<call> &item, size_t index, bool over,
+              clk_time wait)
+  {
+    struct ovr_key key = key_of (item, index);
+
+    if (over)
+      ovr_add (reports[item->node], &key, wait, now);
+    else
+      ovr_clear_tenant (reports[item->node], key.tenant, key.peer, now);
+  }
+
   void
   take_report (const std::shared_ptr<call> &item, size_t index, bool done,
-               struct plc_load report)
+               bool over, struct plc_load report)
   {
     uint8_t way = locality (item->node, index);
 
     report.reported_at = now;
+    if (over)
+      {
+        /* The wait is that of the tenant over its share.  */
+        const struct plc_load &old
+            = known[item->node * servers.size () + index];
+
+        report.expected_wait = old.expected_wait;
+        report.reported_at = old.reported_at;
+      }
     known[item->node * servers.size () + index] = report;
     if (!done)
       {
@@ -349,11 +454,17 @@
     result.cross_centre += way == PLC_SAME_REGION;
     result.cross_region += way == PLC_OTHER_REGION;
     if (now <= item->start + ms (item->kind->target_ms))
-      result.on_time++;
+      {
+        result.on_time++;
+        tally (item).on_time++;
+      }
     else if (now <= item->start + ms (item->kind->deadline_ms))
       result.late++;
     else
-      result.refused++;
+      {
+        result.refused++;
+        tally (item).wasted++;
+      }
   }
 
   const struct sim_config &load;
@@ -366,6 +477,7 @@
   std::priority_queue<event> events;
   std::vector<std::unique_ptr<server> > servers;
   std::vector<struct plc_load> known; /* by node and server */
+  std::vector<struct ovr *> reports;  /* by node */
 };
 
 } // namespace
--- a/tests/support/load_sim.h
+++ b/tests/support/load_sim.h
@@ -22,6 +22,8 @@
   double target_ms;
   double deadline_ms;
   uint32_t priority;
+  uint32_t tenant = 0; /* 0: none */
+  double weight = 0;   /* of the tenant; see shr.h */
 };
 
 /* All servers, in place of one.  */
@@ -32,10 +34,11 @@
 {
   double from_s;
   double to_s;
-  double load_factor; /* times the usual arrivals */
-  int slow_server;    /* -1: none; SIM_ALL_SERVERS */
-  double slow_factor; /* times the usual work */
-  int source_centre;  /* that gets all arrivals; -1: all get the same */
+  double load_factor;  /* times the usual arrivals */
+  int slow_server;     /* -1: none; SIM_ALL_SERVERS */
+  double slow_factor;  /* times the usual work */
+  int source_centre;   /* that gets all arrivals; -1: all get the same */
+  uint32_t tenant = 0; /* whose load changes; 0: that of all calls */
 };
 
 struct sim_config
@@ -49,6 +52,17 @@
   uint32_t slots;
   double seconds;
   uint64_t seed;
+  bool uses_reports = false; /* nodes keep those of ovr.h */
+};
+
+/* Calls of one type.  */
+struct sim_tally
+{
+  uint64_t calls;
+  uint64_t on_time;
+  uint64_t sent;   /* to gates; a call may be sent several times */
+  uint64_t unsent; /* refused without being sent */
+  uint64_t wasted; /* refused after it was sent, or not answered in time */
 };
 
 struct sim_result
@@ -60,6 +74,7 @@
   uint64_t cross_centre;
   uint64_t cross_region;
   uint64_t bounced;
+  std::vector<sim_tally> types = {}; /* as many as types of calls */
 };
 
 /* Chooses as plc_choose_candidate does.  */
