--- a/src/gat/gat.c
+++ b/src/gat/gat.c
@@ -155,8 +155,15 @@
     gat_refuse (call, GAT_DRAINING);
 }
 
+static uint32_t
+count_us (clk_time time)
+{
+  time /= CLK_MICROSECOND;
+  return time < UINT32_MAX ? (uint32_t)time : UINT32_MAX;
+}
+
 void
-gat_load (const struct gat_call *call, Mesh__Load *load)
+gat_load (const struct gat_call *call, bool over_share, Mesh__Load *load)
 {
   const struct gat *gate = call->gate;
   const struct reg *registration = gate->registration;
@@ -172,6 +179,9 @@
   load->service_us = (uint32_t)(gat_kind_of (call)->service / CLK_MICROSECOND);
   load->wait_us = (uint32_t)((gat_expect_wait (call) + gat_receive_wait (call))
                              / CLK_MICROSECOND);
+  if (over_share)
+    load->over_share_wait_us
+        = count_us (gat_expect_next_wait (call) + gat_receive_wait (call));
   load->failed_permille = (uint32_t)(gate->failed * 1000);
 }
 
--- a/src/gat/gat_admit.c
+++ b/src/gat/gat_admit.c
@@ -153,25 +153,37 @@
 
 /* Returns the expected wait of a call for a slot.  */
 static clk_time
-slot_wait (const struct gat_call *call)
+slot_wait (const struct gat_call *call, const struct que_item *item)
 {
   struct gat *gate = call->gate;
   uint32_t slots = gate->registration->upstream.slots;
-  struct que_item item = make_item ((struct gat_call *)call);
-  clk_time slot = gate->slot > 0 ? gate->slot : item.service_time;
+  clk_time slot = gate->slot > 0 ? gate->slot : item->service_time;
 
   if (slots == 0)
     return 0;
   if (gate->running + que_count_runnable (&gate->queue) < slots)
-    return que_estimate_link_wait (&gate->queue, &item, evl_now (gate->loop));
+    return que_estimate_link_wait (&gate->queue, item, evl_now (gate->loop));
   gate->queue.dequeue_interval = slot / slots;
-  return que_estimate_wait (&gate->queue, &item, evl_now (gate->loop));
+  return que_estimate_wait (&gate->queue, item, evl_now (gate->loop));
 }
 
 clk_time
 gat_expect_wait (const struct gat_call *call)
 {
-  return slot_wait (call) + gat_link_wait (call);
+  struct que_item item = make_item ((struct gat_call *)call);
+
+  return slot_wait (call, &item) + gat_link_wait (call);
+}
+
+clk_time
+gat_expect_next_wait (const struct gat_call *call)
+{
+  struct que_item item = make_item ((struct gat_call *)call);
+  clk_time age = evl_now (call->gate->loop) - call->arrival;
+
+  item.target_time += age;
+  item.deadline += age;
+  return slot_wait (call, &item) + gat_link_wait (call);
 }
 
 /* The link has sent enough of the long responses.  */
--- a/src/gat/gat_answer.c
+++ b/src/gat/gat_answer.c
@@ -53,6 +53,18 @@
     }
 }
 
+/* Returns whether the call's tenant is over its share now.  */
+static bool
+is_over_share (struct gat_call *call)
+{
+  struct shr *shares = &call->gate->queue.shares;
+
+  if (call->tenant == SHR_NONE)
+    return false;
+  shr_fade (shares, evl_now (call->gate->loop));
+  return shr_is_over (shares, call->tenant);
+}
+
 static void
 send_answer (struct gat_call *call, Mesh__Answer *answer,
              const struct buf *body)
@@ -62,7 +74,8 @@
   Mesh__Load load;
   Mesh__Frame frame = MESH__FRAME__INIT;
 
-  gat_load (call, &load);
+  answer->tenant_over_share = is_over_share (call);
+  gat_load (call, answer->tenant_over_share, &load);
   answer->id = call->frame->call->id;
   answer->load = &load;
   answer->config_version = gate->hooks.config_version (gate->hooks.context);
--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -149,8 +149,14 @@
 /* Returns the expected wait of a call like this one that comes now, ns.  */
 clk_time gat_expect_wait (const struct gat_call *call);
 
-/* Fills in the load as a call of this kind meets it.  */
-void gat_load (const struct gat_call *call, Mesh__Load *load);
+/* Returns the same for a call of the same tenant that has all of its time
+   left, ns.  A call that was answered may be late, and late calls wait longer.
+ */
+clk_time gat_expect_next_wait (const struct gat_call *call);
+
+/* Fills in the load as a call of this kind meets it.  OVER_SHARE: the tenant
+   of CALL is over its share, so over_share_wait_us is set too.  */
+void gat_load (const struct gat_call *call, bool over_share, Mesh__Load *load);
 
 /* Returns whether the replies of the calls that run, and of this one, can be
    queued for the call's sender.  */
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -3109,7 +3109,7 @@
   (ProtobufCMessageInit) mesh__call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__load__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mesh__load__field_descriptors[8] =
 {
   {
     "running",
@@ -3195,9 +3195,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "over_share_wait_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Load, over_share_wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__load__field_indices_by_name[] = {
   6,   /* field[6] = failed_permille */
+  7,   /* field[7] = over_share_wait_us */
   0,   /* field[0] = running */
   4,   /* field[4] = service_us */
   3,   /* field[3] = slot_us */
@@ -3208,7 +3221,7 @@
 static const ProtobufCIntRange mesh__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor mesh__load__descriptor =
 {
@@ -3218,7 +3231,7 @@
   "Mesh__Load",
   "mesh",
   sizeof(Mesh__Load),
-  7,
+  8,
   mesh__load__field_descriptors,
   mesh__load__field_indices_by_name,
   1,  mesh__load__number_ranges,
@@ -3289,7 +3302,7 @@
   (ProtobufCMessageInit) mesh__body_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__answer__field_descriptors[11] =
+static const ProtobufCFieldDescriptor mesh__answer__field_descriptors[12] =
 {
   {
     "id",
@@ -3423,6 +3436,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tenant_over_share",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__Answer, tenant_over_share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__answer__field_indices_by_name[] = {
   4,   /* field[4] = body */
@@ -3436,11 +3461,12 @@
   9,   /* field[9] = refusal */
   7,   /* field[7] = retries_spent */
   2,   /* field[2] = status */
+  11,   /* field[11] = tenant_over_share */
 };
 static const ProtobufCIntRange mesh__answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor mesh__answer__descriptor =
 {
@@ -3450,7 +3476,7 @@
   "Mesh__Answer",
   "mesh",
   sizeof(Mesh__Answer),
-  11,
+  12,
   mesh__answer__field_descriptors,
   mesh__answer__field_indices_by_name,
   1,  mesh__answer__number_ranges,
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -484,10 +484,16 @@
    * recent calls that the upstream failed
    */
   uint32_t failed_permille;
+  /*
+   * Expected wait of a further call of the same tenant and route.  Only in
+   * answers with tenant_over_share, whose wait_us does not hold for tenants
+   * within their share.
+   */
+  uint32_t over_share_wait_us;
 };
 #define MESH__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mesh__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -544,10 +550,14 @@
    * version that the node of the gate holds
    */
   uint64_t config_version;
+  /*
+   * the tenant of the call is, at this gate
+   */
+  protobuf_c_boolean tenant_over_share;
 };
 #define MESH__ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mesh__answer__descriptor) \
-    , NULL, 0, 0, 0,NULL, {0,NULL}, 0, (char *)protobuf_c_empty_string, 0, NULL, 0, 0 }
+    , NULL, 0, 0, 0,NULL, {0,NULL}, 0, (char *)protobuf_c_empty_string, 0, NULL, 0, 0, 0 }
 
 
 /*
--- a/tests/gat_test.cc
+++ b/tests/gat_test.cc
@@ -8,11 +8,14 @@
 #include "wire/frm.h"
 
 #include <cstring>
+#include <string>
 #include <vector>
+#include <xxhash.h>
 
 /* Its struct hub_peer has the name of a function.  */
 #pragma GCC diagnostic push
 #pragma GCC diagnostic ignored "-Wshadow"
+#include "gat/gat_internal.h"
 #include "hub/hub_internal.h"
 #pragma GCC diagnostic pop
 
@@ -29,6 +32,9 @@
     int refusal;
     uint32_t bytes; /* of a grant */
     bool bulk;
+    bool over_share = false; /* of an answer, as the next two */
+    uint32_t wait_us = 0;
+    uint32_t over_share_wait_us = 0;
   };
 
   void
@@ -75,7 +81,9 @@
       test->replies.push_back ({ frame->answer->id->number,
                                  static_cast<int> (frame->answer->outcome),
                                  static_cast<int> (frame->answer->refusal), 0,
-                                 bulk });
+                                 bulk, frame->answer->tenant_over_share != 0,
+                                 frame->answer->load->wait_us,
+                                 frame->answer->load->over_share_wait_us });
   }
 
   static void
@@ -159,6 +167,7 @@
     message.method = method;
     message.target = target;
     message.service = service;
+    message.tenant = &tenant[0];
     message.remaining_us = remaining_ms * 1000;
     message.target_us = static_cast<uint32_t> (remaining_ms * 1000);
     message.max_wait_us = 60000000;
@@ -227,6 +236,7 @@
   struct reg registration = {};
   struct hub_inbound_link links[2] = {};
   struct gat *gate = nullptr;
+  std::string tenant; /* of the calls that follow; "": none */
   std::vector<Reply> replies;
   clk_time bulk_time = 0;
   double ns_per_byte = 0;
@@ -399,3 +409,58 @@
   part (1, 1000, false);
   EXPECT_NE (refusal (1), -1);
 }
+
+class GateShares : public Gate
+{
+protected:
+  /* Counts calls of a tenant that took 100 ms each.  */
+  void
+  use (const std::string &name, int calls)
+  {
+    struct shr *shares = &gate->queue.shares;
+    auto hash
+        = static_cast<uint32_t> (XXH3_64bits (name.data (), name.size ()));
+    clk_time now = evl_now (loop);
+    uint32_t handle = shr_acquire (shares, hash, 1, now);
+
+    for (int i = 0; i < calls; i++)
+      shr_charge (shares, handle, 100 * CLK_MILLISECOND, now);
+  }
+
+  /* Returns the answer to a call that does not fit into memory.  */
+  Reply
+  refuse (const std::string &name)
+  {
+    replies.clear ();
+    tenant = name;
+    call (1, UINT32_MAX);
+    return replies.empty () ? Reply{} : replies[0];
+  }
+};
+
+/* Guards against a tenant that is not known to be over its share, against one
+   that is held back with it, and against calls without a tenant whose answers
+   have other bytes than before: fields that are 0 are not sent.  */
+TEST_F (GateShares, AreReportedToTheTenantThatIsOver)
+{
+  use ("red", 30);
+  use ("blue", 5);
+  gat_set_receive_rate (gate, 0);
+  gate->running = registration.upstream.slots;
+  gate->slot = 100 * CLK_MILLISECOND;
+  gate->queue.over_skip_ratio = 0.5;
+  Reply red = refuse ("red");
+
+  EXPECT_TRUE (red.over_share);
+  EXPECT_EQ (red.wait_us, 50000u);
+  EXPECT_EQ (red.over_share_wait_us, 50000u);
+  for (const char *name : { "blue", "" })
+    {
+      Reply other = refuse (name);
+
+      EXPECT_FALSE (other.over_share) << name;
+      EXPECT_EQ (other.wait_us, 25000u) << name;
+      EXPECT_EQ (other.over_share_wait_us, 0u) << name;
+    }
+  gate->running = 0;
+}
