--- a/src/fwd/fwd.c
+++ b/src/fwd/fwd.c
@@ -45,6 +45,7 @@
 
   forwarder->parts = *parts;
   forwarder->budget = bud_create ();
+  forwarder->reports = ovr_create ();
   forwarder->next_number = 1;
   forwarder->latest = CLK_NEVER;
   forwarder->screen_at = CLK_NEVER;
@@ -92,6 +93,7 @@
     fwd_free_call (fwd_call_at (link));
   snp_release (forwarder->snapshot);
   bud_destroy (forwarder->budget);
+  ovr_destroy (forwarder->reports);
   free (forwarder->share_points);
   free (forwarder->field.candidates);
   free (forwarder->field.peers);
--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -7,6 +7,7 @@
 #include "fwd/fwd.h"
 #include "gat/gat.h"
 #include "out/out.h"
+#include "ovr/ovr.h"
 #include "plc/plc.h"
 
 /* Nodes that have refused a call at most.  */
@@ -49,6 +50,7 @@
   const struct doc_route *route;
   const char *service;
   const struct doc_tenant *tenant; /* of the caller's key; null: none */
+  uint64_t tenant_hash;            /* of its name */
   struct quo_request *quota;       /* waits for credit; null: not */
   bool has_credit;                 /* of its tenant's quota */
   const char *id;                  /* the caller's; null: none */
@@ -69,6 +71,8 @@
   uint32_t kind;        /* hash of the route */
   unsigned bounces;     /* gates that were too busy */
   unsigned usable;      /* nodes that take calls, when it was placed last */
+  bool ignores_reports; /* that its tenant is over its share; see fwd_over.c */
+  bool is_over_share;   /* these reports alone keep it from being placed */
   size_t partial_bytes; /* of ANSWER, as charged to the account */
   Mesh__Answer *answer; /* its body is not complete; owned by FRAME */
   Mesh__Frame *frame;
@@ -98,6 +102,7 @@
   clk_time latest;     /* end of every request; CLK_NEVER: not limited */
   clk_time screen_at;  /* see fwd_set_drain_deadline; CLK_NEVER: never */
   struct fwd_field field; /* of the call that is being placed */
+  struct ovr *reports;    /* of tenants that are over their share */
   double *share_points;   /* of each route with shares; see fwd_route.c */
 };
 
@@ -107,14 +112,39 @@
 /* Returns what is known of PEER.  */
 struct fwd_peer *fwd_peer (struct fwd *forwarder, dir_handle peer);
 
-/* Takes the load that PEER reports, as calls of this kind meet it.  */
+/* Takes the load that PEER reports, as calls of this kind meet it.
+   OVER_SHARE: its wait is that of a tenant over its share and is not taken, as
+   it does not hold for the others.  */
 void fwd_take_load (struct fwd *forwarder, dir_handle peer, uint32_t route,
-                    const Mesh__Load *load);
+                    const Mesh__Load *load, bool over_share);
 
 /* Returns what is known of a peer's load; SLOTS is what its record says.  */
 struct plc_load fwd_peer_load (struct fwd *forwarder, dir_handle peer,
                                uint32_t route, uint32_t slots);
 
+/* Takes what PEER's gate says of the share of the call's tenant.  */
+void fwd_take_share (struct fwd_call *call, dir_handle peer,
+                     const Mesh__Answer *answer);
+
+/* Returns the report that the call's tenant is over its share at PEER, null
+   when there is none or it is not used for this call.  */
+const struct ovr_report *fwd_find_report (const struct fwd_call *call,
+                                          dir_handle peer);
+
+/* Returns what is known of a peer's load as the call meets it; SLOTS is what
+   the peer's record says.  */
+struct plc_load fwd_call_load (const struct fwd_call *call, dir_handle peer,
+                               uint32_t slots);
+
+/* Returns the node of FIELD with the shortest wait among those that are usable
+   and have a report on the call's tenant, DIR_NONE when there is none.  */
+dir_handle fwd_find_reporter (const struct fwd_call *call,
+                              const struct fwd_field *field);
+
+/* Returns whether a call that reports keep from being placed is sent all the
+   same.  */
+bool fwd_is_sample (const struct fwd_call *call);
+
 /* Sends the call again after a try that reached an upstream, if its kind, its
    route and the budget allow it; else gives it up.  */
 void fwd_repeat (struct fwd_call *call);
--- a/src/fwd/fwd_log.c
+++ b/src/fwd/fwd_log.c
@@ -58,10 +58,9 @@
 fwd_log_placed (const struct fwd_call *call, dir_handle peer,
                 clk_time max_wait)
 {
-  struct fwd *forwarder = call->forwarder;
-  const struct mbr_member *member = dir_get (forwarder->parts.directory, peer);
-  struct plc_load load
-      = fwd_peer_load (forwarder, peer, call->kind, member->slots);
+  const struct mbr_member *member
+      = dir_get (call->forwarder->parts.directory, peer);
+  struct plc_load load = fwd_call_load (call, peer, member->slots);
   struct log_entry entry;
 
   if (!log_begin (&entry, LOG_INFO, "fwd", "placed", call->id))
@@ -76,6 +75,25 @@
   if (load.reported_at != 0)
     log_add_ms (&entry, "news_age_ms", now_of (call) - load.reported_at);
   log_add_ms (&entry, "left_ms", call->deadline - now_of (call));
+  if (call->ignores_reports)
+    log_add_text (&entry, "over_share", "sample");
+  log_end (&entry);
+}
+
+void
+fwd_log_over_share (const struct fwd_call *call, dir_handle peer)
+{
+  const struct ovr_report *report = fwd_find_report (call, peer);
+  struct log_entry entry;
+
+  if (report == NULL
+      || !log_begin (&entry, LOG_INFO, "fwd", "over share", call->id))
+    return;
+  add_call_fields (&entry, call);
+  log_add_text (&entry, "peer", name_of (call, peer));
+  log_add_ms (&entry, "wait_ms", report->wait);
+  log_add_ms (&entry, "report_age_ms", ovr_age (report, now_of (call)));
+  log_add_ms (&entry, "left_ms", call->deadline - now_of (call));
   log_end (&entry);
 }
 
--- a/src/fwd/fwd_log.h
+++ b/src/fwd/fwd_log.h
@@ -18,6 +18,10 @@
 void fwd_log_placed (const struct fwd_call *call, dir_handle peer,
                      clk_time max_wait);
 
+/* The call is not sent, as its tenant is over its share at the gates; that of
+   PEER has the shortest wait.  */
+void fwd_log_over_share (const struct fwd_call *call, dir_handle peer);
+
 /* PEER's gate did not run the call.  */
 void fwd_log_bounced (const struct fwd_call *call, dir_handle peer,
                       enum gat_refusal refusal);
--- a/src/fwd/fwd_peer.c
+++ b/src/fwd/fwd_peer.c
@@ -46,7 +46,7 @@
 
 void
 fwd_take_load (struct fwd *forwarder, dir_handle peer, uint32_t route,
-               const Mesh__Load *load)
+               const Mesh__Load *load, bool over_share)
 {
   struct fwd_peer *known = fwd_peer (forwarder, peer);
   clk_time now = evl_now (forwarder->parts.loop);
@@ -61,7 +61,9 @@
   known->sent = 0;
   kind = find_kind (known, route, true);
   kind->service = (clk_time)load->service_us * CLK_MICROSECOND;
-  kind->wait = (clk_time)load->wait_us * CLK_MICROSECOND;
+  if (over_share && kind->reported_at != 0)
+    return;
+  kind->wait = over_share ? 0 : (clk_time)load->wait_us * CLK_MICROSECOND;
   kind->reported_at = now;
 }
 
@@ -100,4 +102,5 @@
 fwd_reset_peer (struct fwd *forwarder, dir_handle peer)
 {
   memset (fwd_peer (forwarder, peer), 0, sizeof (struct fwd_peer));
+  ovr_clear_peer (forwarder->reports, peer);
 }
--- a/src/fwd/fwd_place.c
+++ b/src/fwd/fwd_place.c
@@ -69,13 +69,13 @@
                dir_handle peer, const struct mbr_member *member,
                struct fwd_field *field)
 {
-  struct fwd *forwarder = call->forwarder;
+  const struct fwd *forwarder = call->forwarder;
   struct plc_candidate *candidate;
 
   reserve_candidate (field);
   candidate = &field->candidates[field->count];
   field->peers[field->count++] = peer;
-  candidate->load = fwd_peer_load (forwarder, peer, call->kind, member->slots);
+  candidate->load = fwd_call_load (call, peer, member->slots);
   candidate->locality = (uint8_t)locality_of (self, member);
   candidate->usable = !is_excluded (call, peer)
                       && hub_is_responsive (forwarder->parts.hub, peer)
@@ -126,7 +126,9 @@
 {
   if (retry < SHORTEST_RETRY)
     retry = SHORTEST_RETRY;
-  fwd_fail (call, 503, "not run: no upstream has room",
+  fwd_fail (call, 503,
+            call->is_over_share ? "not run: the tenant is over its share"
+                                : "not run: no upstream has room",
             retry < LONGEST_RETRY ? retry : LONGEST_RETRY);
 }
 
@@ -157,10 +159,45 @@
     refuse (call, retry);
 }
 
+/* Chooses among the nodes that collect finds.  */
+static struct plc_choice
+choose (const struct fwd_call *call, const struct plc_call *wanted)
+{
+  struct fwd *forwarder = call->forwarder;
+  const struct fwd_field *field = collect (call);
+
+  return plc_choose_candidate (field->candidates, field->count, wanted,
+                               evl_now (forwarder->parts.loop),
+                               &forwarder->random);
+}
+
+/* No node has room as far as is known.  When that follows from reports on the
+   call's tenant alone, marks the call or, to notice a change, returns a choice
+   without the reports.  */
+static struct plc_choice
+choose_sample (struct fwd_call *call, const struct plc_call *wanted)
+{
+  struct plc_choice none = { PLC_NONE, 0 };
+  dir_handle reporter = fwd_find_reporter (call, &call->forwarder->field);
+  struct plc_choice choice;
+
+  if (reporter == DIR_NONE)
+    return none;
+  call->ignores_reports = true;
+  choice = choose (call, wanted);
+  if (choice.index == PLC_NONE || fwd_is_sample (call))
+    return choice;
+  call->ignores_reports = false;
+  call->is_over_share = true;
+  fwd_log_over_share (call, reporter);
+  return none;
+}
+
 void
 fwd_place (struct fwd_call *call)
 {
   struct fwd *forwarder = call->forwarder;
+  const struct fwd_field *field = &forwarder->field;
   clk_time now = evl_now (forwarder->parts.loop);
   struct plc_call wanted
       = { .target_latency
@@ -172,20 +209,24 @@
           .is_bulk = call->route->is_bulk,
           .accept_any_wait = call->bounces >= MAX_BOUNCES };
 
+  call->ignores_reports = false;
+  call->is_over_share = false;
   fwd_choose_side (call);
   for (;;)
     {
-      const struct fwd_field *field = collect (call);
-      struct plc_choice choice = plc_choose_candidate (
-          field->candidates, field->count, &wanted, now, &forwarder->random);
+      struct plc_choice choice = choose (call, &wanted);
+      clk_time retry;
       dir_handle peer;
 
       if (choice.index == PLC_NONE && fwd_change_side (call))
         continue;
       call->usable = count_usable (field);
+      retry = shortest_wait (field, now);
+      if (choice.index == PLC_NONE)
+        choice = choose_sample (call, &wanted);
       if (choice.index == PLC_NONE || call->tried_count == FWD_MAX_TRIED)
         {
-          give_up (call, shortest_wait (field, now));
+          give_up (call, retry);
           return;
         }
       peer = field->peers[choice.index];
--- a/src/fwd/fwd_reply.c
+++ b/src/fwd/fwd_reply.c
@@ -132,7 +132,9 @@
   if (call == NULL)
     return false;
   if (frame->answer->load != NULL)
-    fwd_take_load (forwarder, peer, call->kind, frame->answer->load);
+    fwd_take_load (forwarder, peer, call->kind, frame->answer->load,
+                   frame->answer->tenant_over_share);
+  fwd_take_share (call, peer, frame->answer);
   if (frame->answer->more)
     {
       drop_parts (call);
--- a/src/fwd/fwd_tenant.c
+++ b/src/fwd/fwd_tenant.c
@@ -4,6 +4,9 @@
 
 #include "ten/ten.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 /* Ranks of routes; see doc_route.  The rank of a tenant goes before all of
    them.  */
 #define ROUTE_PRIORITIES 1001u
@@ -15,10 +18,13 @@
 
   if (!snapshot->document->requires_keys)
     return true;
-  return ten_authenticate (snapshot->tenants, call->forwarder->parts.platform,
-                           &call->message, &call->tenant)
-             == TEN_OK
-         || call->route->is_public;
+  if (ten_authenticate (snapshot->tenants, call->forwarder->parts.platform,
+                        &call->message, &call->tenant)
+      != TEN_OK)
+    return call->route->is_public;
+  call->tenant_hash
+      = XXH3_64bits (call->tenant->name, strlen (call->tenant->name));
+  return true;
 }
 
 uint32_t
--- a/src/fwd/fwd_tenant_stat.c
+++ b/src/fwd/fwd_tenant_stat.c
@@ -41,6 +41,9 @@
       count_outcome (call, "refused");
       met_count_tenant ("tenant_refused_total", call->tenant->name, "status",
                         text);
+      if (call->is_over_share && status == 503)
+        met_count_tenant ("tenant_refused_reasons_total", call->tenant->name,
+                          "reason", "over share");
     }
   else
     count_outcome (call, "failed");
--- a/tests/fwd_tenant_test.cc
+++ b/tests/fwd_tenant_test.cc
@@ -1,11 +1,13 @@
 /* Tenants of callers at real sidecars: which requests are served, what
    upstreams receive, and what operators see of each tenant.  */
 
+#include "base/log.h"
 #include "pfm_names.h"
 #include "scf.h"
 #include "support/sidecar_mesh.h"
 
 #include <cstring>
+#include <vector>
 
 /* Header fields of the last request that ran, as "name: value" lines.  */
 static std::string last_run;
@@ -96,7 +98,7 @@
     size_t at = text.find ("mulberryshift_" + name + " ");
 
     return at != std::string::npos
-               ? atof (text.c_str () + text.find (' ', at + name.size ()) + 1)
+               ? atof (text.c_str () + text.find ("} ", at) + 2)
                : 0;
   }
 
@@ -211,3 +213,108 @@
   EXPECT_GE (series ("tenant_refused_total{tenant=\"shop\",status=\"503\"}"),
              1);
 }
+
+class TenantUploads : public TenantCalls
+{
+protected:
+  /* Starts a node of callers and one with an upstream that runs 20 uploads a
+     second.  */
+  void
+  start_upload_mesh ()
+  {
+    slots = 2;
+    work = 100 * CLK_MILLISECOND;
+    add_vm ("front", "a", "r", false, false);
+    add_vm ("orders");
+    json_t *document = create_document ();
+    size_t i;
+    json_t *entry;
+
+    json_array_foreach (json_object_get (document, PFM_RESOURCES), i, entry)
+    {
+      json_t *spec = json_object_get (entry, PFM_SPEC);
+
+      if (json_object_get (spec, PFM_ROUTE_TYPE) != nullptr)
+        json_object_set_new (spec, PFM_ROUTE_TYPE,
+                             json_string (PFM_ROUTE_UPLOAD));
+    }
+    add_tenants (json_object_get (document, PFM_RESOURCES));
+    sst_put (store, PFM_CONFIG_KIND, PFM_CONFIG_NAME, document);
+    ASSERT_TRUE (run_until_converged (1));
+    ASSERT_TRUE (run_until ([&] { return call ("/open/") == 200; }));
+  }
+
+  /* Sends an upload of 60 KB with the key of a tenant.  */
+  Peer
+  upload (const std::string &key)
+  {
+    Peer peer = Peer::connect (address_of (0, calls_port));
+
+    peer.send (
+        "POST /orders/ HTTP/1.1\r\nHost: mesh.example\r\n" PFM_REQUEST_ID ": "
+        + next_request_id () + "\r\n" + key + "Content-Length: 60000\r\n\r\n"
+        + std::string (60000, 'b'));
+    return peer;
+  }
+
+  /* Waits for all answers and returns how many of them have TEXT.  */
+  size_t
+  count_answers (std::vector<Peer> &peers, const std::string &text)
+  {
+    size_t count = 0;
+
+    for (Peer &peer : peers)
+      {
+        run_until (
+            [&] { return !peer.receive () || response_status (peer) != 0; });
+        count += peer.received.find (text) != std::string::npos;
+      }
+    return count;
+  }
+};
+
+/* Guards against uploads that cross the link only to be refused by the gate,
+   against others that are refused with them, and against a tenant that stays
+   refused after its burst.  One tenant sends five times what the upstream
+   runs, the other a tenth of it.  */
+TEST_F (TenantUploads, AreRefusedUnsentOverTheShare)
+{
+  const std::string key_of_odd
+      = PFM_AUTHORIZATION ": Token secret-odd \"one\"\\\r\n";
+  const std::string reasons = "tenant_refused_reasons_total{tenant=\"shop\","
+                              "reason=\"over share\"}";
+  std::vector<Peer> shop;
+  std::vector<Peer> odd;
+
+  start_upload_mesh ();
+  double counted = series (reasons);
+
+  testing::internal::CaptureStdout ();
+  ASSERT_EQ (log_init ("n1", "dc-a", LOG_INFO), 0);
+  odd.push_back (upload (key_of_odd));
+  for (int i = 0; i < 300; i++)
+    {
+      shop.push_back (upload (key_of_shop));
+      if (i >= 100 && i % 40 == 0)
+        odd.push_back (upload (key_of_odd));
+      run_for (10);
+    }
+  size_t unsent = count_answers (shop, "the tenant is over its share");
+
+  log_close ();
+  std::string text = testing::internal::GetCapturedStdout ();
+
+  EXPECT_GT (unsent, 10u);
+  EXPECT_EQ (series (reasons), counted + (double)unsent);
+  EXPECT_GE (count_answers (shop, "Retry-After: "), unsent);
+  EXPECT_GT (count_answers (shop, " 200 "), 20u);
+  EXPECT_EQ (count_answers (odd, " 200 "), odd.size ());
+  for (const char *part : { "\"event\":\"over share\"", "\"peer\":\"vm-1\"",
+                            "\"tenant\":\"shop\"", "\"report_age_ms\":" })
+    EXPECT_NE (text.find (part), std::string::npos) << part;
+  run_for (1100);
+  std::vector<Peer> last;
+
+  last.push_back (upload (key_of_shop));
+  EXPECT_EQ (count_answers (last, " 200 "), 1u);
+}
