--- a/src/ver/ver.h
+++ b/src/ver/ver.h
@@ -15,9 +15,10 @@
 {
 #endif
 
-/* Maximum length of a document, in bytes: the platform stores values up to
-   this size.  */
-#define VER_MAX_LENGTH (1024u * 1024u)
+/* Maximum length of a document, in bytes.  The platform stores values up to
+   1 MB; a key of a tenant takes DOC_KEY_SIZE bytes here however short it is
+   there, so that short keys make the document longer.  */
+#define VER_MAX_LENGTH (2u * 1024u * 1024u)
 
 /* Number of recent documents kept as bases of deltas.  */
 #define VER_MAX_RECENT 16
--- a/src/ver/ver_delta.c
+++ b/src/ver/ver_delta.c
@@ -8,7 +8,8 @@
 #include <zstd.h>
 
 #define COMPRESSION_LEVEL 3
-/* The window must cover prefix and result, each at most 2^20 bytes.  */
+/* The window covers the longest document; of a longer prefix and result
+   together only the last 2^21 bytes are compared.  */
 #define MAX_WINDOW_LOG 21
 
 static int
