--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -229,6 +229,12 @@
     chn_send (link->channel, frame);
 }
 
+size_t
+hub_unsent_bytes (const struct hub_inbound_link *link)
+{
+  return link->channel != NULL ? chn_unsent_bytes (link->channel) : 0;
+}
+
 size_t
 hub_unsent_replies (const struct hub *hub)
 {
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -123,6 +123,10 @@
   /* Returns the bytes of long bodies that wait for the limited rate.  */
   size_t hub_bulk_bytes (const struct hub *hub);
 
+  /* Returns the bytes of replies to LINK that its socket has not taken yet;
+     without those of hub_reply_bulk that wait for the limited rate.  */
+  size_t hub_unsent_bytes (const struct hub_inbound_link *link);
+
   /* Returns the bytes of replies that were not sent yet, on all links.  */
   size_t hub_unsent_replies (const struct hub *hub);
 
