--- a/src/syn/syn.c
+++ b/src/syn/syn.c
@@ -51,7 +51,10 @@
   evl_timer_init (&sync->watch_change_timer, loop, report_watch_change, sync);
   evl_timer_init (&sync->fetch_timer, loop, fetch_newer_version, sync);
   evl_timer_init (&sync->status_expiry_timer, loop, on_status_expiry, sync);
+  evl_timer_init (&sync->transfer_timer, loop, syn_transfer_run, sync);
+  evl_timer_init (&sync->missing_timer, loop, syn_fetch_missing, sync);
   sync->newer_version_peer = DIR_NONE;
+  sync->stopped_sender = DIR_NONE;
   return sync;
 }
 
@@ -71,10 +74,13 @@
   evl_timer_stop (&sync->watch_change_timer);
   evl_timer_stop (&sync->fetch_timer);
   evl_timer_stop (&sync->status_expiry_timer);
+  evl_timer_stop (&sync->missing_timer);
+  syn_transfer_close (sync);
+  syn_collector_clear (&sync->collector);
   snp_release (sync->snapshot);
   snp_release (sync->previous);
-  buf_close (&sync->delta_payload);
-  buf_close (&sync->full_payload);
+  syn_payload_release (sync->delta_payload);
+  syn_payload_release (sync->full_payload);
   free (sync->peer_statuses);
   free (sync);
 }
@@ -152,8 +158,8 @@
   return count;
 }
 
-static void
-send_subscribe (struct syn *sync, dir_handle parent, bool end)
+void
+syn_send_subscribe (struct syn *sync, dir_handle parent, bool end)
 {
   Mesh__Subscribe message = MESH__SUBSCRIBE__INIT;
   Mesh__Frame frame = MESH__FRAME__INIT;
@@ -215,11 +221,11 @@
   update_monitoring (sync, parents, REL_MAX_PARENTS);
   for (size_t i = 0; i < REL_MAX_PARENTS; i++)
     if (old[i] != DIR_NONE && !is_parent (sync, old[i]))
-      send_subscribe (sync, old[i], true);
+      syn_send_subscribe (sync, old[i], true);
   for (size_t i = 0; i < REL_MAX_PARENTS; i++)
     if (parents[i] != DIR_NONE && !contains (old, REL_MAX_PARENTS, parents[i])
         && hub_is_connected (sync->hub, parents[i]))
-      send_subscribe (sync, parents[i], false);
+      syn_send_subscribe (sync, parents[i], false);
 }
 
 /* Replaces the peers that are polled for their platform status.  */
@@ -414,8 +420,8 @@
     send_members (sync, inbound, DIR_NONE, pointers, count, 0);
 }
 
-static struct syn_subscriber **
-find_subscriber (struct syn *sync, const struct hub_inbound_link *inbound)
+struct syn_subscriber **
+syn_find_subscriber (struct syn *sync, const struct hub_inbound_link *inbound)
 {
   struct syn_subscriber **position = &sync->subscribers;
 
@@ -424,11 +430,10 @@
   return position;
 }
 
-void
-syn_remove_subscriber (struct syn *sync,
-                       const struct hub_inbound_link *inbound)
+static void
+remove_subscriber (struct syn *sync, const struct hub_inbound_link *inbound)
 {
-  struct syn_subscriber **position = find_subscriber (sync, inbound);
+  struct syn_subscriber **position = syn_find_subscriber (sync, inbound);
   struct syn_subscriber *subscriber = *position;
 
   if (subscriber == NULL)
@@ -437,6 +442,14 @@
   free (subscriber);
 }
 
+void
+syn_remove_subscriber (struct syn *sync,
+                       const struct hub_inbound_link *inbound)
+{
+  remove_subscriber (sync, inbound);
+  syn_transfer_cancel (sync, inbound);
+}
+
 /* Handles a record from another node.  */
 static void
 handle_member (struct syn *sync, const Mesh__Member *message,
@@ -458,12 +471,12 @@
 handle_subscribe (struct syn *sync, struct hub_inbound_link *inbound,
                   const Mesh__Subscribe *message)
 {
-  struct syn_subscriber **position = find_subscriber (sync, inbound);
+  struct syn_subscriber **position = syn_find_subscriber (sync, inbound);
   struct syn_subscriber *subscriber = *position;
 
   if (message->end)
     {
-      syn_remove_subscriber (sync, inbound);
+      remove_subscriber (sync, inbound);
       return;
     }
   if (message->member != NULL)
@@ -477,6 +490,7 @@
   if (message->held != NULL)
     subscriber->held
         = (struct snp_stamp){ message->held->version, message->held->hash };
+  syn_transfer_cancel_held (sync, inbound, subscriber->held);
   if (message->directory != dir_digest (sync->directory))
     send_directory (sync, inbound);
   /* What the other modules send must be known before the first
@@ -658,7 +672,7 @@
 syn_peer_connected (struct syn *sync, dir_handle peer)
 {
   if (sync->started && is_parent (sync, peer))
-    send_subscribe (sync, peer, false);
+    syn_send_subscribe (sync, peer, false);
   syn_refresh_roles (sync);
 }
 
--- a/src/syn/syn.h
+++ b/src/syn/syn.h
@@ -73,7 +73,8 @@
   /* Reports to the watchers that PEER is unreachable.  */
   void syn_report_suspect (struct syn *sync, dir_handle peer);
 
-  /* Removes the subscriber of a closed inbound link, if there is one.  */
+  /* Removes the subscriber of a closed inbound link, if there is one, and ends
+     what is being sent on it.  */
   void syn_remove_subscriber (struct syn *sync,
                               const struct hub_inbound_link *inbound);
 
--- a/src/syn/syn_internal.h
+++ b/src/syn/syn_internal.h
@@ -5,6 +5,7 @@
 
 #include "base/buf.h"
 #include "syn/syn.h"
+#include "syn/syn_part.h"
 
 /* A node that receives updates from this one.  */
 struct syn_subscriber
@@ -21,6 +22,29 @@
   clk_time received_at;
 };
 
+/* An encoded version.  Transfers in progress share it.  */
+struct syn_payload
+{
+  struct buf bytes;
+  unsigned references;
+};
+
+/* What a payload is and how it is sent.  */
+struct syn_version_header
+{
+  struct snp_stamp base; /* version 0: the payload is a whole document */
+  struct snp_stamp result;
+  bool is_fetch_reply; /* false: it is pushed */
+};
+
+/* A version of which a part was received, until it is held or given up.  */
+struct syn_missing
+{
+  uint64_t version; /* 0: none */
+  dir_handle peer;  /* has sent the last part */
+  unsigned fetches; /* since the last part */
+};
+
 struct syn
 {
   struct evl *loop;
@@ -33,9 +57,19 @@
   /* The version held before, the base of deltas.  */
   struct snp_snapshot *previous;
   /* Compressed delta from the previous to the held version, and the whole held
-     version compressed.  Empty until first needed.  */
-  struct buf delta_payload;
-  struct buf full_payload;
+     version compressed.  Null until first needed.  */
+  struct syn_payload *delta_payload;
+  struct syn_payload *full_payload;
+  struct syn_transfer *transfers; /* the earliest first */
+  clk_time next_part_at;          /* earliest time of the next part */
+  struct evl_timer transfer_timer;
+  struct syn_collector collector;
+  /* The last parent, and the version, whose transfer was ended because the
+     version had come from elsewhere.  DIR_NONE: none.  */
+  dir_handle stopped_sender;
+  uint64_t stopped_version;
+  struct syn_missing missing;
+  struct evl_timer missing_timer; /* fetches the missing version again */
   /* The reply whose version is being put into effect, null otherwise.  */
   const Mesh__FetchReply *received_reply;
   enum rel_platform_status platform_status;
@@ -60,6 +94,49 @@
 /* Sends the held version to a subscriber that holds an older one.  */
 void syn_push_version (struct syn *sync, struct syn_subscriber *subscriber);
 
+/* Returns the place of the subscriber on INBOUND, or the end of the list.  */
+struct syn_subscriber **
+syn_find_subscriber (struct syn *sync, const struct hub_inbound_link *inbound);
+
+/* Subscribes to PARENT, or ends the subscription when END is true.  */
+void syn_send_subscribe (struct syn *sync, dir_handle parent, bool end);
+
+/* Sends LENGTH bytes of a payload on the link INBOUND, as one of COUNT
+   parts.  */
+void syn_send_part (struct syn *sync, struct hub_inbound_link *inbound,
+                    const struct syn_version_header *header, uint8_t *data,
+                    size_t length, uint32_t part, uint32_t count);
+
+/* Drops a reference.  Null is allowed.  */
+void syn_payload_release (struct syn_payload *payload);
+
+/* Starts to send PAYLOAD in parts on the link INBOUND, on which there must be
+   no transfer; takes a reference to PAYLOAD.  */
+void syn_transfer_start (struct syn *sync, struct hub_inbound_link *inbound,
+                         struct syn_payload *payload,
+                         const struct syn_version_header *header);
+
+/* Returns what is being sent in parts on the link INBOUND, null for
+   nothing.  */
+const struct syn_version_header *
+syn_transfer_find (struct syn *sync, const struct hub_inbound_link *inbound);
+
+/* Ends the transfer on the link INBOUND, if there is one.  */
+void syn_transfer_cancel (struct syn *sync,
+                          const struct hub_inbound_link *inbound);
+
+/* Ends the transfer on the link INBOUND if its node, which holds HELD, has
+   received the version from another node.  */
+void syn_transfer_cancel_held (struct syn *sync,
+                               const struct hub_inbound_link *inbound,
+                               struct snp_stamp held);
+
+/* Sends the parts that the links take now.  */
+void syn_transfer_run (void *context);
+
+/* Ends all transfers.  */
+void syn_transfer_close (struct syn *sync);
+
 /* Answers a fetch request if the held version is newer than the sender's.  */
 void syn_handle_fetch (struct syn *sync, struct hub_inbound_link *inbound,
                        const Mesh__FetchRequest *request);
@@ -74,6 +151,9 @@
    whose reply may still arrive.  */
 void syn_fetch_version (struct syn *sync, dir_handle peer, bool full);
 
+/* Fetches the missing version when its next part has not come in time.  */
+void syn_fetch_missing (void *context);
+
 /* Makes SNAPSHOT the held version and the held one the previous version;
    clears the payloads.  */
 void syn_replace_snapshot (struct syn *sync, struct snp_snapshot *snapshot);
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -4228,7 +4228,7 @@
   (ProtobufCMessageInit) mesh__document_delta__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__fetch_reply__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mesh__fetch_reply__field_descriptors[7] =
 {
   {
     "base_stamp",
@@ -4290,10 +4290,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__FetchReply, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_count",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__FetchReply, part_count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__fetch_reply__field_indices_by_name[] = {
   0,   /* field[0] = base_stamp */
   3,   /* field[3] = members */
+  5,   /* field[5] = part */
+  6,   /* field[6] = part_count */
   2,   /* field[2] = payload */
   1,   /* field[1] = result */
   4,   /* field[4] = retry_after_ms */
@@ -4301,7 +4327,7 @@
 static const ProtobufCIntRange mesh__fetch_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mesh__fetch_reply__descriptor =
 {
@@ -4311,7 +4337,7 @@
   "Mesh__FetchReply",
   "mesh",
   sizeof(Mesh__FetchReply),
-  5,
+  7,
   mesh__fetch_reply__field_descriptors,
   mesh__fetch_reply__field_indices_by_name,
   1,  mesh__fetch_reply__number_ranges,
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -781,10 +781,18 @@
    * not 0: the node is busy
    */
   uint32_t retry_after_ms;
+  /*
+   * index of this part of the payload
+   */
+  uint32_t part;
+  /*
+   * 0 or 1: the payload is whole
+   */
+  uint32_t part_count;
 };
 #define MESH__FETCH_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mesh__fetch_reply__descriptor) \
-    , NULL, NULL, {0,NULL}, 0,NULL, 0 }
+    , NULL, NULL, {0,NULL}, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -454,6 +454,43 @@
       }
 }
 
+/* Guards against versions beyond one frame that are not passed on, or not
+   taken up again when their sender is killed in the middle, so that nodes
+   which do not watch the store never hold them.  */
+TEST_F (Sidecars, ReceiveLargeVersionsWhenTheSenderIsKilled)
+{
+  link_mbps = 30;
+  start_mesh ();
+  sst_set_fault (store, SST_RESET, vms[2].ip);
+  sst_set_fault (store, SST_RESET, vms[3].ip);
+  for (uint64_t version = 2; version < 4; version++)
+    {
+      auto holds = [&] (size_t vm) {
+        return vms[vm].sidecar != nullptr
+               && sdc_config_version (vms[vm].sidecar) == version;
+      };
+
+      /* About 970 KB in the store, and 1.4 MB of digests between nodes, which
+         do not compress.  */
+      tenants.assign (40, {});
+      for (size_t i = 0; i < tenants.size (); i++)
+        tenants[i].name = "tenant-" + std::to_string (i);
+      for (size_t i = 0; i < 88000; i++)
+        tenants[i % 40].keys.push_back (
+            std::to_string (version * 10000000 + i));
+      put_config (version);
+      ASSERT_TRUE (run_until ([&] { return holds (0) || holds (1); }));
+      run_for (150);
+      size_t sender = holds (0) ? 0 : 1;
+
+      EXPECT_FALSE (holds (2) || holds (3));
+      kill_sidecar (sender);
+      EXPECT_TRUE (run_until ([&] { return holds (2) && holds (3); }, 8000));
+      start_sidecar (sender);
+      ASSERT_TRUE (run_until_converged (version, 8000));
+    }
+}
+
 /* Guards against a node that starts while the store is unreachable and finds
    no other node: the others must connect to it.  */
 TEST_F (Sidecars, JoinWithoutTheStore)
