--- a/src/syn/syn.c
+++ b/src/syn/syn.c
@@ -313,7 +313,7 @@
   Mesh__Pong pong = MESH__PONG__INIT;
   Mesh__Frame frame = MESH__FRAME__INIT;
 
-  pong.sight = sync->platform_status;
+  pong.platform_status = sync->platform_status;
   pong.config_version = syn_held_stamp (sync).version;
   frame.body_case = MESH__FRAME__BODY_PONG;
   frame.pong = &pong;
@@ -593,7 +593,7 @@
   Mesh__Frame frame = MESH__FRAME__INIT;
 
   pong.nonce = ping->nonce;
-  pong.sight = sync->platform_status;
+  pong.platform_status = sync->platform_status;
   pong.config_version = syn_held_stamp (sync).version;
   frame.body_case = MESH__FRAME__BODY_PONG;
   frame.pong = &pong;
@@ -629,9 +629,10 @@
 static void
 handle_pong (struct syn *sync, dir_handle peer, const Mesh__Pong *pong)
 {
-  enum rel_platform_status status = pong->sight <= REL_PLATFORM_UNREACHABLE
-                                        ? (enum rel_platform_status)pong->sight
-                                        : REL_PLATFORM_UNKNOWN;
+  enum rel_platform_status status
+      = pong->platform_status <= REL_PLATFORM_UNREACHABLE
+            ? (enum rel_platform_status)pong->platform_status
+            : REL_PLATFORM_UNKNOWN;
   bool changed;
 
   changed = current_peer_status (sync, peer) != status;
--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -4409,12 +4409,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sight",
+    "platform_status",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Mesh__Pong, sight),
+    offsetof(Mesh__Pong, platform_status),
     NULL,
     NULL,
     0,             /* flags */
@@ -4424,7 +4424,7 @@
 static const unsigned mesh__pong__field_indices_by_name[] = {
   1,   /* field[1] = config_version */
   0,   /* field[0] = nonce */
-  2,   /* field[2] = sight */
+  2,   /* field[2] = platform_status */
 };
 static const ProtobufCIntRange mesh__pong__number_ranges[1 + 1] =
 {
--- a/src/wire/mesh.pb-c.h
+++ b/src/wire/mesh.pb-c.h
@@ -819,7 +819,7 @@
   /*
    * enum rel_platform_status
    */
-  uint32_t sight;
+  uint32_t platform_status;
 };
 #define MESH__PONG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mesh__pong__descriptor) \
