--- a/src/wire/mesh.pb-c.c
+++ b/src/wire/mesh.pb-c.c
@@ -4254,7 +4254,7 @@
   (ProtobufCMessageInit) mesh__document_delta__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mesh__fetch_reply__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mesh__fetch_reply__field_descriptors[7] =
 {
   {
     "base_stamp",
@@ -4316,10 +4316,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__FetchReply, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_count",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mesh__FetchReply, part_count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mesh__fetch_reply__field_indices_by_name[] = {
   0,   /* field[0] = base_stamp */
   3,   /* field[3] = members */
+  5,   /* field[5] = part */
+  6,   /* field[6] = part_count */
   2,   /* field[2] = payload */
   1,   /* field[1] = result */
   4,   /* field[4] = retry_after_ms */
@@ -4327,7 +4353,7 @@
 static const ProtobufCIntRange mesh__fetch_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mesh__fetch_reply__descriptor =
 {
@@ -4337,7 +4363,7 @@
   "Mesh__FetchReply",
   "mesh",
   sizeof(Mesh__FetchReply),
-  5,
+  7,
   mesh__fetch_reply__field_descriptors,
   mesh__fetch_reply__field_indices_by_name,
   1,  mesh__fetch_reply__number_ranges,
@@ -4409,12 +4435,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sight",
+    "platform_status",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Mesh__Pong, sight),
+    offsetof(Mesh__Pong, platform_status),
     NULL,
     NULL,
     0,             /* flags */
@@ -4424,7 +4450,7 @@
 static const unsigned mesh__pong__field_indices_by_name[] = {
   1,   /* field[1] = config_version */
   0,   /* field[0] = nonce */
-  2,   /* field[2] = sight */
+  2,   /* field[2] = platform_status */
 };
 static const ProtobufCIntRange mesh__pong__number_ranges[1 + 1] =
 {
