--- a/tests/hub_test.cc
+++ b/tests/hub_test.cc
@@ -2,6 +2,7 @@
 
 #include "pfm_names.h"
 #include "scf.h"
+#include "support/link_frames.h"
 #include "support/sidecar_mesh.h"
 #include "wire/frm.h"
 
@@ -296,26 +297,8 @@
   void
   read_frames (Peer &link)
   {
-    size_t at = 0;
-
-    link.receive ();
-    while (link.received.size () - at >= FRM_HEADER_LENGTH)
-      {
-        const uint8_t *data
-            = reinterpret_cast<const uint8_t *> (link.received.data ()) + at;
-        size_t length = (size_t)data[0] << 24 | (size_t)data[1] << 16
-                        | (size_t)data[2] << 8 | data[3];
-        Mesh__Frame *frame;
-
-        if (link.received.size () - at < FRM_HEADER_LENGTH + length)
-          break;
-        ASSERT_EQ (frm_decode (data + FRM_HEADER_LENGTH, length, &frame),
-                   FRM_OK);
-        take_frame (link, *frame);
-        frm_free (frame);
-        at += FRM_HEADER_LENGTH + length;
-      }
-    link.received.erase (0, at);
+    take_frames (link,
+                 [&] (const Mesh__Frame &frame) { take_frame (link, frame); });
   }
 
   void
@@ -344,17 +327,6 @@
       }
   }
 
-  static void
-  send_frame (const Peer &link, const Mesh__Frame &frame)
-  {
-    struct buf bytes = {};
-
-    frm_encode (&frame, &bytes);
-    link.send (std::string (reinterpret_cast<const char *> (bytes.data),
-                            bytes.length));
-    buf_close (&bytes);
-  }
-
   static void
   grant (const Peer &link, uint64_t call, uint32_t bytes)
   {
