--- a/src/gat/gat.h
+++ b/src/gat/gat.h
@@ -63,6 +63,10 @@
     /* Returns whether the upstream must get no calls although it takes them.
        May be null.  */
     bool (*is_withdrawn) (void *context);
+    /* Drops what send_bulk_reply has queued for ORIGIN of the answer to the
+       call with this number.  May be null.  */
+    void (*cancel_bulk_reply) (void *context, struct hub_inbound_link *origin,
+                               uint64_t number);
   };
 
   /* Memory for the bodies that are held at the same time, in bytes.  */
--- a/src/gat/gat_bulk.c
+++ b/src/gat/gat_bulk.c
@@ -78,3 +78,13 @@
                      ? now + wait
                      : CLK_NEVER);
 }
+
+void
+gat_drop_response (struct gat *gate, struct hub_inbound_link *origin,
+                   const Mesh__CallId *id)
+{
+  if (id == NULL || gate->hooks.cancel_bulk_reply == NULL)
+    return;
+  gate->hooks.cancel_bulk_reply (gate->hooks.context, origin, id->number);
+  gat_next (gate);
+}
--- a/src/gat/gat_call.c
+++ b/src/gat/gat_call.c
@@ -258,6 +258,8 @@
       call = find_call (gate, origin, frame->cancel->id);
       if (call != NULL)
         cancel (call);
+      else
+        gat_drop_response (gate, origin, frame->cancel->id);
     }
   frm_free (frame);
 }
--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -99,6 +99,11 @@
    would take because of those of the calls that run.  */
 clk_time gat_link_wait (const struct gat_call *call);
 
+/* Drops the queued rest of the long response to a call that has ended here and
+   that its sender has cancelled, and starts what the link takes now.  */
+void gat_drop_response (struct gat *gate, struct hub_inbound_link *origin,
+                        const Mesh__CallId *id);
+
 /* Keeps the long responses that the link has not sent few: while they are
    many, further calls stay in the queue, where urgent ones overtake.  */
 void gat_check_link (struct gat *gate);
--- a/src/hub/hub.h
+++ b/src/hub/hub.h
@@ -111,11 +111,18 @@
      links together; 0: no limit, as at first.  */
   void hub_set_bulk_rate (struct hub *hub, double bytes_per_second);
 
-  /* Does the same as hub_reply for a part of a long body.  All other frames
-     overtake it; frames of one link that are sent so keep their order.  */
+  /* Does the same as hub_reply for a part of a long answer: an Answer or one
+     of its BodyParts.  All other frames overtake it; frames of one link that
+     are sent so keep their order.  */
   void hub_reply_bulk (struct hub *hub, struct hub_inbound_link *link,
                        const Mesh__Frame *frame);
 
+  /* Drops the queued parts of the answer to the call with this number, whose
+     sender no longer wants it.  Returns their bytes.  Only a part that was
+     already handed to the link is still sent, so that frames stay whole.  */
+  size_t hub_cancel_bulk (struct hub *hub, const struct hub_inbound_link *link,
+                          uint64_t call);
+
   /* Returns the time after which BYTES more of long bodies would have been
      sent, in ns; 0 when the rate has no limit.  */
   clk_time hub_bulk_time (const struct hub *hub, size_t bytes);
--- a/src/hub/hub_bulk.c
+++ b/src/hub/hub_bulk.c
@@ -7,10 +7,6 @@
 
 #include <stdlib.h>
 
-/* A link with more unsent bytes than this gets no further bulk frame: its peer
-   reads slowly, and the others are not to wait for it.  */
-#define MAX_LINK_UNSENT (64u * 1024u)
-
 /* Time after which links that were passed over are looked at again.  */
 #define RETRY_TIME (5 * CLK_MILLISECOND)
 
@@ -18,6 +14,7 @@
 struct hub_bulk_frame
 {
   struct hub_inbound_link *link;
+  uint64_t call; /* number of the call that it answers */
   struct buf bytes;
   struct hub_bulk_frame *next;
 };
@@ -36,11 +33,23 @@
   free (frame);
 }
 
-/* Returns whether LINK takes no further frame now.  */
+/* Returns whether LINK takes no further frame in this scan of the queue.  A
+   frame is sent only when the socket has taken all before it: what the channel
+   holds cannot be withdrawn any more, and a peer that reads slowly must not
+   delay the others.  A link that was full stays so until the next scan, so
+   that its frames keep their order.  */
 static bool
-is_full (const struct hub_inbound_link *link)
+is_full (struct hub_inbound_link *link)
 {
-  return chn_unsent_bytes (link->channel) > MAX_LINK_UNSENT;
+  uint64_t scan = link->hub->bulk_scan;
+
+  if (link->full_in_scan == scan)
+    return true;
+  if (chn_unsent_bytes (link->channel) > 0)
+    chn_flush (link->channel);
+  if (chn_unsent_bytes (link->channel) > 0)
+    link->full_in_scan = scan;
+  return link->full_in_scan == scan;
 }
 
 void
@@ -51,6 +60,7 @@
   struct hub_bulk_frame **place = &hub->first_bulk_frame;
   clk_time next = now + RETRY_TIME;
 
+  hub->bulk_scan++;
   while (*place != NULL)
     {
       struct hub_bulk_frame *frame = *place;
@@ -74,16 +84,33 @@
                  hub->first_bulk_frame != NULL ? next : CLK_NEVER);
 }
 
-void
+size_t
 hub_drop_bulk_frames (struct hub *hub, const struct hub_inbound_link *link)
 {
   struct hub_bulk_frame **place = &hub->first_bulk_frame;
+  size_t before = hub->bulk_bytes;
 
   while (*place != NULL)
     if (link == NULL || (*place)->link == link)
       remove_frame (hub, place);
     else
       place = &(*place)->next;
+  return before - hub->bulk_bytes;
+}
+
+size_t
+hub_cancel_bulk (struct hub *hub, const struct hub_inbound_link *link,
+                 uint64_t call)
+{
+  struct hub_bulk_frame **place = &hub->first_bulk_frame;
+  size_t before = hub->bulk_bytes;
+
+  while (*place != NULL)
+    if ((*place)->link == link && (*place)->call == call)
+      remove_frame (hub, place);
+    else
+      place = &(*place)->next;
+  return before - hub->bulk_bytes;
 }
 
 void
@@ -92,6 +119,15 @@
   pac_init (&hub->pacer, bytes_per_second, evl_now (hub->loop));
 }
 
+/* Returns the number of the call that FRAME answers.  */
+static uint64_t
+call_of (const Mesh__Frame *frame)
+{
+  if (frame->body_case == MESH__FRAME__BODY_ANSWER)
+    return frame->answer->id->number;
+  return frame->answer_body->id->number;
+}
+
 void
 hub_reply_bulk (struct hub *hub, struct hub_inbound_link *link,
                 const Mesh__Frame *frame)
@@ -105,6 +141,7 @@
     }
   entry = mem_alloc (1, sizeof *entry);
   entry->link = link;
+  entry->call = call_of (frame);
   frm_encode (frame, &entry->bytes);
   hub->bulk_bytes += entry->bytes.length;
   *hub->last_bulk_frame = entry;
--- a/src/hub/hub_internal.h
+++ b/src/hub/hub_internal.h
@@ -11,7 +11,8 @@
 struct hub_inbound_link
 {
   struct hub *hub;
-  struct chn *channel; /* null for the loopback link */
+  struct chn *channel;   /* null for the loopback link */
+  uint64_t full_in_scan; /* see hub.bulk_scan; the last in which it was full */
   struct lst_entry entry;
 };
 
@@ -87,6 +88,7 @@
   struct hub_bulk_frame *first_bulk_frame;
   struct hub_bulk_frame **last_bulk_frame;
   size_t bulk_bytes;           /* of all bulk frames */
+  uint64_t bulk_scan;          /* scans of the bulk frames so far */
   struct evl_timer bulk_timer; /* runs hub_send_bulk_frames */
 };
 
@@ -131,9 +133,10 @@
 /* Sends the bulk frames that the pacer allows.  */
 void hub_send_bulk_frames (void *context);
 
-/* Drops the bulk frames of LINK, those of all links when it is null.  */
-void hub_drop_bulk_frames (struct hub *hub,
-                           const struct hub_inbound_link *link);
+/* Drops the bulk frames of LINK, those of all links when it is null.  Returns
+   their bytes.  */
+size_t hub_drop_bulk_frames (struct hub *hub,
+                             const struct hub_inbound_link *link);
 
 /* Passes the queued loopback frames to the handlers.  */
 void hub_deliver_loopback (void *context);
--- a/src/sdc/sdc_hooks.c
+++ b/src/sdc/sdc_hooks.c
@@ -109,6 +109,15 @@
   hub_reply_bulk (sidecar->hub, inbound, frame);
 }
 
+static void
+cancel_bulk_reply (void *context, struct hub_inbound_link *inbound,
+                   uint64_t number)
+{
+  struct sdc *sidecar = context;
+
+  hub_cancel_bulk (sidecar->hub, inbound, number);
+}
+
 static clk_time
 get_bulk_time (void *context, size_t bytes)
 {
@@ -165,5 +174,6 @@
                              .send_bulk_reply = send_bulk_reply,
                              .bulk_time = get_bulk_time,
                              .answered = on_answered,
-                             .is_withdrawn = is_withdrawn };
+                             .is_withdrawn = is_withdrawn,
+                             .cancel_bulk_reply = cancel_bulk_reply };
 }
--- a/tests/gat_test.cc
+++ b/tests/gat_test.cc
@@ -44,6 +44,7 @@
     hooks.on_unreachable = ignore;
     hooks.config_version = get_version;
     hooks.bulk_time = get_bulk_time;
+    hooks.cancel_bulk_reply = on_cancelled;
     registration.state = REG_READY;
     strcpy (registration.upstream.service, "orders");
     strcpy (registration.upstream.name, "i-1");
@@ -94,6 +95,15 @@
     note (context, frame, true);
   }
 
+  static void
+  on_cancelled (void *context, struct hub_inbound_link *link, uint64_t number)
+  {
+    Gate *test = static_cast<Gate *> (context);
+
+    test->cancelled.emplace_back (link, number);
+    test->bulk_time = 0;
+  }
+
   static bool
   has_room (void *context, const struct hub_inbound_link *link, size_t length)
   {
@@ -228,6 +238,7 @@
   struct hub_inbound_link links[2] = {};
   struct gat *gate = nullptr;
   std::vector<Reply> replies;
+  std::vector<std::pair<struct hub_inbound_link *, uint64_t> > cancelled;
   clk_time bulk_time = 0;
   double ns_per_byte = 0;
   int bulk_time_calls = 0;
@@ -399,3 +410,27 @@
   part (1, 1000, false);
   EXPECT_NE (refusal (1), -1);
 }
+
+/* Guards against a call that waits for the rest of a long answer after its
+   sender has cancelled it.  */
+TEST_F (Gate, StartsTheNextCallWhenAQueuedAnswerIsCancelled)
+{
+  Listener upstream (registration.upstream.address);
+  Peer running;
+  Peer started;
+
+  registration.upstream.slots = 1;
+  call (2, 0, 0, 60000, false);
+  call (3, 0, 0, 60000, false);
+  ASSERT_TRUE (run_until ([&] { return upstream.accept (&running); }));
+  bulk_time = 10 * CLK_SECOND; /* of an answer to call 1 on the second link */
+  registration.upstream.slots = 2;
+  gat_apply_registration (gate);
+  run_for (20);
+  EXPECT_FALSE (upstream.accept (&started));
+  cancel (1, 1);
+  ASSERT_EQ (cancelled.size (), 1u);
+  EXPECT_EQ (cancelled[0].first, &links[1]);
+  EXPECT_EQ (cancelled[0].second, 1u);
+  EXPECT_TRUE (run_until ([&] { return upstream.accept (&started); }));
+}
--- a/tests/hub_test.cc
+++ b/tests/hub_test.cc
@@ -325,6 +325,8 @@
         received += frame.call_body->data.len;
         is_complete = !frame.call_body->more;
       }
+    else if (frame.body_case == MESH__FRAME__BODY_CANCEL)
+      cancelled = frame.cancel->id->number;
   }
 
   static void
@@ -359,6 +361,7 @@
   uint32_t body_bytes = 0;
   size_t received = 0; /* bytes of its body */
   bool is_complete = false;
+  uint64_t cancelled = 0; /* number of the call that was cancelled last */
 };
 
 /* Guards against a body that is sent a second time when a gate grants what was
@@ -409,3 +412,38 @@
       read_frames (link);
     }
 }
+
+/* Guards against a gate that is not told that its caller has left because
+   parts of the answer have come.  */
+TEST_F (ForgedGrants, CancelAnAnswerWhoseCallerLeaves)
+{
+  start_upload_mesh ();
+  kill_sidecar (1);
+  Listener listener (address_of (1, links_port));
+  Peer link;
+
+  play_gate (listener, link);
+  Peer caller = upload (1000, 3000);
+  ASSERT_TRUE (run_until ([&] {
+    read_frames (link);
+    return number != 0;
+  }));
+
+  Mesh__CallId id = MESH__CALL_ID__INIT;
+  Mesh__Answer answer = MESH__ANSWER__INIT;
+  Mesh__Frame frame = MESH__FRAME__INIT;
+
+  id.number = number;
+  answer.id = &id;
+  answer.status = 200;
+  answer.more = true;
+  frame.body_case = MESH__FRAME__BODY_ANSWER;
+  frame.answer = &answer;
+  send_frame (link, frame);
+  run_for (50);
+  caller.close (true);
+  EXPECT_TRUE (run_until ([&] {
+    read_frames (link);
+    return cancelled == number;
+  }));
+}
