--- a/src/hub/hub.c
+++ b/src/hub/hub.c
@@ -34,7 +34,6 @@
 free_inbound_link (struct hub_inbound_link *link)
 {
   lst_remove (&link->hub->inbound_links, &link->entry);
-  hub_drop_bulk_frames (link->hub, link);
   chn_close (link->channel);
   free (link);
 }
@@ -46,6 +45,8 @@
   struct hub *hub = link->hub;
 
   (void)channel;
+  /* The handler starts further calls as far as the queue allows.  */
+  hub_drop_bulk_frames (hub, link);
   hub->handlers->inbound_closed (hub->context, link);
   free_inbound_link (link);
 }
@@ -264,6 +265,7 @@
       if (chn_stalled_since (link->channel) > before)
         continue;
       dropped += chn_unsent_bytes (link->channel);
+      dropped += hub_drop_bulk_frames (hub, link);
       on_inbound_closed (link, link->channel);
     }
   return dropped;
--- a/tests/hub_bulk_test.cc
+++ b/tests/hub_bulk_test.cc
@@ -274,6 +274,18 @@
   std::map<uint64_t, size_t> parts; /* that came, by the number of the call */
 };
 
+/* Guards against calls that wait for the rest of an answer whose link is lost:
+   the gate starts the next ones when it learns of the loss.  */
+TEST_F (BulkQueue, IsEmptyWhenTheLossOfALinkIsReported)
+{
+  hub_set_bulk_rate (hub, 100000);
+  reply (1, 20);
+  EXPECT_GT (hub_bulk_bytes (hub), 0u);
+  peer.close (true);
+  ASSERT_TRUE (run_until ([&] { return link == nullptr; }));
+  EXPECT_EQ (bytes_at_close, 0u);
+}
+
 /* Guards against frames that a slow reader gets although they were cancelled,
    because the link took them out of the queue too early, and against frames
    that overtake each other when the socket takes bytes again.  */
