--- a/tests/hub_test.cc
+++ b/tests/hub_test.cc
@@ -2,6 +2,7 @@
 
 #include "pfm_names.h"
 #include "scf.h"
+#include "support/link_frames.h"
 #include "support/sidecar_mesh.h"
 #include "wire/frm.h"
 
@@ -296,26 +297,8 @@
   void
   read_frames (Peer &link)
   {
-    size_t at = 0;
-
-    link.receive ();
-    while (link.received.size () - at >= FRM_HEADER_LENGTH)
-      {
-        const uint8_t *data
-            = reinterpret_cast<const uint8_t *> (link.received.data ()) + at;
-        size_t length = (size_t)data[0] << 24 | (size_t)data[1] << 16
-                        | (size_t)data[2] << 8 | data[3];
-        Mesh__Frame *frame;
-
-        if (link.received.size () - at < FRM_HEADER_LENGTH + length)
-          break;
-        ASSERT_EQ (frm_decode (data + FRM_HEADER_LENGTH, length, &frame),
-                   FRM_OK);
-        take_frame (link, *frame);
-        frm_free (frame);
-        at += FRM_HEADER_LENGTH + length;
-      }
-    link.received.erase (0, at);
+    take_frames (link,
+                 [&] (const Mesh__Frame &frame) { take_frame (link, frame); });
   }
 
   void
@@ -342,17 +325,8 @@
         received += frame.call_body->data.len;
         is_complete = !frame.call_body->more;
       }
-  }
-
-  static void
-  send_frame (const Peer &link, const Mesh__Frame &frame)
-  {
-    struct buf bytes = {};
-
-    frm_encode (&frame, &bytes);
-    link.send (std::string (reinterpret_cast<const char *> (bytes.data),
-                            bytes.length));
-    buf_close (&bytes);
+    else if (frame.body_case == MESH__FRAME__BODY_CANCEL)
+      cancelled = frame.cancel->id->number;
   }
 
   static void
@@ -387,6 +361,7 @@
   uint32_t body_bytes = 0;
   size_t received = 0; /* bytes of its body */
   bool is_complete = false;
+  uint64_t cancelled = 0; /* number of the call that was cancelled last */
 };
 
 /* Guards against a body that is sent a second time when a gate grants what was
@@ -437,3 +412,38 @@
       read_frames (link);
     }
 }
+
+/* Guards against a gate that is not told that its caller has left because
+   parts of the answer have come.  */
+TEST_F (ForgedGrants, CancelAnAnswerWhoseCallerLeaves)
+{
+  start_upload_mesh ();
+  kill_sidecar (1);
+  Listener listener (address_of (1, links_port));
+  Peer link;
+
+  play_gate (listener, link);
+  Peer caller = upload (1000, 3000);
+  ASSERT_TRUE (run_until ([&] {
+    read_frames (link);
+    return number != 0;
+  }));
+
+  Mesh__CallId id = MESH__CALL_ID__INIT;
+  Mesh__Answer answer = MESH__ANSWER__INIT;
+  Mesh__Frame frame = MESH__FRAME__INIT;
+
+  id.number = number;
+  answer.id = &id;
+  answer.status = 200;
+  answer.more = true;
+  frame.body_case = MESH__FRAME__BODY_ANSWER;
+  frame.answer = &answer;
+  send_frame (link, frame);
+  run_for (50);
+  caller.close (true);
+  EXPECT_TRUE (run_until ([&] {
+    read_frames (link);
+    return cancelled == number;
+  }));
+}
