--- a/src/gat/gat_admit.c
+++ b/src/gat/gat_admit.c
@@ -137,7 +137,7 @@
   bool nested = gat_is_nested (gat_kind_of (call));
   struct que_item item = { .call = call,
                            .priority = call->frame->call->priority + 1,
-                           .service_time = gat_service_of (call),
+                           .service_time = gat_time_to_respond (call),
                            .target_time = call->target,
                            .deadline = call->deadline,
                            .tenant = call->tenant,
--- a/src/gat/gat_bulk.c
+++ b/src/gat/gat_bulk.c
@@ -49,6 +49,24 @@
   return time > gat_service_of (call) ? time - gat_service_of (call) : 0;
 }
 
+clk_time
+gat_time_to_respond (const struct gat_call *call)
+{
+  const struct gat *gate = call->gate;
+  clk_time service = gat_service_of (call);
+  clk_time queued;
+  clk_time own;
+
+  if (!gat_uses_link (call))
+    return service;
+  queued = link_time (gate, 0);
+  own = link_time (gate, expect_bytes (call)) - queued;
+  /* A call starts only when no more than this is ahead of its response.  */
+  if (queued > MAX_LINK_TIME)
+    queued = MAX_LINK_TIME;
+  return (service > queued ? service : queued) + own;
+}
+
 void
 gat_expect_response (struct gat_call *call)
 {
--- a/src/que/que.h
+++ b/src/que/que.h
@@ -36,7 +36,7 @@
   {
     void *call;
     uint32_t priority;     /* 0 is the highest */
-    clk_time service_time; /* expected time in a slot, ns */
+    clk_time service_time; /* expected time until it is answered, ns */
     clk_time target_time;  /* an answer by then is on time */
     clk_time deadline;     /* an answer after that is worth nothing */
     uint32_t tenant;       /* handle into the shares; SHR_NONE: none */
