--- a/src/fwd/fwd.c
+++ b/src/fwd/fwd.c
@@ -13,7 +13,7 @@
 #include <string.h>
 
 /* A caller that names no time of its own waits this long.  */
-#define DEFAULT_PATIENCE (60 * CLK_SECOND)
+#define DEFAULT_CALLER_TIMEOUT (60 * CLK_SECOND)
 
 /* A process that has just started gets its configuration from another node
    within this time, unless the store is away or it is the first.  */
@@ -46,6 +46,7 @@
   forwarder->parts = *parts;
   forwarder->budget = bud_create ();
   forwarder->reports = ovr_create ();
+  forwarder->ages = age_create ();
   forwarder->next_number = 1;
   forwarder->latest = CLK_NEVER;
   forwarder->screen_at = CLK_NEVER;
@@ -94,6 +95,7 @@
   snp_release (forwarder->snapshot);
   bud_destroy (forwarder->budget);
   ovr_destroy (forwarder->reports);
+  age_destroy (forwarder->ages);
   free (forwarder->share_points);
   free (forwarder->field.candidates);
   free (forwarder->field.peers);
@@ -125,6 +127,9 @@
   fwd_log_failed (call, status, reason, retry_after);
   if (status == 503)
     fwd_return_credit (call);
+  if (call->tenant != NULL)
+    age_note_refusal (call->forwarder->ages, call->kind,
+                      evl_now (call->forwarder->parts.loop));
   fwd_cancel (call);
   htp_put_header (output, "Content-Type", "text/plain");
   if (retry_after > 0)
@@ -173,14 +178,15 @@
 
 /* Returns the time that the caller waits, in ns.  */
 static clk_time
-read_patience (const struct fwd *forwarder, const struct htp_message *message)
+read_caller_timeout (const struct fwd *forwarder,
+                     const struct htp_message *message)
 {
   const char *value = htp_find_header (
       message, forwarder->parts.platform->headers[PTF_REMAINING_MS]);
   double ms = value != NULL ? strtod (value, NULL) : 0;
 
   if (!(ms > 0) || ms > 1e9)
-    return DEFAULT_PATIENCE;
+    return DEFAULT_CALLER_TIMEOUT;
   return (clk_time)(ms * (double)CLK_MILLISECOND);
 }
 
@@ -197,7 +203,8 @@
   call->id = htp_find_header (&call->message,
                               forwarder->parts.platform->headers[PTF_CALL_ID]);
   call->arrival = evl_now (forwarder->parts.loop);
-  call->deadline = call->arrival + read_patience (forwarder, &call->message);
+  call->deadline
+      = call->arrival + read_caller_timeout (forwarder, &call->message);
   call->target = call->deadline;
   lst_push_front (&forwarder->calls, &call->list);
   forwarder->call_count++;
@@ -206,6 +213,17 @@
   return call;
 }
 
+/* Returns the time since the caller's first attempt, ns.  Requests without a
+   tenant count as first attempts: upstreams make calls with any timeout.  */
+static clk_time
+age_of (const struct fwd_call *call)
+{
+  if (call->tenant == NULL)
+    return 0;
+  return age_take_request (call->forwarder->ages, call->kind,
+                           call->deadline - call->arrival, call->arrival);
+}
+
 /* Limits the call to the time that its route allows.  Returns false when it
    comes too late in a shutdown: it might be broken off.  */
 static bool
@@ -215,8 +233,8 @@
   const struct doc_route *route = call->route;
   clk_time limit
       = call->arrival + (clk_time)route->deadline_ms * CLK_MILLISECOND;
-  clk_time target
-      = call->arrival + (clk_time)route->target_latency_ms * CLK_MILLISECOND;
+  clk_time target = call->arrival - age_of (call)
+                    + (clk_time)route->target_latency_ms * CLK_MILLISECOND;
 
   if (limit < call->deadline)
     call->deadline = limit;
@@ -270,9 +288,8 @@
 static void
 await_configuration (struct fwd_call *call)
 {
-  clk_time patience = (call->deadline - call->arrival) / UNREADY_PART;
-  clk_time end
-      = call->arrival + (patience < UNREADY_WAIT ? patience : UNREADY_WAIT);
+  clk_time wait = (call->deadline - call->arrival) / UNREADY_PART;
+  clk_time end = call->arrival + (wait < UNREADY_WAIT ? wait : UNREADY_WAIT);
 
   if (call->arrival >= call->forwarder->started_by)
     on_deadline (call);
--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -3,6 +3,7 @@
 #ifndef MULBERRYSHIFT_FWD_FWD_INTERNAL_H
 #define MULBERRYSHIFT_FWD_FWD_INTERNAL_H
 
+#include "age/age.h"
 #include "base/lst.h"
 #include "fwd/fwd.h"
 #include "gat/gat.h"
@@ -97,6 +98,7 @@
   struct fwd_peer *peers;
   dir_handle peer_count;
   struct bud *budget;
+  struct age *ages; /* of requests with a tenant */
   struct rnd random;
   clk_time started_by; /* until then a first configuration may be on its way */
   clk_time latest;     /* end of every request; CLK_NEVER: not limited */
