--- a/src/fwd/fwd_quota.c
+++ b/src/fwd/fwd_quota.c
@@ -31,11 +31,32 @@
     refuse (call, retry_after);
 }
 
+/* Returns whether the time that is left of the target latency is shorter than
+   a call usually takes.  */
+static bool
+is_late (const struct fwd_call *call)
+{
+  clk_time usual = (clk_time)(PLC_DEFAULT_SERVICE_TIME_FRACTION
+                              * (double)call->route->target_latency_ms
+                              * (double)CLK_MILLISECOND);
+
+  return call->target - evl_now (call->forwarder->parts.loop) < usual;
+}
+
 void
 fwd_take_credit (struct fwd_call *call)
 {
   clk_time retry_after;
-  enum quo_status status
+  enum quo_status status;
+
+  if (is_late (call)
+      && quo_refuses_late (call->forwarder->parts.quota, call->tenant,
+                           &retry_after))
+    {
+      refuse (call, retry_after);
+      return;
+    }
+  status
       = quo_take (call->forwarder->parts.quota, call->tenant, call->deadline,
                   on_credit, call, &call->quota, &retry_after);
 
--- a/src/quo/quo.c
+++ b/src/quo/quo.c
@@ -284,6 +284,23 @@
   return QUO_WAITING;
 }
 
+bool
+quo_refuses_late (struct quo *quota, const struct doc_tenant *configured,
+                  clk_time *retry_after)
+{
+  struct quo_tenant *tenant;
+
+  if (configured == NULL || !(configured->rate > 0))
+    return false;
+  tenant = find_tenant (quota, configured->name);
+  if (tenant == NULL
+      || evl_now (quota->parts.loop) >= tenant->lease.scarce_until)
+    return false;
+  *retry_after = quo_find_retry (tenant);
+  quo_log_refused (tenant, *retry_after);
+  return true;
+}
+
 void
 quo_return (struct quo *quota, const struct doc_tenant *configured)
 {
--- a/src/quo/quo.h
+++ b/src/quo/quo.h
@@ -103,6 +103,13 @@
                             void *context, struct quo_request **request,
                             clk_time *retry_after);
 
+  /* Returns whether a request of TENANT that cannot be on time is to be
+     refused without credit, since the owner had less credit lately than was
+     wanted: what there is then goes to requests that can be on time.  Sets
+     *RETRY_AFTER if so.  */
+  bool quo_refuses_late (struct quo *quota, const struct doc_tenant *tenant,
+                         clk_time *retry_after);
+
   /* Ends the wait of a request without its callback.  Null is allowed.  */
   void quo_cancel (struct quo_request *request);
 
