--- a/src/syn/syn_internal.h
+++ b/src/syn/syn_internal.h
@@ -94,6 +94,37 @@
 /* Sends the held version to a subscriber that holds an older one.  */
 void syn_push_version (struct syn *sync, struct syn_subscriber *subscriber);
 
+/* Computes this node's roles and applies what has changed.  Callback of a
+   task, like the next two of timers.  */
+void syn_recompute_roles (void *context);
+
+/* Computes the roles again after a platform status has expired.  */
+void syn_on_status_expiry (void *context);
+
+/* Tells the owner that this node starts or stops to watch the store.  */
+void syn_report_watch_change (void *context);
+
+/* Returns whether PEER is a parent of this node.  */
+bool syn_is_parent (const struct syn *sync, dir_handle peer);
+
+/* Notes the platform status and the version of PEER.  */
+void syn_handle_pong (struct syn *sync, dir_handle peer,
+                      const Mesh__Pong *pong);
+
+/* Starts or ends the subscription of the node of INBOUND.  */
+void syn_handle_subscribe (struct syn *sync, struct hub_inbound_link *inbound,
+                           const Mesh__Subscribe *message);
+
+/* Handles records from the inbound link SOURCE, or from SOURCE_PEER when
+   SOURCE is null.  */
+void syn_handle_members (struct syn *sync, const Mesh__Members *message,
+                         struct hub_inbound_link *source,
+                         dir_handle source_peer);
+
+/* Forwards a suspect report towards the watchers.  Ignores a report on an
+   earlier incarnation than the known one, on a dead node or on this node.  */
+void syn_handle_suspect (struct syn *sync, const Mesh__Suspect *message);
+
 /* Returns the place of the subscriber on INBOUND, or the end of the list.  */
 struct syn_subscriber **
 syn_find_subscriber (struct syn *sync, const struct hub_inbound_link *inbound);
@@ -151,6 +182,9 @@
    whose reply may still arrive.  */
 void syn_fetch_version (struct syn *sync, dir_handle peer, bool full);
 
+/* Gives up the missing version and what was collected of it.  */
+void syn_forget_missing (struct syn *sync);
+
 /* Fetches the missing version when its next part has not come in time.  */
 void syn_fetch_missing (void *context);
 
@@ -158,6 +192,12 @@
    clears the payloads.  */
 void syn_replace_snapshot (struct syn *sync, struct snp_snapshot *snapshot);
 
+/* Returns the stamp of a message; version 0 for null.  */
+struct snp_stamp syn_read_stamp (const Mesh__Stamp *stamp);
+
+/* Initializes MESSAGE with STAMP.  */
+void syn_write_stamp (struct snp_stamp stamp, Mesh__Stamp *message);
+
 /* Returns the stamp of the held version; version 0 when there is none.  */
 struct snp_stamp syn_held_stamp (const struct syn *sync);
 
