--- a/src/dir/dir_json.c
+++ b/src/dir/dir_json.c
@@ -14,7 +14,7 @@
   net_format (member->address, address);
   return json_pack (
       "{s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:i, s:I, s:b, s:i, s:i, "
-      "s:s}",
+      "s:s, s:I}",
       "node", member->name, "data_centre", member->data_centre, "region",
       member->region, "address", address, "service", member->service,
       "upstream", member->upstream, "incarnation",
@@ -23,7 +23,8 @@
       "upstream_born", (json_int_t)member->upstream_born, "upstream_leaving",
       (int)member->upstream_leaving, "platform_distance_ms",
       (int)member->platform_distance, "capacity", (int)member->capacity,
-      "upstream_version", member->version);
+      "upstream_version", member->version, "mesh_size",
+      (json_int_t)member->mesh_size);
 }
 
 static bool
@@ -62,18 +63,19 @@
   int leaving;
   int rtt_ms;
   int capacity;
+  int mesh_size = 0;
 
   memset (member, 0, sizeof *member);
   if (json_unpack ((json_t *)content,
                    "{s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:i, s:I, s:b, "
-                   "s:i, s:i, s?s}",
+                   "s:i, s:i, s?s, s?i}",
                    "node", &name, "data_centre", &data_centre, "region",
                    &region, "address", &address, "service", &service,
                    "upstream", &upstream, "incarnation", &incarnation,
                    "sequence", &sequence, "slots", &slots, "upstream_born",
                    &start_ms, "upstream_leaving", &leaving,
                    "platform_distance_ms", &rtt_ms, "capacity", &capacity,
-                   "upstream_version", &version)
+                   "upstream_version", &version, "mesh_size", &mesh_size)
           != 0
       || !copy_name (name, false, member->name)
       || !copy_name (data_centre, false, member->data_centre)
@@ -84,7 +86,7 @@
       || !net_parse (address, &member->address) || member->address.port == 0
       || incarnation < 0 || incarnation > MAX_INCARNATION || sequence < 0
       || sequence > MAX_SEQUENCE || start_ms < 0 || slots < 0
-      || slots > MAX_SLOTS || rtt_ms < 0 || capacity < 0)
+      || slots > MAX_SLOTS || rtt_ms < 0 || capacity < 0 || mesh_size < 0)
     {
       err_set ("a field of the node record is missing or invalid");
       return false;
@@ -96,6 +98,7 @@
   member->upstream_leaving = leaving != 0;
   member->platform_distance = (uint32_t)rtt_ms;
   member->capacity = (uint32_t)capacity;
+  member->mesh_size = (uint32_t)mesh_size;
   member->state = MBR_ALIVE;
   return true;
 }
--- a/src/mbr/mbr_member.h
+++ b/src/mbr/mbr_member.h
@@ -45,6 +45,8 @@
     bool upstream_leaving;      /* the upstream takes no new calls */
     uint32_t platform_distance; /* round trip to the platform, ms */
     uint32_t capacity;          /* processor, thousandths of a core */
+    uint32_t mesh_size;         /* nodes that it knew, 0: unknown; only in the
+                                   store, not compared */
   };
 
   /* Fills in a wire message whose strings point into MEMBER.  */
@@ -55,7 +57,7 @@
   bool mbr_member_from_wire (const Mesh__Member *message,
                              struct mbr_member *member);
 
-  /* Returns whether all fields are equal.  */
+  /* Returns whether all fields but mesh_size are equal.  */
   bool mbr_member_equal (const struct mbr_member *left,
                          const struct mbr_member *right);
 
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -68,6 +68,9 @@
   bool nodes_listed;  /* a list of all nodes was read from the store */
   bool list_is_stale; /* the list being read may be out of date */
   bool joined;        /* see sdc_join.c */
+  bool list_delayed;  /* the delay of the first list was decided */
+  /* Nodes that an earlier record of this node counted; 0: not known.  */
+  uint32_t stored_mesh_size;
   /* Time of the next step of the join, CLK_NEVER when none is scheduled.  */
   clk_time next_join_step_at;
   /* Latest time to publish the first record of this node; CLK_NEVER when that
@@ -169,6 +172,10 @@
    ownership of the reference to SNAPSHOT.  */
 void sdc_apply_snapshot (struct sdc *sidecar, struct snp_snapshot *snapshot);
 
+/* Writes this node's record, with the current number of nodes, to the store
+   unless it holds an equal one.  */
+void sdc_store_record (struct sdc *sidecar);
+
 /* Increments the sequence of this node's record and publishes it in the store
    and to the other nodes.  */
 void sdc_publish_record (struct sdc *sidecar);
--- a/src/sdc/sdc_join.c
+++ b/src/sdc/sdc_join.c
@@ -7,12 +7,15 @@
    start.  This takes two calls to the store per node.  The list may be out of
    date, which costs the store little: nodes that are missing in it are known
    to their parents and arrive over links.  When it holds no other node, it is
-   read again as it is now.  A node that starts
+   read again as it is now.  Nodes far from the store delay the list, see
+   jpl.h.  A node that starts
    while the store is unreachable learns of the other nodes from those that
    open links to it.  */
 
 #include "base/err.h"
 #include "base/log.h"
+#include "base/rnd.h"
+#include "jpl/jpl.h"
 #include "sdc/sdc_internal.h"
 
 #include <string.h>
@@ -42,6 +45,20 @@
    within this time.  Before, it might take itself for the owner of quotas.  */
 #define UNLISTED_QUOTA_DELAY CLK_SECOND
 
+/* Returns how long a node far from the store waits before it reads from the
+   store.  */
+static clk_time
+read_delay (const struct sdc *sidecar)
+{
+  struct jpl_start start
+      = { sidecar->settings.first_start, sto_round_trip_time (sidecar->store),
+          sidecar->stored_mesh_size };
+  struct rnd random;
+
+  rnd_init (&random, rnd_system_seed ());
+  return jpl_read_delay (&start, rnd_unit (&random));
+}
+
 static void
 complete_join (struct sdc *sidecar, clk_time quota_delay)
 {
@@ -50,7 +67,8 @@
   sidecar->list_is_stale = false;
   sidecar->next_join_step_at
       = evl_now (sidecar->loop) + CONFIG_TIMEOUT
-        + (clk_time)(rel_hash_name (sidecar->record.name) % CONFIG_TIMEOUT);
+        + (clk_time)(rel_hash_name (sidecar->record.name) % CONFIG_TIMEOUT)
+        + read_delay (sidecar);
   wch_stop (sidecar->node_watch);
   log_write (LOG_INFO, "sdc", "joined the mesh with %zu known nodes",
              dir_alive_count (sidecar->directory));
@@ -97,7 +115,7 @@
       || sidecar->registration.state != REG_NONE)
     {
       sidecar->publish_by = CLK_NEVER;
-      pub_set_record (sidecar->publisher, &sidecar->record);
+      sdc_store_record (sidecar);
     }
   else if (sidecar->publish_by == CLK_NEVER)
     sidecar->publish_by
@@ -148,7 +166,7 @@
   if (!add_platform_rtt (sidecar) || (now < sidecar->publish_by && !announced))
     return;
   sidecar->publish_by = CLK_NEVER;
-  pub_set_record (sidecar->publisher, &sidecar->record);
+  sdc_store_record (sidecar);
 }
 
 static void
@@ -180,6 +198,17 @@
                    on_config_reply, sidecar);
 }
 
+/* Delays the first list of a first start.  Returns whether it is delayed.  */
+static bool
+delay_list (struct sdc *sidecar, clk_time now)
+{
+  if (sidecar->list_delayed)
+    return false;
+  sidecar->list_delayed = true;
+  sidecar->next_join_step_at = now + read_delay (sidecar);
+  return now < sidecar->next_join_step_at;
+}
+
 void
 sdc_advance_join (struct sdc *sidecar, clk_time now)
 {
@@ -193,6 +222,8 @@
          while the store was unreachable.  */
       if (!wch_is_started (sidecar->node_watch))
         {
+          if (delay_list (sidecar, now))
+            return;
           sidecar->next_join_step_at = now + LIST_TIMEOUT;
           sidecar->list_is_stale = true;
           wch_start_stale (sidecar->node_watch);
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -158,6 +158,8 @@
 {
   if (sidecar->stopping)
     return;
+  if (record->mesh_size > 0)
+    sidecar->stored_mesh_size = record->mesh_size;
   /* The incarnation is the start time of the process.  When the clock was set
      back, it must still be higher than that of the earlier process.  */
   if (record->state == MBR_DEAD)
@@ -417,6 +419,13 @@
 const struct pub_handlers sdc_publish_handlers
     = { on_record_stored, on_record_found };
 
+void
+sdc_store_record (struct sdc *sidecar)
+{
+  sidecar->record.mesh_size = (uint32_t)dir_alive_count (sidecar->directory);
+  pub_set_record (sidecar->publisher, &sidecar->record);
+}
+
 void
 sdc_publish_record (struct sdc *sidecar)
 {
@@ -424,7 +433,7 @@
   dir_merge (sidecar->directory, &sidecar->record, evl_now (sidecar->loop),
              &sidecar->self);
   if (sidecar->nodes_listed)
-    pub_set_record (sidecar->publisher, &sidecar->record);
+    sdc_store_record (sidecar);
   syn_publish (sidecar->sync, &sidecar->record);
 }
 
--- a/tests/dir_test.cc
+++ b/tests/dir_test.cc
@@ -134,11 +134,28 @@
   member.upstream_born = 1234567890123;
   member.upstream_leaving = true;
   member.platform_distance = 21;
+  member.mesh_size = 304;
   snprintf (member.service, sizeof member.service, "stock");
   snprintf (member.upstream, sizeof member.upstream, "i-1");
   content = dir_to_json (&member);
   EXPECT_TRUE (dir_from_json (content, &copy));
   EXPECT_TRUE (mbr_member_equal (&member, &copy));
+  EXPECT_EQ (copy.mesh_size, 304u);
+  json_decref (content);
+}
+
+/* Guards against records of other programs that are rejected because they lack
+   the number of nodes or have further fields.  */
+TEST_F (Directory, AcceptsRecordsWithOtherFields)
+{
+  struct mbr_member member = make_member ("n", 5, 2);
+  struct mbr_member copy;
+  json_t *content = dir_to_json (&member);
+
+  json_object_del (content, "mesh_size");
+  json_object_set_new (content, "later_field", json_array ());
+  EXPECT_TRUE (dir_from_json (content, &copy));
+  EXPECT_EQ (copy.mesh_size, 0u);
   json_decref (content);
 }
 
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -209,6 +209,44 @@
   EXPECT_TRUE (run_until_received (peer, "HTTP/1.1 503", 140));
 }
 
+/* Guards against lists of all far nodes at once on a first start, which fill
+   the link to the store, and against a delay of near nodes.  */
+TEST_F (Sidecars, ListLaterOnAFirstStartFarFromTheStore)
+{
+  const size_t far_count = 8;
+
+  for (size_t i = 0; i < far_count; i++)
+    add_vm ("orders", "b", "far", true);
+  /* The time that a connection takes to open counts as round trip time.  */
+  usleep (12000);
+  run_for (1);
+  add_vm ("orders", "a", "near", true);
+  ASSERT_TRUE (run_until ([&] {
+    return sdc_node_count (vms[far_count].sidecar) == far_count + 1;
+  }));
+  /* Each node has written its record; the near one has listed and watches.  */
+  EXPECT_LE (sst_call_count (store), far_count + 1 + 5);
+  EXPECT_TRUE (run_until ([&] {
+    return std::all_of (vms.begin (), vms.end (), [&] (const Vm &vm) {
+      return sdc_node_count (vm.sidecar) == far_count + 1;
+    });
+  }));
+}
+
+/* Guards against a node of a small mesh that waits before its list when it
+   restarts far from the store.  */
+TEST_F (Sidecars, ListAtOnceOnARestartFarFromTheStore)
+{
+  start_mesh ();
+  kill_sidecar (3);
+  uint64_t before = sst_call_count (store);
+  start_sidecar (3);
+  usleep (12000);
+  EXPECT_TRUE (
+      run_until ([&] { return sdc_node_count (vms[3].sidecar) == 4; }, 300));
+  EXPECT_GT (sst_call_count (store), before);
+}
+
 /* Guards against more than the two calls to the store that each node needs on
    a first start: one writes its record with the upstream in it, one lists the
    nodes.  */
