--- a/src/syn/syn.c
+++ b/src/syn/syn.c
@@ -38,6 +38,7 @@
   evl_timer_init (&sync->missing_timer, loop, syn_fetch_missing, sync);
   sync->newer_version_peer = DIR_NONE;
   sync->stopped_sender = DIR_NONE;
+  syn_create_offers (sync);
   return sync;
 }
 
@@ -53,6 +54,7 @@
       sync->subscribers = subscriber->next;
       free (subscriber);
     }
+  syn_destroy_offers (sync);
   evl_task_cancel (&sync->refresh_task);
   evl_timer_stop (&sync->watch_change_timer);
   evl_timer_stop (&sync->fetch_timer);
@@ -121,6 +123,7 @@
       return true;
     case MESH__FRAME__BODY_MEMBERS:
       syn_handle_members (sync, frame->members, inbound, DIR_NONE);
+      syn_handle_offer (sync, frame->members);
       return true;
     case MESH__FRAME__BODY_SUSPECT:
       syn_handle_suspect (sync, frame->suspect);
--- a/src/syn/syn_role.c
+++ b/src/syn/syn_role.c
@@ -208,6 +208,7 @@
                   status_peers);
   set_parents (sync, parents);
   set_status_peers (sync, status_peers);
+  syn_plan_offers (sync, nodes, handles, count, self, &roles);
   if (roles.is_watcher != sync->is_watcher)
     {
       sync->is_watcher = roles.is_watcher;
@@ -279,4 +280,5 @@
 {
   *peer_status_entry (sync, peer)
       = (struct syn_peer_status){ .platform_status = REL_PLATFORM_UNKNOWN };
+  syn_note_learned (sync, peer);
 }
