--- a/src/gat/gat_internal.h
+++ b/src/gat/gat_internal.h
@@ -103,6 +103,7 @@
    that its sender has cancelled, and starts what the link takes now.  */
 void gat_drop_response (struct gat *gate, struct hub_inbound_link *origin,
                         const Mesh__CallId *id);
+
 /* Returns the expected time from the start of a call to the end of its
    response, ns.  A long response ends later than the call leaves its slot: it
    follows those that the link has not sent.  */
