--- a/tests/gat_test.cc
+++ b/tests/gat_test.cc
@@ -396,6 +396,29 @@
   EXPECT_EQ (gat_in_progress (gate), 3u);
 }
 
+/* Guards against a long response that is late because those that the link has
+   not sent go before it, while one that could be on time waits.  */
+TEST_F (Gate, RunsLongCallsFirstThatTheLinkCanSendInTime)
+{
+  Listener upstream (registration.upstream.address);
+
+  registration.upstream.slots = 1;
+  call (1, 0, 0, 60000, false);
+  gate->slot = 50 * CLK_MILLISECOND;
+  bulk_time = 100 * CLK_MILLISECOND;
+  ns_per_byte = 200.0 * CLK_MILLISECOND / 65536;
+  call (2, 0, 0, 600, false);
+  ns_per_byte = 0;
+  call (3, 0, 0, 60000, false);
+  bulk_time = 0;
+  ASSERT_EQ (gate->queue.count, 2u);
+  registration.upstream.slots = 2;
+  gat_apply_registration (gate);
+  ASSERT_EQ (gate->queue.count, 1u);
+  auto *waiting = static_cast<struct gat_call *> (gate->queue.items[0].call);
+  EXPECT_EQ (waiting->frame->call->id->number, 2u);
+}
+
 /* Guards against a shutdown that waits for bodies of calls that it refuses
    afterwards.  */
 TEST_F (Gate, RefusesAwaitedBodiesWhenItDrains)
--- a/tests/support/sidecar_mesh.cc
+++ b/tests/support/sidecar_mesh.cc
@@ -282,12 +282,12 @@
 
 void
 SidecarMesh::send_with (const Peer &peer, const std::string &path,
-                        const std::string &fields)
+                        const std::string &fields, int timeout_ms)
 {
   peer.send ("GET " + path + " HTTP/1.1\r\nHost: mesh.example\r\n"
              + PFM_REQUEST_ID ": " + next_request_id () + "\r\n"
-             + PFM_TIMEOUT_MS ": 1000\r\n" + fields
-             + "Content-Length: 0\r\n\r\n");
+             + PFM_TIMEOUT_MS ": " + std::to_string (timeout_ms) + "\r\n"
+             + fields + "Content-Length: 0\r\n\r\n");
 }
 
 int
--- a/tests/support/sidecar_mesh.h
+++ b/tests/support/sidecar_mesh.h
@@ -81,7 +81,7 @@
 
   /* Sends a request with header fields on an open connection.  */
   void send_with (const Peer &peer, const std::string &path,
-                  const std::string &fields);
+                  const std::string &fields, int timeout_ms = 1000);
 
   /* Calls and returns the status, 0 when there is none.  */
   int status_of (size_t vm, const std::string &path,
--- a/tests/tenant_test.cc
+++ b/tests/tenant_test.cc
@@ -250,7 +250,8 @@
   /* Sends requests at GAP_MS for TIME_MS, in turn to all VMs that run, and
      counts the answers by status.  */
   std::map<int, int>
-  send_for (int time_ms, int gap_ms, const std::string &key)
+  send_for (int time_ms, int gap_ms, const std::string &key,
+            int timeout_ms = 1000)
   {
     std::vector<Peer> peers;
     std::map<int, int> counts;
@@ -264,7 +265,8 @@
         if (vms[vm].sidecar == nullptr)
           continue;
         peers.push_back (Peer::connect (address_of (vm, calls_port)));
-        send_with (peers.back (), "/orders/", credentials_of (key));
+        send_with (peers.back (), "/orders/", credentials_of (key),
+                   timeout_ms);
       }
     for (Peer &peer : peers)
       {
@@ -351,6 +353,25 @@
              retries.size () / 3);
 }
 
+/* Guards against scarce credit that goes to callers who come back too late to
+   be answered in time, and against such callers who are refused although there
+   is credit.  */
+TEST_F (Quotas, GiveScarceCreditToRequestsThatCanBeOnTime)
+{
+  start_limited ();
+  send_for (2000, 30, "red-key");
+  std::map<int, int> counts = send_for (200, 40, "red-key", 300);
+
+  EXPECT_EQ (counts[429], 0);
+  for (int i = 0; i < 4; i++)
+    {
+      counts = send_for (300, 3, "red-key");
+      EXPECT_GT (counts[429], 0);
+      counts = send_for (60, 3, "red-key", 300);
+      EXPECT_EQ (counts[200], 0);
+    }
+}
+
 /* Guards against a lost owner whose tenants run without a limit, or not at
    all.  */
 TEST_F (Quotas, OutliveTheirOwner)
