--- a/src/fwd/fwd.c
+++ b/src/fwd/fwd.c
@@ -213,15 +213,15 @@
   return call;
 }
 
-/* Returns the time since the caller's first attempt, ns.  Requests without a
-   tenant count as first attempts: upstreams make calls with any timeout.  */
-static clk_time
-age_of (const struct fwd_call *call)
+/* Sets the time since the caller's first attempt.  Requests without a tenant
+   count as first attempts: upstreams make calls with any timeout.  */
+static void
+estimate_age (struct fwd_call *call)
 {
-  if (call->tenant == NULL)
-    return 0;
-  return age_take_request (call->forwarder->ages, call->kind,
-                           call->deadline - call->arrival, call->arrival);
+  if (call->tenant != NULL)
+    call->age
+        = age_take_request (call->forwarder->ages, call->kind,
+                            call->deadline - call->arrival, call->arrival);
 }
 
 /* Limits the call to the time that its route allows.  Returns false when it
@@ -233,9 +233,11 @@
   const struct doc_route *route = call->route;
   clk_time limit
       = call->arrival + (clk_time)route->deadline_ms * CLK_MILLISECOND;
-  clk_time target = call->arrival - age_of (call)
-                    + (clk_time)route->target_latency_ms * CLK_MILLISECOND;
+  clk_time target;
 
+  estimate_age (call);
+  target = call->arrival - call->age
+           + (clk_time)route->target_latency_ms * CLK_MILLISECOND;
   if (limit < call->deadline)
     call->deadline = limit;
   if (forwarder->latest < call->deadline
--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -56,6 +56,7 @@
   bool has_credit;                 /* of its tenant's quota */
   const char *id;                  /* the caller's; null: none */
   clk_time arrival;
+  clk_time age;      /* time since the caller's first attempt; see age.h */
   clk_time target;   /* an answer by then is on time */
   clk_time deadline; /* the last moment for an answer */
   struct evl_timer timer;
--- a/src/fwd/fwd_log.c
+++ b/src/fwd/fwd_log.c
@@ -52,6 +52,8 @@
       entry, "sent_with",
       call->snapshot != NULL ? (int64_t)call->snapshot->stamp.version : 0);
   log_add_ms (entry, "elapsed_ms", now_of (call) - call->arrival);
+  if (call->age > 0)
+    log_add_ms (entry, "age_ms", call->age);
 }
 
 void
--- a/src/fwd/fwd_quota.c
+++ b/src/fwd/fwd_quota.c
@@ -2,6 +2,8 @@
 
 #include "fwd/fwd_internal.h"
 
+static const char used_up[] = "not run: the tenant's quota is used up";
+
 static void
 start (struct fwd_call *call)
 {
@@ -14,9 +16,9 @@
 }
 
 static void
-refuse (struct fwd_call *call, clk_time retry_after)
+refuse (struct fwd_call *call, const char *reason, clk_time retry_after)
 {
-  fwd_fail (call, 429, "not run: the tenant's quota is used up", retry_after);
+  fwd_fail (call, 429, reason, retry_after);
 }
 
 static void
@@ -28,7 +30,7 @@
   if (status == QUO_GRANTED)
     start (call);
   else
-    refuse (call, retry_after);
+    refuse (call, used_up, retry_after);
 }
 
 /* Returns whether the time that is left of the target latency is shorter than
@@ -53,7 +55,8 @@
       && quo_refuses_late (call->forwarder->parts.quota, call->tenant,
                            &retry_after))
     {
-      refuse (call, retry_after);
+      refuse (call, "not run: late, and the tenant's quota is short",
+              retry_after);
       return;
     }
   status
@@ -63,7 +66,7 @@
   if (status == QUO_GRANTED)
     start (call);
   else if (status == QUO_REFUSED)
-    refuse (call, retry_after);
+    refuse (call, used_up, retry_after);
 }
 
 void
