--- a/src/fwd/fwd_internal.h
+++ b/src/fwd/fwd_internal.h
@@ -62,17 +62,17 @@
   struct evl_timer timer;
   dir_handle tried[FWD_MAX_TRIED];
   unsigned tried_count;
-  enum rol_side side;   /* versions that may run it; see fwd_version.c */
-  bool is_placed;       /* it was sent to a node before */
-  unsigned runs;        /* upstreams that were sent the call */
-  bool may_have_run;    /* one of them has not said that it did not */
-  uint32_t number;      /* of the try under way; 0: none */
-  dir_handle peer;      /* of the try under way */
-  uint64_t link;        /* of the try under way */
-  size_t sent_bytes;    /* of a body that is sent as the gate grants it */
-  uint32_t kind;        /* hash of the route */
-  unsigned bounces;     /* gates that were too busy */
-  unsigned usable;      /* nodes that take calls, when it was placed last */
+  enum rol_side side;     /* versions that may run it; see fwd_version.c */
+  bool is_placed;         /* it was sent to a node before */
+  unsigned runs;          /* upstreams that were sent the call */
+  bool may_have_run;      /* one of them has not said that it did not */
+  uint32_t number;        /* of the try under way; 0: none */
+  dir_handle peer;        /* of the try under way */
+  uint64_t link;          /* of the try under way */
+  size_t sent_bytes;      /* of a body that is sent as the gate grants it */
+  uint32_t kind;          /* hash of the route */
+  unsigned busy_refusals; /* by gates */
+  unsigned usable;        /* nodes that take calls, when it was placed last */
   bool ignores_reports; /* that its tenant is over its share; see fwd_over.c */
   bool is_over_share;   /* these reports alone keep it from being placed */
   size_t partial_bytes; /* of ANSWER, as charged to the account */
--- a/src/fwd/fwd_log.c
+++ b/src/fwd/fwd_log.c
@@ -111,7 +111,7 @@
   add_call_fields (&entry, call);
   log_add_text (&entry, "from", name_of (call, peer));
   log_add_text (&entry, "reason", gat_refusal_name (refusal));
-  log_add_number (&entry, "bounces", call->bounces);
+  log_add_number (&entry, "bounces", call->busy_refusals);
   log_end (&entry);
 }
 
@@ -217,7 +217,7 @@
     log_add_text (&entry, "waits_for", name_of (call, call->peer));
   log_add_text (&entry, "may_have_run", call->may_have_run ? "yes" : "no");
   log_add_number (&entry, "upstreams", call->runs);
-  log_add_number (&entry, "bounces", call->bounces);
+  log_add_number (&entry, "bounces", call->busy_refusals);
   log_add_number (&entry, "usable", call->usable);
   log_add_number (&entry, "nodes",
                   (int64_t)dir_alive_count (call->forwarder->parts.directory));
--- a/src/fwd/fwd_over.c
+++ b/src/fwd/fwd_over.c
@@ -78,6 +78,6 @@
 bool
 fwd_is_sample (const struct fwd_call *call)
 {
-  return call->bounces == 0 && call->runs == 0
+  return call->busy_refusals == 0 && call->runs == 0
          && rnd_below (&call->forwarder->random, OVR_SAMPLE_INTERVAL) == 0;
 }
--- a/src/fwd/fwd_place.c
+++ b/src/fwd/fwd_place.c
@@ -14,7 +14,7 @@
 
 /* Gates that may send a call on because they are busy; the next one keeps it
    as long as it can still be served.  */
-#define MAX_BOUNCES 3
+#define MAX_BUSY_REFUSALS 3
 
 /* Shortest and longest time after which a refused caller is asked to come
    back.  */
@@ -207,7 +207,7 @@
           .time_to_target = call->target - now,
           .time_to_deadline = call->deadline - now,
           .is_bulk = call->route->is_bulk,
-          .accept_any_wait = call->bounces >= MAX_BOUNCES };
+          .accept_any_wait = call->busy_refusals >= MAX_BUSY_REFUSALS };
 
   call->ignores_reports = false;
   call->is_over_share = false;
@@ -298,10 +298,10 @@
   bool busy = refusal == GAT_BUSY;
 
   fwd_log_bounced (call, peer, refusal);
-  if (!busy || call->bounces > MAX_BOUNCES)
+  if (!busy || call->busy_refusals > MAX_BUSY_REFUSALS)
     fwd_exclude (call, peer);
   if (busy)
-    call->bounces++;
+    call->busy_refusals++;
   if (refusal == GAT_SHED)
     {
       call->runs++;
--- a/standins/lib/sst_faults.c
+++ b/standins/lib/sst_faults.c
@@ -31,7 +31,7 @@
   return SST_HEALTHY;
 }
 
-/* Does a write of which the caller hears nothing.  */
+/* Does a write whose caller gets no answer.  */
 static void
 lose (struct sst *store, struct srv_exchange *exchange,
       struct htp_message *message, bool late)
--- a/standins/load.c
+++ b/standins/load.c
@@ -61,7 +61,7 @@
 static struct hst answered_latency;
 static struct hst direct_latency;
 static struct hst difference;
-static uint8_t *told; /* 1 + outcome of each order; 0: no order */
+static uint8_t *reported; /* 1 + outcome of each order; 0: no order */
 
 /* Returns false when the time is over.  */
 static bool
@@ -188,7 +188,7 @@
       if (arrival.post && option.repeat)
         outcome = resolve (&target, &arrival, outcome);
       if (arrival.post)
-        told[arrival.number] = (uint8_t)(1 + outcome);
+        reported[arrival.number] = (uint8_t)(1 + outcome);
     }
   disconnect (&target);
   disconnect (&direct);
@@ -267,7 +267,7 @@
   return true;
 }
 
-/* Compares what callers were told with what the upstreams ran.  */
+/* Compares what was reported to callers with what the upstreams ran.  */
 static json_t *
 check_ledgers (void)
 {
@@ -287,9 +287,9 @@
         return json_pack ("{s:s}", "error", "a ledger cannot be read");
       }
   for (uint32_t i = 0; i < MAX_ORDERS; i++)
-    if (told[i] > 0)
+    if (reported[i] > 0)
       {
-        enum outcome outcome = (enum outcome) (told[i] - 1);
+        enum outcome outcome = (enum outcome) (reported[i] - 1);
 
         orders++;
         lost += outcome == ANSWERED && executions[i] == 0;
@@ -459,8 +459,8 @@
       return print_usage ();
   if (option.target_count == 0 || optind < count)
     return print_usage ();
-  told = calloc (MAX_ORDERS, 1);
-  if (told == NULL)
+  reported = calloc (MAX_ORDERS, 1);
+  if (reported == NULL)
     abort ();
   curl_global_init (CURL_GLOBAL_DEFAULT);
   rnd_init (&random_state, option.seed);
@@ -473,7 +473,7 @@
   for (unsigned i = 0; i < option.connections; i++)
     pthread_join (threads[i], NULL);
   report (read_cpu () - cpu, (double)(clk_now () - begun) / CLK_SECOND);
-  free (told);
+  free (reported);
   curl_global_cleanup ();
   return 0;
 }
--- a/standins/mesh_upstream.c
+++ b/standins/mesh_upstream.c
@@ -22,9 +22,9 @@
 
 /* After a departure: how long it is served, and how long an acknowledgement
    may take.  */
-#define LINGER (3 * CLK_SECOND)
-#define PATIENCE (6 * CLK_SECOND)
-#define LOOK (50 * CLK_MILLISECOND)
+#define DEPARTURE_TIME (3 * CLK_SECOND)
+#define ACKNOWLEDGEMENT_WAIT (6 * CLK_SECOND)
+#define POLL_INTERVAL (50 * CLK_MILLISECOND)
 #define LOSING (2 * CLK_SECOND)
 
 static struct evl *loop;
@@ -57,19 +57,19 @@
       acknowledged = true;
       printf ("acknowledged\n");
       fflush (stdout);
-      end = now + LINGER;
+      end = now + DEPARTURE_TIME;
     }
   if (now >= end)
     evl_stop (loop);
   else
-    evl_timer_set (&look, now + LOOK);
+    evl_timer_set (&look, now + POLL_INTERVAL);
 }
 
 static void
 on_terminate (void *context)
 {
   (void)context;
-  end = evl_now (loop) + PATIENCE;
+  end = evl_now (loop) + ACKNOWLEDGEMENT_WAIT;
   sup_drain (upstream);
   on_look (NULL);
 }
--- a/tests/ovr_test.cc
+++ b/tests/ovr_test.cc
@@ -136,10 +136,11 @@
                   (int)type.calls, (int)type.sent, (int)type.unsent,
                   (int)type.wasted, on_time_part (type));
       printf ("seed %d refused at a gate: %d before, %d after\n", (int)seed,
-              (int)before.bounced, (int)after.bounced);
+              (int)before.refused_busy, (int)after.refused_busy);
       EXPECT_LT ((double)after.types[0].sent,
                  0.9 * (double)before.types[0].sent);
-      EXPECT_LT ((double)after.bounced, 0.95 * (double)before.bounced);
+      EXPECT_LT ((double)after.refused_busy,
+                 0.95 * (double)before.refused_busy);
       EXPECT_GT ((double)after.on_time, 0.98 * (double)before.on_time);
       for (size_t i : { 1, 2 })
         EXPECT_GT (on_time_part (after.types[i]),
--- a/tests/plc_test.cc
+++ b/tests/plc_test.cc
@@ -28,9 +28,9 @@
 protected:
   struct plc_choice
   choose (clk_time target = 250 * ms, clk_time left = 600 * ms,
-          bool insists = false, bool is_bulk = false)
+          bool accept_any_wait = false, bool is_bulk = false)
   {
-    struct plc_call call = { target, target, left, insists, is_bulk };
+    struct plc_call call = { target, target, left, accept_any_wait, is_bulk };
 
     return plc_choose_candidate (candidates.data (), candidates.size (), &call,
                                  CLK_SECOND, &random);
@@ -192,7 +192,7 @@
   EXPECT_GT (chosen, 20u);
 }
 
-/* Guards against news that are believed for too long: an old wait counts less
+/* Guards against reports that are used for too long: an old wait counts less
    and less.  */
 TEST_F (Placement, OldWaitsFade)
 {
@@ -297,7 +297,8 @@
           name, version, sim_on_time_share (result),
           (double)result.late / asked, (double)result.refused / asked,
           (double)result.cross_centre / asked,
-          (double)result.cross_region / asked, (double)result.bounced / asked);
+          (double)result.cross_region / asked,
+          (double)result.refused_busy / asked);
 }
 
 /* Plays LOAD with both versions and prints what came out.  */
@@ -378,7 +379,7 @@
         sum->refused += result.refused;
         sum->cross_centre += result.cross_centre;
         sum->cross_region += result.cross_region;
-        sum->bounced += result.bounced;
+        sum->refused_busy += result.refused_busy;
       }
   print_result (name, "before", *before);
   print_result (name, "after", *after);
--- a/tests/rol_test.cc
+++ b/tests/rol_test.cc
@@ -465,7 +465,7 @@
 }
 
 /* Guards against the final status of an earlier order for the same version
-   that ends the one which replaced it: a node that has not heard of the new
+   that ends the one which replaced it: a node that has not received the new
    order still sends the old one.  */
 TEST_F (Phases, EarlierOrderForTheSameVersionDoesNotEndTheNewOne)
 {
@@ -498,7 +498,7 @@
 }
 
 /* Guards against a node that ignores an order for the same version because it
-   first hears of it when its status is "running": its requests would go to
+   first receives it when its status is "running": its requests would go to
    upstreams that stop at the end of the roll-out.  */
 TEST_F (Phases, RepeatedOrderMayBeHeardOfWhenItRuns)
 {
@@ -554,10 +554,10 @@
   deadline = run.order.deadline;
   for (int i = 0; i < 1000; i++)
     {
-      struct rol_order heard = run.order;
+      struct rol_order received = run.order;
 
-      heard.deadline -= CLK_MILLISECOND;
-      rol_take_order (&run, &heard, now);
+      received.deadline -= CLK_MILLISECOND;
+      rol_take_order (&run, &received, now);
     }
   EXPECT_EQ (run.order.deadline, deadline);
 }
@@ -616,7 +616,7 @@
     }
 }
 
-/* Guards against requests to a version on trial from a node that hears of no
+/* Guards against requests to a version on trial from a node that receives no
    owner, or to one that was rolled back.  */
 TEST (Split, ShareNeedsContact)
 {
--- a/tests/support/load_sim.cc
+++ b/tests/support/load_sim.cc
@@ -15,7 +15,7 @@
 {
 
 const size_t centres_per_region = 2;
-const int max_bounces = 3;
+const int max_busy_refusals = 3;
 const clk_time one_way[PLC_LOCALITY_COUNT]
     = { CLK_MILLISECOND / 10, CLK_MILLISECOND / 2, 8 * CLK_MILLISECOND };
 
@@ -31,7 +31,7 @@
   size_t node;
   clk_time start;
   clk_time work;
-  int bounces = 0;
+  int busy_refusals = 0;
   uint32_t handle = SHR_NONE; /* of its tenant at the gate */
 };
 
@@ -230,7 +230,7 @@
     struct plc_choice choice = placement (reported.data (), reported.size (),
                                           &wanted, now, &choices);
 
-    if (choice.index == PLC_NONE && found && item->bounces == 0
+    if (choice.index == PLC_NONE && found && item->busy_refusals == 0
         && rnd_below (&choices, OVR_SAMPLE_INTERVAL) == 0)
       choice = placement (candidates.data (), candidates.size (), &wanted, now,
                           &choices);
@@ -245,7 +245,7 @@
         = { ms (item->kind->target_ms),
             item->start + ms (item->kind->target_ms) - now,
             item->start + ms (item->kind->deadline_ms) - now,
-            item->bounces >= max_bounces, false };
+            item->busy_refusals >= max_busy_refusals, false };
 
     for (size_t i = 0; i < servers.size (); i++)
       {
@@ -255,10 +255,12 @@
         candidates[i].round_trip = 2 * one_way[candidates[i].locality];
       }
     struct plc_choice choice = choose (item, candidates, wanted);
-    if (choice.index == PLC_NONE || item->bounces > 2 * max_bounces)
+    if (choice.index == PLC_NONE
+        || item->busy_refusals > 2 * max_busy_refusals)
       {
         result.refused++;
-        (item->bounces == 0 ? tally (item).unsent : tally (item).wasted)++;
+        (item->busy_refusals == 0 ? tally (item).unsent
+                                  : tally (item).wasted)++;
         return;
       }
     tally (item).sent++;
@@ -446,8 +448,8 @@
     known[item->node * servers.size () + index] = report;
     if (!done)
       {
-        item->bounces++;
-        result.bounced++;
+        item->busy_refusals++;
+        result.refused_busy++;
         place (item);
         return;
       }
--- a/tests/support/load_sim.h
+++ b/tests/support/load_sim.h
@@ -73,7 +73,7 @@
   uint64_t refused;
   uint64_t cross_centre;
   uint64_t cross_region;
-  uint64_t bounced;
+  uint64_t refused_busy;
   std::vector<sim_tally> types = {}; /* as many as types of calls */
 };
 
