--- a/tests/quo_test.cc
+++ b/tests/quo_test.cc
@@ -337,7 +337,7 @@
 
         owed += rate * factor * (double)gap / CLK_SECOND;
         for (; owed >= 1; owed--)
-          loop.at (at, [=, this] { send ("a", to); });
+          loop.at (at, [this, to] { send ("a", to); });
       }
   }
 
@@ -473,7 +473,7 @@
     for (dir_handle i = 0; i < nodes.size (); i++)
       {
         kill (i);
-        loop.at (loop.now + between (100, 900) * ms, [=, this] { start (i); });
+        loop.at (loop.now + between (100, 900) * ms, [this, i] { start (i); });
       }
   });
   for (clk_time at : { 30, 75 })
