--- a/review/9/case.py
+++ b/review/9/case.py
@@ -13,7 +13,6 @@
 from departure import NODE, deliver, deregister, restart, run_case, until
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-NETWORK = 90
 HEARTBEAT_TRAVEL_S = 3.5  # of the late heartbeat
 # Times from the departure.
 STOP_S = 0.2
@@ -41,4 +40,4 @@
     return started
 
 
-run_case(FOLDER, NETWORK, play)
+run_case(FOLDER, play)
--- a/review/departure.py
+++ b/review/departure.py
@@ -99,8 +99,8 @@
     return bool(late)
 
 
-async def run(folder, network, play):
-    mesh = Mesh(folder, network, "config 1 orders stock / /v1/", HEARTBEAT_S)
+async def run(folder, play):
+    mesh = Mesh(folder, "config 1 orders stock / /v1/", HEARTBEAT_S)
     servers = []
     try:
         if not await start(mesh, servers):
@@ -119,11 +119,11 @@
         await mesh.stop()
 
 
-def run_case(folder, network, play):
+def run_case(folder, play):
     """PLAY takes the mesh and the server, and returns when the process of the
     node started last, or None when the departure was not acknowledged."""
     try:
-        code = asyncio.run(run(folder, network, play))
+        code = asyncio.run(run(folder, play))
     except Exception:
         traceback.print_exc()
         code = 2
--- a/review/mesh2.py
+++ b/review/mesh2.py
@@ -25,6 +25,9 @@
 TARGET = "X-Mulberryshift-Target-Instance"
 NOT_RUN = "X-Mulberryshift-Not-Executed"
 INSTANCE = "X-Mulberryshift-Instance-Id"
+PORTS = range(8101, 8107)
+STORE_PORT = 8300
+MAX_MACHINES = 4
 SETTINGS = """[node]
 name = "vm-{index}"
 data_centre = "{centre}"
@@ -193,13 +196,33 @@
                     [(SIGNATURE, f"s.{request_id}")], request_id)
 
 
+def is_free(address, port):
+    with socket.socket() as probe:
+        try:
+            probe.bind((address, port))
+        except OSError:
+            return False
+    return True
+
+
+def find_network():
+    """Returns a second number of loopback addresses whose ports are free."""
+    for network in random.sample(range(20, 250), 50):
+        addresses = [(f"127.{network}.0.{index + 1}", port)
+                     for index in range(MAX_MACHINES) for port in PORTS]
+        if all(is_free(*address) for address in
+               addresses + [(f"127.{network}.9.1", STORE_PORT)]):
+            return network
+    raise OSError("no free addresses")
+
+
 class Mesh:
     """The store, the sidecars and their settings."""
 
-    def __init__(self, folder, network, config, heartbeat_s=0.5, memory=260):
+    def __init__(self, folder, config, heartbeat_s=0.5, memory=260):
         self.folder = pathlib.Path(folder)
         self.record = Record(self.folder / "record.txt")
-        self.network = network
+        self.network = find_network()
         self.config = config
         self.heartbeat_s = heartbeat_s
         self.memory = memory
@@ -214,7 +237,7 @@
         return f"127.{self.network}.0.{index + 1}"
 
     def store_address(self):
-        return f"127.{self.network}.9.1:8300"
+        return f"127.{self.network}.9.1:{STORE_PORT}"
 
     async def spawn(self, log, *arguments, **options):
         with open(self.temporary / log, "ab") as output:
--- a/review/orders.py
+++ b/review/orders.py
@@ -25,11 +25,10 @@
         await asyncio.sleep(0.02)
 
 
-async def play(folder, network, judge, faults):
+async def play(folder, judge, faults):
     """Starts all processes, sends the orders, and returns the exit code.
     FAULTS are options of the first server."""
-    mesh = Mesh(folder, network, "config 1 orders stock / /v1/",
-                heartbeat_s=1.5)
+    mesh = Mesh(folder, "config 1 orders stock / /v1/", heartbeat_s=1.5)
     servers = []
     try:
         await mesh.start_store()
@@ -58,9 +57,9 @@
         await mesh.stop()
 
 
-def run_case(folder, network, judge, faults):
+def run_case(folder, judge, faults):
     try:
-        code = asyncio.run(play(folder, network, judge, faults))
+        code = asyncio.run(play(folder, judge, faults))
     except Exception:
         traceback.print_exc()
         code = 2
