--- a/review/mesh2.py
+++ b/review/mesh2.py
@@ -309,7 +309,8 @@
         """One client attempt on a new connection.  Returns id, status, fields
         and body; the status is None when there was no answer."""
         self.count += 1
-        request_id = request_id or f"{self.count:06x}{random.getrandbits(32):08x}"
+        drawn = f"{self.count:06x}{random.getrandbits(32):08x}"
+        request_id = request_id or drawn
         self.record.write(f"client sends {request_id} to vm-{index}: "
                           f"{method} {path}")
         status, fields, answer = None, {}, b""
--- a/review/orders.py
+++ b/review/orders.py
@@ -11,7 +11,7 @@
 SERVERS = 2
 CALLERS = 10
 WORK_S = 0.15
-SECONDS = 25
+SECONDS = 25  # of orders, where a case does not say otherwise
 SETTLE_S = 5
 LEAST_SERVED = 100  # orders; with fewer the case cannot run
 
@@ -25,7 +25,7 @@
         await asyncio.sleep(0.02)
 
 
-async def play(folder, judge, faults):
+async def play(folder, judge, faults, seconds):
     """Starts all processes, sends the orders, and returns the exit code.
     FAULTS are options of the first server."""
     mesh = Mesh(folder, "config 1 orders stock / /v1/", heartbeat_s=1.5)
@@ -43,7 +43,7 @@
             return 2
         await asyncio.sleep(SETTLE_S)
         answers = {}
-        end = asyncio.get_running_loop().time() + SECONDS
+        end = asyncio.get_running_loop().time() + seconds
         await asyncio.gather(*[place_orders(mesh, answers, end)
                                for _ in range(CALLERS)])
         await asyncio.sleep(1)
@@ -57,9 +57,9 @@
         await mesh.stop()
 
 
-def run_case(folder, judge, faults):
+def run_case(folder, judge, faults, seconds=SECONDS):
     try:
-        code = asyncio.run(play(folder, judge, faults))
+        code = asyncio.run(play(folder, judge, faults, seconds))
     except Exception:
         traceback.print_exc()
         code = 2
