Keep the record of a departure until its upstream has ended

Cause: a node that stops as planned removed its record from the store when its upstream was leaving, in the belief that such a node leaves for good. The upstream may serve on for many seconds and the node may start again beside it. The record was then the only thing that told the new process of the departure; without it, the first heartbeat to arrive made the upstream ready, also one from before the departure.

Change: on SIGTERM a node whose upstream is leaving checks whether anything listens at the upstream's address. It removes its record only when nothing does. A reset of an established connection does not count as a refused one any more (hck).

Departures.OutliveAPlannedRestartOfTheNode and ...WhateverHealthChecksSay fail before and pass; DoNotBindTheNextUpstream guards the other direction.

--- a/src/hck/hck.c
+++ b/src/hck/hck.c
@@ -59,8 +59,9 @@
 static void
 on_failed (void *context, struct cnx *connection, enum cnx_failure failure)
 {
-  (void)connection;
-  report (context, failure == CNX_NOT_SENT ? HCK_REFUSED : HCK_NO_ANSWER);
+  bool refused = failure == CNX_NOT_SENT && cnx_connect_time (connection) == 0;
+
+  report (context, refused ? HCK_REFUSED : HCK_NO_ANSWER);
 }
 
 static const struct cnx_handlers handlers = { on_response, on_failed };
--- a/src/sdc/sdc_confirm.c
+++ b/src/sdc/sdc_confirm.c
@@ -17,10 +17,8 @@
    names the target of the check.  */
 #define CHECK_TIMEOUT (500 * CLK_MILLISECOND)
 
-/* Returns the target of health checks of a service, null when it is not
-   known.  */
-static const char *
-find_health_path (const struct sdc *sidecar, const char *service)
+const char *
+sdc_find_health_path (const struct sdc *sidecar, const char *service)
 {
   const struct doc_document *document;
 
@@ -73,7 +71,7 @@
   const struct ptf_heartbeat *upstream = &sidecar->registration.upstream;
   struct hck_request request
       = { .address = upstream->address,
-          .path = find_health_path (sidecar, upstream->service),
+          .path = sdc_find_health_path (sidecar, upstream->service),
           .name = upstream->name };
 
   if (!reg_needs_confirmation (&sidecar->registration)
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -80,11 +80,14 @@
   struct srv *metrics_server;
   struct wch *config_watch;
   struct wch *node_watch;
-  struct rol *rollouts;      /* null: the setting is off */
-  struct wch *rollout_watch; /* null with it */
-  bool has_unknown_orders;   /* of services that the configuration lacks */
-  struct prb *probe;         /* probes the store while this node watches it */
-  struct hck *health_check;  /* of a restored upstream; see sdc_confirm.c */
+  struct rol *rollouts;       /* null: the setting is off */
+  struct wch *rollout_watch;  /* null with it */
+  bool has_unknown_orders;    /* of services that the configuration lacks */
+  struct prb *probe;          /* probes the store while this node watches it */
+  struct hck *health_check;   /* of a restored upstream; see sdc_confirm.c */
+  struct hck *end_check;      /* of a departed one; see sdc_departure.c */
+  clk_time upstream_ended_at; /* nothing listened at its address then; -1:
+                                 not known */
   struct pub *publisher;
   struct syn *sync;
   struct snp_snapshot *snapshot;
@@ -203,6 +206,13 @@
 /* Handles the hello of a node that opened a link.  */
 void sdc_handle_hello (struct sdc *sidecar, const Mesh__Hello *hello);
 
+/* Starts to check whether an upstream that has left still serves.  */
+void sdc_check_upstream_end (struct sdc *sidecar);
+
+/* Returns whether the upstream has left, and nothing listened at its address
+   afterwards.  */
+bool sdc_has_upstream_ended (const struct sdc *sidecar);
+
 /* Handles a node record from another node.  Returns whether the directory has
    changed and the record is to be propagated.  */
 bool sdc_handle_member (struct sdc *sidecar, const struct mbr_member *record);
@@ -243,6 +253,11 @@
    publishes if it has changed, and to the gate.  */
 void sdc_handle_registration_change (struct sdc *sidecar);
 
+/* Returns the target of health checks of a service, null when it is not
+   known.  */
+const char *sdc_find_health_path (const struct sdc *sidecar,
+                                  const char *service);
+
 /* Starts the health check of an upstream that was restored from an earlier
    record, if it is needed and its target is known.  */
 void sdc_confirm_upstream (struct sdc *sidecar);
--- a/src/sdc/sdc_run.c
+++ b/src/sdc/sdc_run.c
@@ -161,6 +161,7 @@
   sto_cancel (sidecar->config_call);
   sto_cancel (sidecar->restore.call);
   hck_cancel (sidecar->health_check);
+  hck_cancel (sidecar->end_check);
   prb_destroy (sidecar->probe);
   wch_destroy (sidecar->config_watch);
   wch_destroy (sidecar->node_watch);
@@ -294,6 +295,7 @@
   sidecar->file = file;
   sidecar->platform = platform;
   sidecar->loop = loop;
+  sidecar->upstream_ended_at = -1;
   sidecar->directory = dir_create ();
   sidecar->settings_mtime_ns = read_settings_mtime (file);
   evl_timer_init (&sidecar->tick, loop, on_tick, sidecar);
--- a/src/sdc/sdc_shutdown.c
+++ b/src/sdc/sdc_shutdown.c
@@ -16,6 +16,17 @@
                           sidecar->shutdown.screen_at);
   gat_set_end (sidecar->gate, sidecar->shutdown.answer_by);
   srv_drain (sidecar->caller_server);
+  sdc_check_upstream_end (sidecar);
+}
+
+/* Returns whether nobody needs the record of this node any more.  It must
+   outlive an upstream that has left and serves on: a later process of this
+   node learns of the departure from it.  */
+static bool
+has_left_for_good (const struct sdc *sidecar)
+{
+  return sidecar->registration.state == REG_NONE
+         || sdc_has_upstream_ended (sidecar);
 }
 
 /* Drains the gate and publishes that this node leaves.  Until then the
@@ -29,11 +40,12 @@
   gat_drain (sidecar->gate);
   sidecar->record.state = MBR_LEAVING;
   sdc_publish_record (sidecar);
-  /* When the upstream drains or none is registered, the node leaves for
-     good.  */
-  if (sidecar->registration.state == REG_LEAVING
-      || sidecar->registration.state == REG_NONE)
-    pub_withdraw (sidecar->publisher);
+  if (!has_left_for_good (sidecar))
+    return;
+  log_write (LOG_INFO, "sdc",
+             "removing the record of this node, which has no upstream any "
+             "more");
+  pub_withdraw (sidecar->publisher);
 }
 
 static struct stp_steps
--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -103,6 +103,12 @@
   upstream->health_failing = on;
 }
 
+void
+sup_set_health_passing (struct sup *upstream, bool on)
+{
+  upstream->health_passing = on;
+}
+
 uint64_t
 sup_health_check_count (const struct sup *upstream)
 {
--- a/standins/lib/sup.h
+++ b/standins/lib/sup.h
@@ -142,6 +142,9 @@
   /* Sets whether health checks fail, whatever the state of the upstream.  */
   void sup_set_health_failing (struct sup *upstream, bool on);
 
+  /* Sets whether health checks pass, whatever the state of the upstream.  */
+  void sup_set_health_passing (struct sup *upstream, bool on);
+
   /* Returns the health checks received so far.  */
   uint64_t sup_health_check_count (const struct sup *upstream);
 
--- a/standins/lib/sup_internal.h
+++ b/standins/lib/sup_internal.h
@@ -59,6 +59,7 @@
   uint64_t arrivals;
   uint64_t health_checks;
   bool health_failing;
+  bool health_passing;
   clk_time last_arrival;
   uint64_t born; /* ms since the epoch */
   uint64_t sequence;
--- a/standins/lib/sup_requests.c
+++ b/standins/lib/sup_requests.c
@@ -167,8 +167,9 @@
 static void
 answer_health_check (struct sup *upstream, struct srv_exchange *exchange)
 {
-  bool healthy = !upstream->draining && !upstream->deregistering
-                 && !upstream->health_failing;
+  bool healthy = upstream->health_passing
+                 || (!upstream->draining && !upstream->deregistering
+                     && !upstream->health_failing);
   struct buf *output = srv_start_response (exchange, healthy ? 200 : 503);
 
   upstream->health_checks++;
--- /dev/null
+++ b/tests/sdc_departure_test.cc
@@ -0,0 +1,134 @@
+/* Tests sidecars whose upstream has left and serves on, while its node stops
+   and starts again and a heartbeat from before the departure arrives late.  */
+
+#include "support/sidecars.h"
+
+#include "pfm_names.h"
+#include "pub/pub.h"
+
+#include <string>
+
+class Departures : public Sidecars
+{
+protected:
+  /* The VM whose upstream leaves, and that upstream.  */
+  static const size_t vm = 1;
+  const std::string upstream = "i-vm-1-1";
+
+  const json_t *
+  stored_record () const
+  {
+    return sst_get (store, PUB_KIND, vms[vm].name.c_str ());
+  }
+  bool
+  is_stored_as_leaving () const
+  {
+    return json_is_true (
+        json_object_get (stored_record (), "upstream_leaving"));
+  }
+  /* Keeps the start time of the upstream for late heartbeats.  */
+  void
+  note_start ()
+  {
+    born = (uint64_t)json_integer_value (
+        json_object_get (stored_record (), "upstream_born"));
+    ASSERT_GT (born, 0u);
+  }
+  /* The upstream deregisters without a draining heartbeat, and serves on.  */
+  void
+  deregister ()
+  {
+    sup_deregister (vms[vm].upstream);
+    ASSERT_TRUE (run_until (
+        [&] { return sup_is_drain_acknowledged (vms[vm].upstream); }, 2500));
+    arrivals = sup_request_count (vms[vm].upstream);
+  }
+  /* Stops the node as the platform does with SIGTERM.  */
+  void
+  stop_node ()
+  {
+    sdc_terminate (vms[vm].sidecar);
+    ASSERT_TRUE (
+        run_until ([&] { return sdc_has_stopped (vms[vm].sidecar); }, 6500));
+    kill_sidecar (vm);
+  }
+  /* Delivers the first heartbeat of the upstream, which the network held back.
+   */
+  void
+  deliver_late_heartbeat ()
+  {
+    char address[NET_TEXT_SIZE];
+    Peer peer = Peer::connect (address_of (vm, control_port));
+
+    net_format (address_of (vm, upstream_port), address);
+    std::string body
+        = json_of ("{'" PFM_ADDRESS "':'" + std::string (address)
+                   + "','" PFM_BORN "':" + std::to_string (born)
+                   + ",'" PFM_INFO "':{'" PFM_SERVICE "':'stock','" PFM_ZONE
+                     "':'a','" PFM_SOFTWARE_VERSION "':'v1','" PFM_SLOTS
+                     "':4},'" PFM_STATUS "':{'" PFM_STATE "':'ready','" PFM_SEQ
+                     "':1,'" PFM_COLD_LEFT_S "':0}}");
+
+    peer.send ("POST " PFM_HEARTBEAT_PATH + upstream
+               + " HTTP/1.1\r\nContent-Length: "
+               + std::to_string (body.size ()) + "\r\n\r\n" + body);
+    EXPECT_TRUE (run_until_received (peer, "HTTP/1.1 200 "));
+  }
+  /* Sends calls at all nodes and checks that none reaches the upstream.  */
+  void
+  expect_no_requests ()
+  {
+    for (int i = 0; i < 40; i++)
+      EXPECT_EQ (status_of (i % 4, "/stock/"), 200);
+    EXPECT_EQ (sup_request_count (vms[vm].upstream), arrivals);
+  }
+  /* Plays a planned stop and a new start of the node.  */
+  void
+  restart_after_departure (bool health_passes)
+  {
+    start_mesh ();
+    note_start ();
+    sup_set_health_passing (vms[vm].upstream, health_passes);
+    deregister ();
+    stop_node ();
+    start_sidecar (vm);
+    ASSERT_TRUE (run_until_converged (1));
+    deliver_late_heartbeat ();
+    expect_no_requests ();
+  }
+
+  uint64_t born = 0;
+  uint64_t arrivals = 0;
+};
+
+/* Guards against an upstream that gets calls although its departure was
+   acknowledged: a node that stopped as planned removed its record, which held
+   the departure, while the upstream still served.  */
+TEST_F (Departures, OutliveAPlannedRestartOfTheNode)
+{
+  restart_after_departure (false);
+}
+
+/* The same with an upstream whose health check passes until it ends.  */
+TEST_F (Departures, OutliveAPlannedRestartOfTheNodeWhateverHealthChecksSay)
+{
+  restart_after_departure (true);
+}
+
+/* Guards against a departure that binds the upstream which follows: it starts
+   at the same VM while the node is stopped, and must get calls at once.  */
+TEST_F (Departures, DoNotBindTheNextUpstream)
+{
+  start_mesh ();
+  deregister ();
+  stop_node ();
+  kill_upstream (vm);
+  start_upstream (vm);
+  start_sidecar (vm);
+  EXPECT_TRUE (run_until (
+      [&] {
+        status_of (vm, "/stock/");
+        return sup_run_count (vms[vm].upstream) > 0;
+      },
+      2000));
+}
