Read the record of an earlier process during a shutdown too

Change: a process that stops adopts the upstream of the record as any other does; it only does not publish itself again. A node without an upstream removes its record only after it has read the store, and a record that it first sees afterwards stays. A record of a dead earlier process no longer lowers the incarnation of this one.

Ruled out: the order of the removal and the list; the record was known to the publisher and not to the registration.

--- a/src/pub/pub.c
+++ b/src/pub/pub.c
@@ -260,7 +260,10 @@
   if (publisher->call != NULL || object->revision <= publisher->revision)
     return;
   set_stored (publisher, object, record);
-  start_next_call (publisher);
+  /* A record that is first seen after the node has left may show a departure
+     that nobody else holds.  */
+  if (!publisher->withdrawn)
+    start_next_call (publisher);
 }
 
 void
--- a/src/sdc/sdc_shutdown.c
+++ b/src/sdc/sdc_shutdown.c
@@ -25,8 +25,9 @@
 static bool
 has_left_for_good (const struct sdc *sidecar)
 {
-  return sidecar->registration.state == REG_NONE
-         || sdc_has_upstream_ended (sidecar);
+  if (sidecar->registration.state == REG_NONE)
+    return sidecar->nodes_listed;
+  return sdc_has_upstream_ended (sidecar);
 }
 
 /* Drains the gate and publishes that this node leaves.  Until then the
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -83,35 +83,31 @@
     = { on_config_updated, on_config_removed, ignore_event, ignore_event,
         on_watch_health_changed };
 
-/* Handles a record of this node that another process wrote: an earlier process
-   of this node, or a node that declared it dead.  */
+/* Makes this node's record newer than RECORD, which another process wrote.
+   The incarnation is the start time of the process.  When the clock was set
+   back, it must still be higher than that of the earlier process.  */
 static void
-handle_own_record (struct sdc *sidecar, const struct mbr_member *record)
+follow_own_record (struct sdc *sidecar, const struct mbr_member *record)
 {
-  if (sidecar->stopping)
-    return;
-  if (record->mesh_size > 0)
-    sidecar->stored_mesh_size = record->mesh_size;
-  /* An earlier record of this process, as a restored store holds it, may name
-     an upstream that has been replaced.  */
-  if (record->incarnation == sidecar->record.incarnation
-      && record->sequence < sidecar->record.sequence)
-    return;
-  /* The incarnation is the start time of the process.  When the clock was set
-     back, it must still be higher than that of the earlier process.  */
+  if (record->incarnation > sidecar->record.incarnation
+      || (record->incarnation == sidecar->record.incarnation
+          && (record->state == MBR_DEAD
+              || record->sequence > sidecar->record.sequence)))
+    sidecar->record.incarnation = record->incarnation + 1;
   if (record->state == MBR_DEAD)
     {
-      sidecar->record.incarnation = record->incarnation + 1;
       log_write (LOG_INFO, "sdc",
                  "other nodes declared this node dead; publishing its record "
                  "again");
       pub_note_removed (sidecar->publisher);
       sdc_publish_record (sidecar);
     }
-  else if (record->incarnation > sidecar->record.incarnation
-           || (record->incarnation == sidecar->record.incarnation
-               && record->sequence > sidecar->record.sequence))
-    sidecar->record.incarnation = record->incarnation + 1;
+}
+
+/* Takes over what another process knew of the upstream beside this node.  */
+static void
+adopt_upstream (struct sdc *sidecar, const struct mbr_member *record)
+{
   if (reg_restore (&sidecar->registration, record,
                    sidecar->settings.upstream_address,
                    evl_now (sidecar->loop)))
@@ -136,6 +132,23 @@
     }
 }
 
+/* Handles a record of this node that another process wrote: an earlier process
+   of this node, or a node that declared it dead.  */
+static void
+handle_own_record (struct sdc *sidecar, const struct mbr_member *record)
+{
+  if (record->mesh_size > 0)
+    sidecar->stored_mesh_size = record->mesh_size;
+  /* An earlier record of this process, as a restored store holds it, may name
+     an upstream that has been replaced.  */
+  if (record->incarnation == sidecar->record.incarnation
+      && record->sequence < sidecar->record.sequence)
+    return;
+  if (!sidecar->stopping)
+    follow_own_record (sidecar, record);
+  adopt_upstream (sidecar, record);
+}
+
 static void
 mark_listed (struct sdc *sidecar, dir_handle node)
 {
--- a/tests/sdc_departure_test.cc
+++ b/tests/sdc_departure_test.cc
@@ -115,6 +115,31 @@
   restart_after_departure (true);
 }
 
+/* Guards against a departure that a process removes without knowing it: it is
+   stopped before the store has answered with the record of the node.  */
+TEST_F (Departures, OutliveAStopThatComesDuringAStart)
+{
+  start_mesh ();
+  note_start ();
+  deregister ();
+  ASSERT_TRUE (run_until ([&] { return is_stored_as_leaving (); }));
+  kill_sidecar (vm);
+  sst_set_fault (store, SST_NO_RESPONSE, vms[vm].ip);
+  start_sidecar (vm);
+  sdc_terminate (vms[vm].sidecar);
+  run_for (1000);
+  sst_clear_faults (store);
+  ASSERT_TRUE (
+      run_until ([&] { return sdc_has_stopped (vms[vm].sidecar); }, 6500));
+  kill_sidecar (vm);
+  run_for (300);
+  EXPECT_TRUE (is_stored_as_leaving ());
+  start_sidecar (vm);
+  ASSERT_TRUE (run_until_converged (1));
+  deliver_late_heartbeat ();
+  expect_no_requests ();
+}
+
 /* Guards against a departure that binds the upstream which follows: it starts
    at the same VM while the node is stopped, and must get calls at once.  */
 TEST_F (Departures, DoNotBindTheNextUpstream)
