Return a departure to the next process of its node

Cause: a departure that was acknowledged while the store was away is held by the other nodes only. The first record of the node's next process, which knows no upstream, replaced it in each directory, and nobody sent it back, so a heartbeat from before the departure made the upstream ready for the whole mesh.

Ruled out: the acknowledgement (another node did hold the record); a removal from the store (it was down); the restore from a record (nothing was restored, so nothing was confirmed either).

Change: the directory keeps the earlier record of a node that shows a departure until a later record shows it too or names a later start. A node returns it on each new link with that node, in either direction. The process adopts it as it does an earlier record from the store, publishes it, and a heartbeat of that start no longer counts. When the returned departure is that of an earlier upstream, the record of the one that followed replaces it. Nothing is sent for a node without a departure.

OutliveAKillWithoutTheStore, OutliveAHeartbeatThatArrivesBeforeTheOtherNodesConnect, OutliveAPlannedRestartWithoutTheStore and OutliveTwoKillsInARowWithoutTheStore fail before and pass; dir_test Departures and DoNotBindTheNextUpstream... guard the rule in both directions.

--- a/src/dir/dir.c
+++ b/src/dir/dir.c
@@ -3,6 +3,7 @@
 #include "dir/dir.h"
 
 #include "base/mem.h"
+#include "mbr/mbr_start.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -16,6 +17,8 @@
   struct mbr_member member;
   clk_time updated_at;
   bool used;
+  struct mbr_member *departure; /* earlier record that shows a departure which
+                                   MEMBER lacks; null: none */
 };
 
 struct dir
@@ -38,6 +41,8 @@
 {
   if (directory == NULL)
     return;
+  for (dir_handle i = 0; i < directory->handle_limit; i++)
+    free (directory->entries[i].departure);
   free (directory->entries);
   free (directory);
 }
@@ -71,6 +76,55 @@
   return directory->handle_limit++;
 }
 
+static const struct mbr_member *
+find_departure (const struct dir_entry *entry)
+{
+  if (entry->departure != NULL)
+    return entry->departure;
+  return entry->member.upstream_leaving ? &entry->member : NULL;
+}
+
+static void
+set_departure (struct dir_entry *entry, const struct mbr_member *record)
+{
+  if (entry->departure == NULL)
+    entry->departure = mem_alloc (1, sizeof *entry->departure);
+  *entry->departure = *record;
+}
+
+static void
+clear_departure (struct dir_entry *entry)
+{
+  free (entry->departure);
+  entry->departure = NULL;
+}
+
+/* Replaces the record of an entry by a newer one.  */
+static void
+replace_record (struct dir_entry *entry, const struct mbr_member *member,
+                clk_time now)
+{
+  const struct mbr_member *departure = find_departure (entry);
+
+  if (departure == NULL || mbr_start_covers (member, departure))
+    clear_departure (entry);
+  else if (departure != entry->departure)
+    set_departure (entry, departure);
+  entry->member = *member;
+  entry->updated_at = now;
+}
+
+/* Keeps what a record that is older than the known one says of a departure. */
+static void
+note_older_record (struct dir_entry *entry, const struct mbr_member *member)
+{
+  const struct mbr_member *departure = find_departure (entry);
+
+  if (member->upstream_leaving && !mbr_start_covers (&entry->member, member)
+      && (departure == NULL || is_newer (member, departure)))
+    set_departure (entry, member);
+}
+
 enum dir_change
 dir_merge (struct dir *directory, const struct mbr_member *member,
            clk_time now, dir_handle *handle)
@@ -91,9 +145,17 @@
   else if (!is_newer (member, &directory->entries[index].member))
     change = DIR_OLDER;
   *handle = index;
-  if (change == DIR_SAME || change == DIR_OLDER)
+  if (change == DIR_SAME)
     return change;
-  directory->entries[index] = (struct dir_entry){ *member, now, true };
+  if (change == DIR_OLDER)
+    {
+      note_older_record (&directory->entries[index], member);
+      return change;
+    }
+  if (change == DIR_NEW)
+    directory->entries[index] = (struct dir_entry){ *member, now, true, NULL };
+  else
+    replace_record (&directory->entries[index], member, now);
   directory->change_count++;
   return change;
 }
@@ -103,6 +165,7 @@
 {
   if (dir_get (directory, handle) == NULL)
     return;
+  clear_departure (&directory->entries[handle]);
   directory->entries[handle].used = false;
   directory->count--;
   directory->change_count++;
@@ -126,6 +189,14 @@
   return &directory->entries[handle].member;
 }
 
+const struct mbr_member *
+dir_departure (const struct dir *directory, dir_handle handle)
+{
+  if (dir_get (directory, handle) == NULL)
+    return NULL;
+  return find_departure (&directory->entries[handle]);
+}
+
 dir_handle
 dir_handle_limit (const struct dir *directory)
 {
--- a/src/dir/dir.h
+++ b/src/dir/dir.h
@@ -4,6 +4,11 @@
    dir_purge_dead removes it, so that an older record that arrives later does
    not revive the node.
 
+   A process that starts knows nothing of what the process before it knew, so
+   its records may lack the departure of the upstream beside it.  The directory
+   keeps the earlier record that shows the departure until a later one shows it
+   too or names an upstream that followed.
+
    A node keeps its handle until its record is removed.
 
    Has no I/O and no global state; the caller passes the time in.  */
@@ -72,6 +77,13 @@
   const struct mbr_member *dir_get (const struct dir *directory,
                                     dir_handle handle);
 
+  /* Returns the newest record of a node that says that its upstream leaves,
+     null when there is none or an upstream followed.  It may be of an earlier
+     process than the record of dir_get.  The pointer is valid until the next
+     dir_merge.  */
+  const struct mbr_member *dir_departure (const struct dir *directory,
+                                          dir_handle handle);
+
   /* Returns a limit above all handles in use, for loops over all nodes.  */
   dir_handle dir_handle_limit (const struct dir *directory);
 
--- a/src/reg/reg.c
+++ b/src/reg/reg.c
@@ -2,16 +2,24 @@
 
 #include "reg/reg.h"
 
+#include "mbr/mbr_start.h"
+
 #include <stdio.h>
 #include <string.h>
 
+static struct mbr_start
+known_start (const struct reg *registration)
+{
+  return (struct mbr_start){ registration->upstream.name,
+                             registration->upstream.start_ms };
+}
+
 static bool
 is_same_start (const struct reg *registration, const char *name, uint64_t born)
 {
-  const struct ptf_heartbeat *known = &registration->upstream;
-
-  return registration->state != REG_NONE && strcmp (known->name, name) == 0
-         && (known->start_ms == born || known->start_ms == 0 || born == 0);
+  return registration->state != REG_NONE
+         && mbr_start_equal (known_start (registration),
+                             (struct mbr_start){ name, born });
 }
 
 /* Returns whether an announcement is of an earlier time than what is
@@ -62,15 +70,15 @@
   return REG_CHANGED;
 }
 
-/* Returns whether an upstream that started at BORN (0: not stated) is a later
-   start than the known one, if there is one.  */
+/* Returns whether the start of NAME at BORN (0: not stated) is later than the
+   known one, if there is one.  */
 static bool
-is_later_start (const struct reg *registration, uint64_t born)
+is_later_start (const struct reg *registration, const char *name,
+                uint64_t born)
 {
-  uint64_t known = registration->upstream.start_ms;
-
   return registration->state == REG_NONE
-         || (born != 0 && known != 0 && born > known);
+         || mbr_start_is_later ((struct mbr_start){ name, born },
+                                known_start (registration));
 }
 
 /* Replaces the known upstream by one of which only the name and the start are
@@ -96,7 +104,7 @@
 
   if (!is_same_start (registration, name, born))
     {
-      if (!is_later_start (registration, born))
+      if (!is_later_start (registration, name, born))
         return REG_STALE;
       set_upstream (registration, name, born);
     }
@@ -124,9 +132,14 @@
   struct ptf_heartbeat *upstream = &registration->upstream;
   bool departed
       = is_same_start (registration, record->upstream, record->upstream_born);
+  bool later
+      = is_later_start (registration, record->upstream, record->upstream_born);
 
-  if (record->upstream[0] == '\0' || is_described (registration)
-      || !(departed || is_later_start (registration, record->upstream_born)))
+  if (record->upstream[0] == '\0' || !(departed || later))
+    return false;
+  /* What the upstream itself said holds, unless another one followed it.  */
+  if (is_described (registration)
+      && !(later && registration->state == REG_LEAVING))
     return false;
   set_upstream (registration, record->upstream, record->upstream_born);
   memcpy (upstream->service, record->service, sizeof upstream->service);
--- a/src/reg/reg.h
+++ b/src/reg/reg.h
@@ -60,7 +60,7 @@
 
   /* Adopts what an earlier process of this node knew of the upstream at
      ADDRESS, as long as nothing newer is known.  A deregistration that has
-     come meanwhile stays in force.  An upstream that is not leaving by the
+     come meanwhile stays in force, unless the record names a later start.  An upstream that is not leaving by the
      record is unconfirmed.  Returns whether it did.  */
   bool reg_restore (struct reg *registration, const struct mbr_member *record,
                     struct net_address address, clk_time now);
--- a/src/sdc/sdc_hooks.c
+++ b/src/sdc/sdc_hooks.c
@@ -11,7 +11,7 @@
 
   if (frame->body_case == MESH__FRAME__BODY_HELLO)
     {
-      sdc_handle_hello (sidecar, frame->hello);
+      sdc_handle_hello (sidecar, inbound, frame->hello);
       return false;
     }
   if (syn_handle_request (sidecar->sync, inbound, frame)
@@ -54,6 +54,7 @@
 {
   struct sdc *sidecar = context;
 
+  sdc_return_departure (sidecar, peer);
   syn_peer_connected (sidecar->sync, peer);
 }
 
--- a/src/sdc/sdc_internal.h
+++ b/src/sdc/sdc_internal.h
@@ -203,8 +203,18 @@
    record and completes the join.  */
 void sdc_handle_nodes_listed (struct sdc *sidecar);
 
-/* Handles the hello of a node that opened a link.  */
-void sdc_handle_hello (struct sdc *sidecar, const Mesh__Hello *hello);
+/* Handles the hello of a node that opened the link INBOUND.  */
+void sdc_handle_hello (struct sdc *sidecar, struct hub_inbound_link *inbound,
+                       const Mesh__Hello *hello);
+
+/* Sends what this node knows of a departure beside PEER to PEER, which may be
+   a process that started after it.  */
+void sdc_return_departure (struct sdc *sidecar, dir_handle peer);
+
+/* Does the same on INBOUND, which a node has opened with its RECORD, unless
+   the process that has opened it knows of the departure.  */
+void sdc_answer_hello (struct sdc *sidecar, struct hub_inbound_link *inbound,
+                       const struct mbr_member *record);
 
 /* Starts to check whether an upstream that has left still serves.  */
 void sdc_check_upstream_end (struct sdc *sidecar);
--- a/src/sdc/sdc_join.c
+++ b/src/sdc/sdc_join.c
@@ -245,7 +245,8 @@
 }
 
 void
-sdc_handle_hello (struct sdc *sidecar, const Mesh__Hello *hello)
+sdc_handle_hello (struct sdc *sidecar, struct hub_inbound_link *inbound,
+                  const Mesh__Hello *hello)
 {
   struct mbr_member record;
 
@@ -258,6 +259,7 @@
      any more.  */
   if (sdc_handle_member (sidecar, &record))
     syn_publish (sidecar->sync, &record);
+  sdc_answer_hello (sidecar, inbound, &record);
   syn_note_hello (sidecar->sync, dir_find (sidecar->directory, record.name));
   if (!sidecar->joined && sidecar->next_join_step_at == CLK_NEVER)
     sidecar->next_join_step_at = evl_now (sidecar->loop) + LIST_TIMEOUT;
--- a/src/sdc/sdc_store.c
+++ b/src/sdc/sdc_store.c
@@ -203,6 +203,9 @@
       return false;
     }
   mark_listed (sidecar, node);
+  if (change == DIR_OLDER && record->upstream_leaving
+      && hub_is_connected (sidecar->hub, node))
+    sdc_return_departure (sidecar, node);
   if (change != DIR_NEW && change != DIR_CHANGED)
     return false;
   if (record->state != MBR_DEAD)
--- a/src/syn/syn.h
+++ b/src/syn/syn.h
@@ -69,6 +69,11 @@
      node's own.  Parents acknowledge this node's own record.  */
   void syn_publish (struct syn *sync, const struct mbr_member *member);
 
+  /* Sends RECORD, an earlier one of a node, to that node itself: on INBOUND,
+     or to PEER when INBOUND is null.  */
+  void syn_return_record (struct syn *sync, struct hub_inbound_link *inbound,
+                          dir_handle peer, const struct mbr_member *record);
+
   /* Sends FRAME, of another module, to the subscribers.  */
   void syn_forward (struct syn *sync, const Mesh__Frame *frame);
 
--- a/src/syn/syn_member.c
+++ b/src/syn/syn_member.c
@@ -63,6 +63,17 @@
                     own ? (uint32_t)member->sequence : 0);
 }
 
+void
+syn_return_record (struct syn *sync, struct hub_inbound_link *inbound,
+                   dir_handle peer, const struct mbr_member *record)
+{
+  Mesh__Member message;
+  Mesh__Member *pointer = &message;
+
+  mbr_member_to_wire (record, &message);
+  send_members (sync, inbound, peer, &pointer, 1, 0);
+}
+
 /* Sends all records of the directory to a subscriber.  */
 static void
 send_directory (struct syn *sync, struct hub_inbound_link *inbound)
--- a/tests/dir_test.cc
+++ b/tests/dir_test.cc
@@ -55,6 +55,88 @@
   EXPECT_FALSE (dir_get (directory, handle)->upstream_leaving);
 }
 
+class Departures : public Directory
+{
+protected:
+  enum dir_change
+  merge_upstream (uint64_t incarnation, uint64_t sequence,
+                  const std::string &upstream, uint64_t born, bool leaving)
+  {
+    struct mbr_member member = make_member ("n", incarnation, sequence);
+
+    snprintf (member.upstream, sizeof member.upstream, "%s",
+              upstream.c_str ());
+    member.upstream_born = born;
+    member.upstream_leaving = leaving;
+    return dir_merge (directory, &member, 0, &handle);
+  }
+  /* Returns the name of the upstream that has left, "" if none is known.  */
+  std::string
+  departed () const
+  {
+    const struct mbr_member *record = dir_departure (directory, handle);
+
+    return record != nullptr ? record->upstream : "";
+  }
+};
+
+/* Guards against a departure that is lost with the process that acknowledged
+   it: the records of the next one lack it, however many follow.  */
+TEST_F (Departures, OutliveTheirProcess)
+{
+  merge_upstream (5, 1, "i-1", 1000, false);
+  EXPECT_EQ (departed (), "");
+  merge_upstream (5, 2, "i-1", 1000, true);
+  EXPECT_EQ (departed (), "i-1");
+  merge_upstream (6, 1, "", 0, false);
+  merge_upstream (7, 1, "", 0, false);
+  EXPECT_EQ (departed (), "i-1");
+  EXPECT_EQ (dir_departure (directory, handle)->incarnation, 5u);
+  /* A late heartbeat has brought the upstream back.  */
+  merge_upstream (7, 2, "i-1", 1000, false);
+  EXPECT_EQ (departed (), "i-1");
+  merge_upstream (7, 3, "i-1", 1000, true);
+  EXPECT_EQ (dir_departure (directory, handle)->incarnation, 7u);
+}
+
+/* Guards against a departure that binds the upstream which follows, also one
+   that starts again under its name.  */
+TEST_F (Departures, EndWithALaterStart)
+{
+  merge_upstream (5, 1, "i-1", 1000, true);
+  merge_upstream (6, 1, "i-1", 2000, false);
+  EXPECT_EQ (departed (), "");
+  merge_upstream (6, 2, "i-1", 2000, true);
+  merge_upstream (7, 1, "", 0, false);
+  merge_upstream (7, 2, "i-2", 3000, false);
+  EXPECT_EQ (departed (), "");
+}
+
+/* Guards against a departure that ends with the record of an earlier start,
+   which a process that starts may have read from a copy of the store.  */
+TEST_F (Departures, DoNotEndWithAnEarlierStart)
+{
+  merge_upstream (5, 1, "i-2", 2000, true);
+  merge_upstream (6, 1, "i-1", 1000, true);
+  EXPECT_EQ (departed (), "i-2");
+  merge_upstream (6, 2, "i-1", 1000, false);
+  EXPECT_EQ (departed (), "i-2");
+}
+
+/* Guards against a departure that is ignored because its record arrives after
+   the first one of the next process.  */
+TEST_F (Departures, MayArriveLate)
+{
+  merge_upstream (6, 1, "", 0, false);
+  EXPECT_EQ (merge_upstream (5, 2, "i-1", 1000, true), DIR_OLDER);
+  EXPECT_EQ (departed (), "i-1");
+  EXPECT_EQ (merge_upstream (5, 1, "i-0", 900, true), DIR_OLDER);
+  EXPECT_EQ (departed (), "i-1");
+  dir_remove (directory, handle);
+  merge_upstream (6, 1, "", 0, false);
+  EXPECT_EQ (departed (), "");
+}
+
 /* Guards against a handle that changes while its node is known, and against
    one handle for two nodes.  */
 TEST_F (Directory, HandlesAreStableAndReusedAfterRemoval)
--- a/tests/reg_test.cc
+++ b/tests/reg_test.cc
@@ -215,6 +215,28 @@
   EXPECT_EQ (take ("i-1", 6), REG_STALE);
 }
 
+/* Guards against an upstream that stays out of use for as long as its next
+   heartbeat takes: of the records of earlier processes the one with the
+   departure of the upstream before it arrives first.  */
+TEST_F (Registration, AdoptsTheUpstreamThatFollowedADeparture)
+{
+  struct mbr_member record = {};
+  struct net_address address = { 1, 2 };
+
+  snprintf (record.upstream, sizeof record.upstream, "i-1");
+  snprintf (record.service, sizeof record.service, "stock");
+  record.upstream_born = 1000;
+  record.upstream_leaving = true;
+  EXPECT_TRUE (reg_restore (&registration, &record, address, now));
+  EXPECT_EQ (registration.state, REG_LEAVING);
+  record.upstream_born = 2000;
+  record.upstream_leaving = false;
+  EXPECT_TRUE (reg_restore (&registration, &record, address, now));
+  EXPECT_EQ (registration.state, REG_UNCONFIRMED);
+  EXPECT_EQ (take ("i-1", 9, 1000), REG_STALE);
+  EXPECT_EQ (take ("i-1", 1, 2000), REG_CHANGED);
+}
+
 /* Guards against a record that overrides what the upstream itself said.  */
 TEST_F (Registration, AdoptsNothingOverAnAnnouncement)
 {
--- a/tests/sdc_departure_test.cc
+++ b/tests/sdc_departure_test.cc
@@ -115,6 +115,84 @@
   restart_after_departure (true);
 }
 
+/* Guards against a departure that only other nodes hold and that a new process
+   of the node replaces there by a record without it: the node is killed while
+   the store is away.  */
+TEST_F (Departures, OutliveAKillWithoutTheStore)
+{
+  start_mesh ();
+  note_start ();
+  sup_set_health_passing (vms[vm].upstream, true);
+  sst_set_fault (store, SST_NO_RESPONSE, 0);
+  deregister ();
+  kill_sidecar (vm);
+  start_sidecar (vm);
+  ASSERT_TRUE (run_until_converged (1));
+  deliver_late_heartbeat ();
+  expect_no_requests ();
+  sst_clear_faults (store);
+  EXPECT_TRUE (run_until ([&] { return is_stored_as_leaving (); }));
+  expect_no_requests ();
+}
+
+/* The same, and the late heartbeat arrives before the node has a link with
+   another one.  */
+TEST_F (Departures, OutliveAHeartbeatThatArrivesBeforeTheOtherNodesConnect)
+{
+  heartbeat = CLK_SECOND;
+  start_mesh ();
+  note_start ();
+  sup_set_health_passing (vms[vm].upstream, true);
+  sst_set_fault (store, SST_NO_RESPONSE, 0);
+  deregister ();
+  kill_sidecar (vm);
+  start_sidecar (vm);
+  deliver_late_heartbeat ();
+  ASSERT_TRUE (run_until_converged (1));
+  run_for (300);
+  arrivals = sup_request_count (vms[vm].upstream);
+  expect_no_requests ();
+}
+
+/* The same with a planned stop: the node cannot write its record, and the
+   store holds an earlier one when the node is back.  */
+TEST_F (Departures, OutliveAPlannedRestartWithoutTheStore)
+{
+  start_mesh ();
+  note_start ();
+  sup_set_health_passing (vms[vm].upstream, true);
+  sst_set_fault (store, SST_NO_RESPONSE, 0);
+  deregister ();
+  stop_node ();
+  sst_clear_faults (store);
+  start_sidecar (vm);
+  ASSERT_TRUE (run_until_converged (1));
+  run_for (300);
+  arrivals = sup_request_count (vms[vm].upstream);
+  deliver_late_heartbeat ();
+  expect_no_requests ();
+}
+
+/* Guards against a departure that is lost in a chain of processes: each is
+   killed before it has learned of it.  */
+TEST_F (Departures, OutliveTwoKillsInARowWithoutTheStore)
+{
+  start_mesh ();
+  note_start ();
+  sup_set_health_passing (vms[vm].upstream, true);
+  sst_set_fault (store, SST_NO_RESPONSE, 0);
+  deregister ();
+  for (int i = 0; i < 2; i++)
+    {
+      kill_sidecar (vm);
+      start_sidecar (vm);
+      run_for (i == 0 ? 20 : 1);
+    }
+  ASSERT_TRUE (run_until_converged (1));
+  deliver_late_heartbeat ();
+  expect_no_requests ();
+}
+
 /* Guards against a departure that a process removes without knowing it: it is
    stopped before the store has answered with the record of the node.  */
 TEST_F (Departures, OutliveAStopThatComesDuringAStart)
@@ -157,3 +235,23 @@
       },
       2000));
 }
+
+/* The same without the store, where the other nodes know of the departure. */
+TEST_F (Departures, DoNotBindTheNextUpstreamWithoutTheStore)
+{
+  start_mesh ();
+  sst_set_fault (store, SST_NO_RESPONSE, 0);
+  deregister ();
+  kill_sidecar (vm);
+  kill_upstream (vm);
+  start_sidecar (vm);
+  start_upstream (vm);
+  EXPECT_TRUE (run_until (
+      [&] {
+        status_of (vm, "/stock/");
+        return sup_run_count (vms[vm].upstream) > 0;
+      },
+      3000));
+  run_for (500);
+  EXPECT_EQ (status_of (vm, "/stock/"), 200);
+}
