--- a/src/rst/rst.h
+++ b/src/rst/rst.h
@@ -20,7 +20,8 @@
 
   /* Returns what to do with a node whose newest known record is KNOWN and for
      which the store holds STORED, or none when that is null.  A node that is
-     leaving or suspected is left to the usual checks.  */
+     leaving or suspected is left to the usual checks, but for the departure of
+     its upstream.  */
   enum rst_action rst_decide (const struct mbr_member *known,
                               const struct mbr_member *stored);
 
--- a/tests/rst_test.cc
+++ b/tests/rst_test.cc
@@ -70,6 +70,27 @@
   EXPECT_EQ (rst_decide (&known, nullptr), RST_KEEP);
 }
 
+/* Guards against a departure that is gone with the store's later records while
+   the node that acknowledged it is stopped.  */
+TEST (Rst, WritesALostDepartureOfALeavingNode)
+{
+  struct mbr_member known = make_record (5, 3);
+  struct mbr_member stored = make_record (5, 2);
+
+  snprintf (known.upstream, sizeof known.upstream, "i-1");
+  known.upstream_born = 1000;
+  known.upstream_leaving = true;
+  known.state = MBR_LEAVING;
+  EXPECT_EQ (rst_decide (&known, &stored), RST_WRITE);
+  stored = known;
+  EXPECT_EQ (rst_decide (&known, &stored), RST_KEEP);
+  stored.upstream_leaving = false;
+  stored.upstream_born = 2000;
+  EXPECT_EQ (rst_decide (&known, &stored), RST_KEEP);
+  stored = make_record (6, 1);
+  EXPECT_EQ (rst_decide (&known, &stored), RST_KEEP);
+}
+
 /* Guards against the record of a leaving node that is written after the node
    removed it.  */
 TEST (Rst, LeavesALeavingNodeAlone)
--- a/tests/sdc_departure_test.cc
+++ b/tests/sdc_departure_test.cc
@@ -193,6 +193,25 @@
   expect_no_requests ();
 }
 
+/* Guards against a departure that the store loses while the node is stopped:
+   the other nodes know it and must write it again.  */
+TEST_F (Departures, OutliveAStoreThatGoesBackDuringAPlannedStop)
+{
+  start_mesh ();
+  note_start ();
+  sst_take_copy (store);
+  deregister ();
+  run_for (300);
+  stop_node ();
+  sst_restore (store);
+  ASSERT_FALSE (is_stored_as_leaving ());
+  EXPECT_TRUE (run_until ([&] { return is_stored_as_leaving (); }));
+  start_sidecar (vm);
+  ASSERT_TRUE (run_until_converged (1));
+  deliver_late_heartbeat ();
+  expect_no_requests ();
+}
+
 /* Guards against a departure that a process removes without knowing it: it is
    stopped before the store has answered with the record of the node.  */
 TEST_F (Departures, OutliveAStopThatComesDuringAStart)
