Confirm an upstream that announced itself before anybody could be asked

When all nodes were killed while the store was away, the upstream alone knows that it left, and a heartbeat from before the departure made it ready.

Change: such an upstream is unconfirmed, as a restored one is: it gets calls after a heartbeat that arrives once the node has joined, or after a health check. A node that has not joined has no configuration and serves nothing, so an ordinary start does not wait for it.

Limit: an upstream that left and still answers its health check with 200 is not told apart when nobody else knows of its departure.

Measured, x86-64: Departures.OutliveAKillOfAllNodesWithoutTheStore fails before and passes.

--- a/src/reg/reg.c
+++ b/src/reg/reg.c
@@ -59,7 +59,7 @@
   registration->upstream = *announcement;
   registration->updated_at = now;
   registration->deregistered = false;
-  registration->restored = false;
+  registration->unconfirmed = false;
   registration->warmup_until = now + announcement->warmup_left;
   registration->state = announcement->leaving ? REG_LEAVING : REG_READY;
   if (same && before == registration->state
@@ -93,7 +93,7 @@
   upstream->start_ms = born;
   registration->state = REG_UNCONFIRMED;
   registration->deregistered = false;
-  registration->restored = false;
+  registration->unconfirmed = false;
 }
 
 enum reg_result
@@ -111,7 +111,7 @@
   changed = registration->state != REG_LEAVING;
   registration->state = REG_LEAVING;
   registration->deregistered = true;
-  registration->restored = false;
+  registration->unconfirmed = false;
   registration->updated_at = now;
   return changed ? REG_CHANGED : REG_RENEWED;
 }
@@ -151,22 +151,31 @@
   upstream->leaving = departed || record->upstream_leaving;
   registration->updated_at = now;
   registration->deregistered = departed;
-  registration->restored = !upstream->leaving;
+  registration->unconfirmed = !upstream->leaving;
   if (upstream->leaving)
     registration->state = REG_LEAVING;
   return true;
 }
 
+void
+reg_require_confirmation (struct reg *registration)
+{
+  if (registration->state != REG_READY)
+    return;
+  registration->unconfirmed = true;
+  registration->state = REG_UNCONFIRMED;
+}
+
 bool
 reg_needs_confirmation (const struct reg *registration)
 {
-  return registration->restored;
+  return registration->unconfirmed;
 }
 
 void
 reg_confirm (struct reg *registration, clk_time now)
 {
-  registration->restored = false;
+  registration->unconfirmed = false;
   registration->state = REG_READY;
   registration->updated_at = now;
 }
--- a/src/reg/reg.h
+++ b/src/reg/reg.h
@@ -23,7 +23,7 @@
     REG_READY,       /* it takes calls */
     REG_LEAVING,     /* it takes no new calls */
     REG_UNREACHABLE, /* announcements have stopped, or its address refuses */
-    REG_UNCONFIRMED  /* restored; it has not said since that it takes calls */
+    REG_UNCONFIRMED  /* it may have left; it must say that it takes calls */
   };
 
   /* What an announcement did.  */
@@ -42,7 +42,7 @@
     clk_time updated_at;           /* when it was accepted */
     clk_time warmup_until;
     bool deregistered; /* deregistered: announcements of this start are late */
-    bool restored;     /* restored from a record and not confirmed since */
+    bool unconfirmed;  /* needs confirmation, also while it is unreachable */
   };
 
   /* Takes an announcement that arrived at NOW.  */
@@ -60,16 +60,23 @@
 
   /* Adopts what an earlier process of this node knew of the upstream at
      ADDRESS, as long as nothing newer is known.  A deregistration that has
-     come meanwhile stays in force, unless the record names a later start.  An upstream that is not leaving by the
-     record is unconfirmed.  Returns whether it did.  */
+     come meanwhile stays in force, unless the record names a later start.  An
+     upstream that is not leaving by the record is unconfirmed.  Returns
+     whether it did.  */
   bool reg_restore (struct reg *registration, const struct mbr_member *record,
                     struct net_address address, clk_time now);
 
+  /* The announcement that made the upstream ready may be older than a
+     departure of which this process cannot know yet: the upstream needs
+     confirmation.  */
+  void reg_require_confirmation (struct reg *registration);
+
   /* Returns whether the upstream was restored from a record that says that it
-     takes calls, and has neither announced itself nor been confirmed since. */
+     takes calls, or reg_require_confirmation was called, and it has neither
+     announced itself nor been confirmed since.  */
   bool reg_needs_confirmation (const struct reg *registration);
 
-  /* The restored upstream has said that it takes calls.  */
+  /* The upstream has said that it takes calls.  */
   void reg_confirm (struct reg *registration, clk_time now);
 
   /* The upstream refused a connection, or its announcements are overdue.
--- a/src/sdc/sdc_confirm.c
+++ b/src/sdc/sdc_confirm.c
@@ -1,12 +1,13 @@
 /* Confirmation of an upstream that was restored from a record of an earlier
-   process.
+   process, or that announced itself before this process could learn from
+   others whether it has left.
 
-   The record only says what was known when it was last written.  The upstream
-   may have left since: while the store was away its departure was acknowledged
-   because another node held it, and that node may have been killed as well.
-   So it gets no calls before its next heartbeat, or before it says in a health
-   check that it takes calls.  Calls that come meanwhile wait at the gate for a
-   short time.  */
+   The record only says what was known when it was last written, and the
+   announcement may have arrived late.  The upstream may have left since: while
+   the store was away its departure was acknowledged because another node held
+   it, and that node may have been killed as well.  So it gets no calls before
+   its next heartbeat, or before it says in a health check that it takes calls.
+   Calls that come meanwhile wait at the gate for a short time.  */
 
 #include "base/log.h"
 #include "sdc/sdc_internal.h"
@@ -38,8 +39,8 @@
   if (!reg_mark_unreachable (&sidecar->registration))
     return;
   log_write (LOG_INFO, "sdc",
-             "upstream %s, restored from an earlier record, is not confirmed "
-             "(%s); it gets no calls until its next heartbeat",
+             "upstream %s is not confirmed (%s); it gets no calls until its "
+             "next heartbeat",
              sidecar->registration.upstream.name, reason);
   gat_apply_registration (sidecar->gate);
 }
@@ -59,8 +60,7 @@
       return;
     }
   reg_confirm (registration, evl_now (sidecar->loop));
-  log_write (LOG_INFO, "sdc",
-             "upstream %s, restored from an earlier record, takes calls",
+  log_write (LOG_INFO, "sdc", "upstream %s is confirmed: it takes calls",
              registration->upstream.name);
   gat_apply_registration (sidecar->gate);
 }
--- a/src/sdc/sdc_control.c
+++ b/src/sdc/sdc_control.c
@@ -146,6 +146,15 @@
              reg_state_name (sidecar->registration.state));
 }
 
+/* Returns whether this process has read the records of the nodes from the
+   store or has links with other nodes, so that it knows of a departure that an
+   earlier process acknowledged.  */
+static bool
+knows_departures (const struct sdc *sidecar)
+{
+  return sidecar->settings.first_start || sidecar->joined;
+}
+
 static void
 handle_heartbeat (struct sdc *sidecar, struct srv_exchange *exchange,
                   const struct ptf_heartbeat *heartbeat)
@@ -163,10 +172,13 @@
     }
   result = reg_handle_heartbeat (&sidecar->registration, heartbeat,
                                  evl_now (sidecar->loop));
+  if (result == REG_CHANGED && !knows_departures (sidecar))
+    reg_require_confirmation (&sidecar->registration);
   if (result == REG_CHANGED)
     {
       log_registration (sidecar);
       sdc_handle_registration_change (sidecar);
+      sdc_confirm_upstream (sidecar);
     }
   if (heartbeat->leaving)
     acknowledge_when_durable (sidecar, exchange);
--- a/tests/reg_test.cc
+++ b/tests/reg_test.cc
@@ -204,6 +204,22 @@
   EXPECT_FALSE (reg_needs_confirmation (&registration));
 }
 
+/* Guards against calls to an upstream on the word of an announcement that may
+   be older than its departure, and against one that is never used again.  */
+TEST_F (Registration, AnAnnouncementMayNeedConfirmation)
+{
+  take ("i-1", 1);
+  reg_require_confirmation (&registration);
+  EXPECT_EQ (registration.state, REG_UNCONFIRMED);
+  EXPECT_TRUE (reg_needs_confirmation (&registration));
+  EXPECT_EQ (take ("i-1", 2), REG_CHANGED);
+  EXPECT_EQ (registration.state, REG_READY);
+  EXPECT_FALSE (reg_needs_confirmation (&registration));
+  take ("i-1", 3, 1000, true);
+  reg_require_confirmation (&registration);
+  EXPECT_EQ (registration.state, REG_LEAVING);
+}
+
 /* Guards against a departure that is lost because an earlier upstream was
    restored from the store: a late heartbeat would bring the later one back. */
 TEST_F (Registration, RemembersADepartureOfALaterStart)
--- a/tests/sdc_departure_test.cc
+++ b/tests/sdc_departure_test.cc
@@ -193,6 +193,46 @@
   expect_no_requests ();
 }
 
+/* Guards against a departure that nobody holds any more but the upstream: all
+   nodes are killed while the store is away.  A heartbeat that arrives before a
+   node can ask anybody proves nothing.  */
+TEST_F (Departures, OutliveAKillOfAllNodesWithoutTheStore)
+{
+  heartbeat = CLK_SECOND;
+  start_mesh ();
+  note_start ();
+  sst_set_fault (store, SST_NO_RESPONSE, 0);
+  deregister ();
+  restart_all_sidecars ();
+  deliver_late_heartbeat ();
+  run_for (700);
+  sst_clear_faults (store);
+  ASSERT_TRUE (run_until_converged (1));
+  run_for (200);
+  expect_no_requests ();
+}
+
+/* Guards against an upstream that stays out of use because its heartbeat
+   arrived before its node could ask anybody.  */
+TEST_F (Departures, LeaveUpstreamsThatAnnounceThemselvesDuringAStartInUse)
+{
+  uint64_t runs;
+
+  heartbeat = 20 * CLK_SECOND;
+  start_mesh ();
+  note_start ();
+  runs = sup_run_count (vms[vm].upstream);
+  kill_sidecar (vm);
+  start_sidecar (vm);
+  deliver_late_heartbeat ();
+  EXPECT_TRUE (run_until (
+      [&] {
+        status_of (vm, "/stock/");
+        return sup_run_count (vms[vm].upstream) > runs;
+      },
+      1000));
+}
+
 /* Guards against a departure that the store loses while the node is stopped:
    the other nodes know it and must write it again.  */
 TEST_F (Departures, OutliveAStoreThatGoesBackDuringAPlannedStop)
