--- a/src/ptf/ptf.h
+++ b/src/ptf/ptf.h
@@ -66,7 +66,8 @@
     uint32_t slots;       /* calls that it can run at the same time */
     bool leaving;         /* draining: takes no new calls */
     uint64_t sequence;    /* increases with each heartbeat of one process */
-    uint64_t start_ms;    /* process start, ms since the epoch; 0 if missing */
+    uint64_t start_ms;    /* process start, ms since the epoch; 0: not stated,
+                             in a deregistration */
     clk_time warmup_left; /* remaining warm-up time, ns */
   };
 
--- a/src/reg/reg.c
+++ b/src/reg/reg.c
@@ -42,6 +42,22 @@
   return false;
 }
 
+/* Takes an announcement that is late.  Leaving is final for a start, so one
+   that says so counts whenever it comes.  */
+static enum reg_result
+handle_late (struct reg *registration,
+             const struct ptf_heartbeat *announcement, clk_time now)
+{
+  if (!announcement->leaving || registration->state == REG_LEAVING
+      || !is_same_start (registration, announcement->name,
+                         announcement->start_ms))
+    return REG_STALE;
+  registration->state = REG_LEAVING;
+  registration->unconfirmed = false;
+  registration->updated_at = now;
+  return REG_CHANGED;
+}
+
 enum reg_result
 reg_handle_heartbeat (struct reg *registration,
                       const struct ptf_heartbeat *announcement, clk_time now)
@@ -52,7 +68,7 @@
                              announcement->start_ms);
 
   if (is_late (registration, announcement))
-    return REG_STALE;
+    return handle_late (registration, announcement, now);
   /* A start that has said that it leaves does not come back.  */
   if (same && before == REG_LEAVING && !announcement->leaving)
     return REG_STALE;
--- a/src/reg/reg.h
+++ b/src/reg/reg.h
@@ -31,7 +31,8 @@
   {
     REG_RENEWED, /* nothing changed but the time of the last one */
     REG_CHANGED, /* the state or the upstream changed: publish it */
-    REG_STALE    /* of an earlier time or start; ignored */
+    REG_STALE    /* of an earlier time or start, and not a departure; ignored
+                  */
   };
 
   /* The registration.  Zero-initialise.  */
--- a/tests/fuzz/odd_fuzz.c
+++ b/tests/fuzz/odd_fuzz.c
@@ -29,13 +29,16 @@
 static const char *const heartbeat_fields[][2] = {
   { "{\"Address\":", "}" },
   { "{\"Address\":\"10.0.0.1:80\",\"Info\":", "}" },
-  { "{\"Address\":\"10.0.0.1:80\",\"Info\":{\"Service\":\"s\",\"Zone\":\"z\","
+  { "{\"Address\":\"10.0.0.1:80\",\"born\":5,\"Info\":{\"Service\":\"s\","
+    "\"Zone\":\"z\","
     "\"Slots\":",
     "},\"Status\":{\"State\":\"ready\",\"Seq\":1}}" },
-  { "{\"Address\":\"10.0.0.1:80\",\"Info\":{\"Service\":\"s\",\"Zone\":\"z\","
+  { "{\"Address\":\"10.0.0.1:80\",\"born\":5,\"Info\":{\"Service\":\"s\","
+    "\"Zone\":\"z\","
     "\"Slots\":4},\"Status\":{\"State\":\"ready\",\"Seq\":",
     "}}" },
-  { "{\"Address\":\"10.0.0.1:80\",\"Info\":{\"Service\":\"s\",\"Zone\":\"z\","
+  { "{\"Address\":\"10.0.0.1:80\",\"born\":5,\"Info\":{\"Service\":\"s\","
+    "\"Zone\":\"z\","
     "\"Slots\":4},\"Status\":{\"State\":\"ready\",\"Seq\":1,\"ColdLeftS\":",
     "}}" },
   { "{\"Address\":\"10.0.0.1:80\",\"Info\":{\"Service\":\"s\",\"Zone\":\"z\","
--- a/tests/reg_test.cc
+++ b/tests/reg_test.cc
@@ -58,6 +58,21 @@
   EXPECT_EQ (registration.state, REG_LEAVING);
 }
 
+/* Guards against a departure that is acknowledged and ignored because another
+   heartbeat of that start had a higher sequence.  */
+TEST_F (Registration, ADepartureCountsWhateverItsSequence)
+{
+  take ("i-1", 1000000);
+  EXPECT_EQ (take ("i-1", 5), REG_STALE);
+  EXPECT_EQ (take ("i-1", 6, 1000, true), REG_CHANGED);
+  EXPECT_EQ (registration.state, REG_LEAVING);
+  EXPECT_EQ (take ("i-1", 7, 1000, true), REG_STALE);
+  EXPECT_EQ (take ("i-1", 1000001), REG_STALE);
+  take ("i-1", 1, 2000);
+  EXPECT_EQ (take ("i-1", 8, 1000, true), REG_STALE);
+  EXPECT_EQ (registration.state, REG_READY);
+}
+
 /* Guards against a late heartbeat after an upstream has left for good.  */
 TEST_F (Registration, FarewellIsFinalForAStart)
 {
--- a/tests/sdc_departure_test.cc
+++ b/tests/sdc_departure_test.cc
@@ -13,7 +13,7 @@
 protected:
   /* The VM whose upstream leaves, and that upstream.  */
   static const size_t vm = 1;
-  const std::string upstream = "i-vm-1-1";
+  std::string upstream = "i-vm-1-1";
 
   const json_t *
   stored_record () const
@@ -52,27 +52,34 @@
         run_until ([&] { return sdc_has_stopped (vms[vm].sidecar); }, 6500));
     kill_sidecar (vm);
   }
-  /* Delivers the first heartbeat of the upstream, which the network held back.
+  /* Delivers a heartbeat in the name of the upstream and returns the status.
    */
-  void
-  deliver_late_heartbeat ()
+  int
+  deliver_heartbeat (uint64_t sequence, bool with_born = true)
   {
     char address[NET_TEXT_SIZE];
     Peer peer = Peer::connect (address_of (vm, control_port));
 
     net_format (address_of (vm, upstream_port), address);
-    std::string body
-        = json_of ("{'" PFM_ADDRESS "':'" + std::string (address)
-                   + "','" PFM_BORN "':" + std::to_string (born)
-                   + ",'" PFM_INFO "':{'" PFM_SERVICE "':'stock','" PFM_ZONE
-                     "':'a','" PFM_SOFTWARE_VERSION "':'v1','" PFM_SLOTS
-                     "':4},'" PFM_STATUS "':{'" PFM_STATE "':'ready','" PFM_SEQ
-                     "':1,'" PFM_COLD_LEFT_S "':0}}");
+    std::string body = json_of (
+        "{'" PFM_ADDRESS "':'" + std::string (address) + "',"
+        + (with_born ? "'" PFM_BORN "':" + std::to_string (born) + "," : "")
+        + "'" PFM_INFO "':{'" PFM_SERVICE "':'stock','" PFM_ZONE
+          "':'a','" PFM_SOFTWARE_VERSION "':'v1','" PFM_SLOTS
+          "':4},'" PFM_STATUS "':{'" PFM_STATE "':'ready','" PFM_SEQ "':"
+        + std::to_string (sequence) + ",'" PFM_COLD_LEFT_S "':0}}");
 
     peer.send ("POST " PFM_HEARTBEAT_PATH + upstream
                + " HTTP/1.1\r\nContent-Length: "
                + std::to_string (body.size ()) + "\r\n\r\n" + body);
-    EXPECT_TRUE (run_until_received (peer, "HTTP/1.1 200 "));
+    EXPECT_TRUE (run_until_received (peer, "\r\n\r\n"));
+    return response_status (peer);
+  }
+  /* Delivers the first heartbeat, which the network held back.  */
+  void
+  deliver_late_heartbeat ()
+  {
+    EXPECT_EQ (deliver_heartbeat (1), 200);
   }
   /* Sends calls at all nodes and checks that none reaches the upstream.  */
   void
@@ -82,6 +89,20 @@
       EXPECT_EQ (status_of (i % 4, "/stock/"), 200);
     EXPECT_EQ (sup_request_count (vms[vm].upstream), arrivals);
   }
+  /* Ends the upstream and starts the next one of this VM.  */
+  void
+  replace_with_next_upstream ()
+  {
+    kill_upstream (vm);
+    start_upstream (vm);
+    upstream = "i-vm-1-" + std::to_string (vms[vm].upstream_starts);
+    ASSERT_TRUE (run_until ([&] {
+      return stored_record () != nullptr
+             && upstream
+                    == json_string_value (
+                        json_object_get (stored_record (), "upstream"));
+    }));
+  }
   /* Plays a planned stop and a new start of the node.  */
   void
   restart_after_departure (bool health_passes)
@@ -277,6 +298,27 @@
   expect_no_requests ();
 }
 
+/* Guards against a departure that is acknowledged and ignored: a heartbeat of
+   another writer lacks the start time and has a higher sequence than those of
+   the upstream, or has the start time as well.  */
+TEST_F (Departures, CountBesideHeartbeatsOfAnotherWriter)
+{
+  for (bool with_born : { false, true })
+    {
+      if (vms.empty ())
+        start_mesh ();
+      note_start ();
+      EXPECT_EQ (deliver_heartbeat (1000000, with_born),
+                 with_born ? 200 : 400);
+      sup_drain (vms[vm].upstream);
+      ASSERT_TRUE (run_until (
+          [&] { return sup_is_drain_acknowledged (vms[vm].upstream); }));
+      arrivals = sup_request_count (vms[vm].upstream);
+      expect_no_requests ();
+      replace_with_next_upstream ();
+    }
+}
+
 /* Guards against a departure that binds the upstream which follows: it starts
    at the same VM while the node is stopped, and must get calls at once.  */
 TEST_F (Departures, DoNotBindTheNextUpstream)
--- a/tests/sdc_test.cc
+++ b/tests/sdc_test.cc
@@ -1105,13 +1105,17 @@
     "{",
     "[]",
     "{\"" PFM_ADDRESS "\":5}",
-    "{\"" PFM_ADDRESS "\":\"127.0.1.2:1\",\"" PFM_INFO "\":{\"" PFM_SERVICE
-    "\":\"unheard-of\",\"" PFM_ZONE "\":\"a\",\"" PFM_SLOTS
-    "\":4},\"" PFM_STATUS "\":{\"" PFM_STATE "\":\"ready\",\"" PFM_SEQ
+    "{\"" PFM_ADDRESS "\":\"127.0.1.2:1\",\"" PFM_BORN "\":5,\"" PFM_INFO
+    "\":{\"" PFM_SERVICE "\":\"unheard-of\",\"" PFM_ZONE
+    "\":\"a\",\"" PFM_SLOTS "\":4},\"" PFM_STATUS "\":{\"" PFM_STATE
+    "\":\"ready\",\"" PFM_SEQ "\":9000}}",
+    "{\"" PFM_ADDRESS "\":\"127.0.1.2:1\",\"" PFM_BORN "\":5,\"" PFM_INFO
+    "\":{\"" PFM_SERVICE "\":\"stock\",\"" PFM_ZONE "\":\"a\",\"" PFM_SLOTS
+    "\":4},\"" PFM_STATUS "\":{\"" PFM_STATE "\":\"odd\",\"" PFM_SEQ
     "\":9000}}",
     "{\"" PFM_ADDRESS "\":\"127.0.1.2:1\",\"" PFM_INFO "\":{\"" PFM_SERVICE
     "\":\"stock\",\"" PFM_ZONE "\":\"a\",\"" PFM_SLOTS "\":4},\"" PFM_STATUS
-    "\":{\"" PFM_STATE "\":\"odd\",\"" PFM_SEQ "\":9000}}",
+    "\":{\"" PFM_STATE "\":\"ready\",\"" PFM_SEQ "\":9000}}",
   };
 
   start_mesh ();
@@ -1142,8 +1146,9 @@
     {
       Peer peer = Peer::connect (address_of (vm, control_port));
       std::string body = "{\"" PFM_ADDRESS "\":\"" + std::string (address)
-                         + "\",\"" PFM_INFO "\":{\"" PFM_SERVICE
-                           "\":\"orders\",\"" PFM_ZONE "\":\"a\",\"" PFM_SLOTS
+                         + "\",\"" PFM_BORN "\":5,\"" PFM_INFO
+                           "\":{\"" PFM_SERVICE "\":\"orders\",\"" PFM_ZONE
+                           "\":\"a\",\"" PFM_SLOTS
                            "\":4,\"" PFM_SOFTWARE_VERSION "\":"
                          + version
                          + "},\"" PFM_STATUS "\":{\"" PFM_STATE
