--- a/standins/lib/sup.c
+++ b/standins/lib/sup.c
@@ -52,6 +52,7 @@
     sup_free_run (LST_ITEM (link, struct sup_run, list));
   evl_timer_stop (&upstream->timer);
   cnx_close (upstream->heartbeat);
+  cnx_close (upstream->late_heartbeat);
   srv_destroy (upstream->server);
   buf_close (&upstream->last_fields);
   free (upstream);
--- a/standins/lib/sup.h
+++ b/standins/lib/sup.h
@@ -122,6 +122,10 @@
      acknowledged.  The upstream goes on to serve.  */
   void sup_deregister (struct sup *upstream);
 
+  /* Delivers a heartbeat from before the departure, in which the upstream
+     takes calls, as the network may do seconds late.  */
+  void sup_send_late_heartbeat (struct sup *upstream);
+
   /* Returns whether the departure was acknowledged.  */
   bool sup_is_drain_acknowledged (const struct sup *upstream);
 
--- a/standins/lib/sup_heartbeat.c
+++ b/standins/lib/sup_heartbeat.c
@@ -52,7 +52,8 @@
 }
 
 static void
-put_heartbeat (const struct sup *upstream, struct buf *output)
+put_heartbeat (const struct sup *upstream, bool draining, uint64_t sequence,
+               struct buf *output)
 {
   char address[NET_TEXT_SIZE];
   struct buf body = { 0 };
@@ -67,8 +68,7 @@
               address, upstream->born, upstream->service,
               upstream->data_centre, upstream->version,
               upstream->settings.slots,
-              upstream->draining ? PFM_STATE_DRAINING : PFM_STATE_READY,
-              upstream->sequence);
+              draining ? PFM_STATE_DRAINING : PFM_STATE_READY, sequence);
   htp_put_header (output, "Content-Type", "application/json");
   htp_put_body (output, body.data, body.length);
   buf_close (&body);
@@ -106,10 +106,54 @@
   if (upstream->deregistering)
     put_deregistration (upstream, output);
   else
-    put_heartbeat (upstream, output);
+    put_heartbeat (upstream, upstream->draining, upstream->sequence, output);
   cnx_send (upstream->heartbeat, false);
 }
 
+static bool
+on_late_answered (void *context, struct cnx *connection,
+                  struct htp_message *message)
+{
+  struct sup *upstream = context;
+
+  (void)message;
+  cnx_close (connection);
+  upstream->late_heartbeat = NULL;
+  return true;
+}
+
+static void
+on_late_lost (void *context, struct cnx *connection, enum cnx_failure failure)
+{
+  struct sup *upstream = context;
+
+  (void)failure;
+  cnx_close (connection);
+  upstream->late_heartbeat = NULL;
+}
+
+static const struct cnx_handlers late_heartbeat_handlers
+    = { on_late_answered, on_late_lost };
+
+void
+sup_send_late_heartbeat (struct sup *upstream)
+{
+  static const struct htp_limits limits = { 4096, 4096 };
+  char target[2 * SUP_NAME_SIZE];
+  struct buf *output;
+
+  cnx_close (upstream->late_heartbeat);
+  upstream->late_heartbeat
+      = cnx_open (upstream->loop, upstream->settings.control,
+                  &late_heartbeat_handlers, upstream, &limits);
+  snprintf (target, sizeof target, "%s%s", PFM_HEARTBEAT_PATH, upstream->name);
+  output = cnx_request_buffer (upstream->late_heartbeat);
+  htp_put_request (output, "POST", target);
+  htp_put_header (output, "Host", "control");
+  put_heartbeat (upstream, false, 1, output);
+  cnx_send (upstream->late_heartbeat, false);
+}
+
 void
 sup_drain (struct sup *upstream)
 {
--- a/standins/lib/sup_internal.h
+++ b/standins/lib/sup_internal.h
@@ -67,7 +67,8 @@
   bool deregistering;
   bool acknowledged;
   struct cnx *heartbeat;
-  struct evl_timer timer; /* of the next heartbeat */
+  struct cnx *late_heartbeat; /* null: none is under way */
+  struct evl_timer timer;     /* of the next heartbeat */
 };
 
 /* Ends a request without an answer.  */
--- a/standins/mesh_upstream.c
+++ b/standins/mesh_upstream.c
@@ -8,7 +8,9 @@
    key.  Prints "cut ID" when the connection of a running request ends.  A
    request with the query "work_ms=N" runs N ms.  SIGTERM makes it say that it
    leaves; it prints "acknowledged" once that was acknowledged, serves for
-   three more seconds, and ends.  SIGUSR1 makes it lose answers for a while. */
+   three more seconds, and ends.  SIGUSR2 makes it deregister instead; it then
+   serves for 13 more seconds, while heartbeats from before arrive late.
+   SIGUSR1 makes it lose answers for a while.  */
 
 #include "base/err.h"
 #include "pfm_names.h"
@@ -24,16 +26,24 @@
 /* After a departure: how long it is served, and how long an acknowledgement
    may take.  */
 #define DEPARTURE_TIME (3 * CLK_SECOND)
+#define DEREGISTERED_TIME (13 * CLK_SECOND)
 #define ACKNOWLEDGEMENT_WAIT (6 * CLK_SECOND)
 #define POLL_INTERVAL (50 * CLK_MILLISECOND)
 #define LOSING (2 * CLK_SECOND)
 
+/* Heartbeats that arrive late after a deregistration.  */
+#define LATE_HEARTBEAT_INTERVAL (500 * CLK_MILLISECOND)
+#define LATE_HEARTBEAT_COUNT 24
+
 static struct evl *loop;
 static struct sup *upstream;
 static struct evl_timer look;
 static struct evl_timer recovery;
+static struct evl_timer late;
 static clk_time end;
+static clk_time departure_time = DEPARTURE_TIME;
 static bool acknowledged;
+static unsigned late_count;
 
 static void
 on_run (const struct htp_message *message)
@@ -54,6 +64,16 @@
   fflush (stdout);
 }
 
+static void
+on_late_heartbeat (void *context)
+{
+  (void)context;
+  if (late_count++ == LATE_HEARTBEAT_COUNT)
+    return;
+  sup_send_late_heartbeat (upstream);
+  evl_timer_set (&late, evl_now (loop) + LATE_HEARTBEAT_INTERVAL);
+}
+
 static void
 on_look (void *context)
 {
@@ -65,7 +85,9 @@
       acknowledged = true;
       printf ("acknowledged\n");
       fflush (stdout);
-      end = now + DEPARTURE_TIME;
+      end = now + departure_time;
+      if (departure_time == DEREGISTERED_TIME)
+        evl_timer_set (&late, now + LATE_HEARTBEAT_INTERVAL);
     }
   if (now >= end)
     evl_stop (loop);
@@ -82,6 +104,15 @@
   on_look (NULL);
 }
 
+static void
+on_deregister (void *context)
+{
+  end = evl_now (loop) + ACKNOWLEDGEMENT_WAIT;
+  departure_time = DEREGISTERED_TIME;
+  sup_deregister (upstream);
+  on_look (context);
+}
+
 static void
 on_recovery (void *context)
 {
@@ -121,6 +152,7 @@
   loop = evl_create ();
   evl_timer_init (&look, loop, on_look, NULL);
   evl_timer_init (&recovery, loop, on_recovery, NULL);
+  evl_timer_init (&late, loop, on_late_heartbeat, NULL);
   upstream = sup_create (loop, &settings);
   if (upstream == NULL)
     {
@@ -129,6 +161,7 @@
     }
   evl_on_signal (loop, SIGTERM, on_terminate, NULL);
   evl_on_signal (loop, SIGUSR1, on_lose, NULL);
+  evl_on_signal (loop, SIGUSR2, on_deregister, NULL);
   evl_run (loop);
   sup_destroy (upstream);
   return 0;
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,7 +1,7 @@
 """Fault soak: real processes, faults from outside, promises checked.
 
 Usage: run.py BUILD [--seed N] [--seeds N] [--seconds S] [--vms N]
-              [--long-callers N] [--network N]
+              [--long-callers N] [--departures N] [--network N]
 
 Without --seed, tests/soak/seeds.txt is played.  Each seed draws a series of
 faults that may overlap: sidecars killed, stopped (one or several in series),
@@ -26,6 +26,7 @@
 import time
 
 from callers import Callers
+from departures import Departures
 from mesh import GRACE_S, Mesh
 from promises import Promises
 
@@ -247,18 +248,20 @@
     mesh = Mesh(options.build, directory, options.vms, work_ms=20,
                 network=options.network)
     soak = Soak(mesh, seed)
+    departures = Departures(soak, seed, options.departures, options.seconds)
     callers = None
     try:
         await mesh.start()
         await asyncio.sleep(2.5)
         callers = Callers(mesh, soak.rnd, each=3, long=options.long_callers)
         await asyncio.sleep(1)
-        await soak.play(options.seconds)
+        await asyncio.gather(soak.play(options.seconds), departures.play())
         await soak.check_recovery(callers)
         await soak.check_change()
         await callers.stop()
         ended = [o for o in callers.outcomes if o.ended is not None]
         soak.check_runs(ended)
+        departures.check()
         soak.check_stops(ended)
         soak.check_cuts(ended)
         soak.check_keys(ended)
@@ -295,6 +298,9 @@
     parser.add_argument("--vms", type=int, default=6)
     parser.add_argument("--long-callers", type=int, default=1,
                         help="callers of long requests at each VM")
+    parser.add_argument("--departures", type=int, default=0,
+                        help="upstreams that deregister and serve on while "
+                             "their node is restarted")
     parser.add_argument("--network", type=int, default=77,
                         help="second number of all addresses, for soaks that "
                              "run side by side")
