Reject responses whose header holds a second status line

Cause: when an upstream sends the start of an earlier answer and then the answer to the request, the answer's status line ends up in the reason phrase or in a value of the first. http_parser takes any text there, and both were read as one response, with the status and the refusal of the first and the id, the signature and the body of the second.

Ruled out: the id (it is the right one); whole copies (dropped before).

Change: a response with a status line inside its reason phrase or a value is invalid, so the outcome is unknown: 502, and no second run. The parser of the product's own node had the same gap and uses the same search.

--- a/src/htp/htp.h
+++ b/src/htp/htp.h
@@ -111,13 +111,15 @@
     struct htp_message message;
     char status_line[HTP_STATUS_LINE_START]; /* of a response */
     size_t status_line_length;
-    size_t header_bytes;     /* read of the current message */
-    size_t idle_bytes;       /* read since the last byte of a body */
-    enum htp_status failure; /* HTP_INCOMPLETE: none */
-    bool in_value;           /* the last bytes of the header were of a value */
-    const char *unchecked;   /* bytes whose line ends were not checked yet */
-    bool after_return;       /* the last byte outside the body was a CR */
-    bool after_body;         /* the last byte was one of the body */
+    size_t inner_line_length; /* of a second status line in the reason phrase
+                                 or a value, see htp_search_status_line */
+    size_t header_bytes;      /* read of the current message */
+    size_t idle_bytes;        /* read since the last byte of a body */
+    enum htp_status failure;  /* HTP_INCOMPLETE: none */
+    bool in_value;         /* the last bytes of the header were of a value */
+    const char *unchecked; /* bytes whose line ends were not checked yet */
+    bool after_return;     /* the last byte outside the body was a CR */
+    bool after_body;       /* the last byte was one of the body */
     bool has_invalid_line_end; /* of the current message */
     bool started;              /* bytes of the current message were read */
     bool header_complete;      /* of the current message */
@@ -125,6 +127,13 @@
     bool without_body; /* a response to HEAD; to be set before reading */
   };
 
+  /* Looks for a status line in a text that comes in parts, of which DATA is
+     the next one.  *MATCHED is 0 before the first part.  Returns whether a
+     status line, up to its status, ends in DATA.  A header holds one inside
+     when its sender broke off a response and sent another one behind it.  */
+  bool htp_search_status_line (size_t *matched, const char *data,
+                               size_t length);
+
   /* Initializes a reader; LIMITS is copied.  */
   void htp_reader_init (struct htp_reader *reader, enum htp_kind kind,
                         const struct htp_limits *limits);
--- a/src/htp/htp_check.c
+++ b/src/htp/htp_check.c
@@ -39,18 +39,40 @@
       reader->status_line[reader->status_line_length++] = data[i];
 }
 
+/* Form of a status line up to its status; each 0 stands for a digit.  */
+static const char status_line_form[] = "HTTP/0.0 000";
+
+static bool
+fits_form (char byte, char form)
+{
+  return form == '0' ? isdigit ((unsigned char)byte) != 0 : byte == form;
+}
+
+bool
+htp_search_status_line (size_t *matched, const char *data, size_t length)
+{
+  for (size_t i = 0; i < length; i++)
+    {
+      if (fits_form (data[i], status_line_form[*matched]))
+        (*matched)++;
+      else
+        *matched = data[i] == status_line_form[0] ? 1 : 0;
+      if (*matched == sizeof status_line_form - 1)
+        return true;
+    }
+  return false;
+}
+
 bool
 htp_has_valid_status (const struct htp_reader *reader)
 {
-  static const char form[] = "HTTP/0.0 000 ";
   const char *line = reader->status_line;
   unsigned status = reader->parser.status_code;
 
   if (reader->status_line_length < HTP_STATUS_LINE_START)
     return false;
   for (size_t i = 0; i < HTP_STATUS_LINE_START - 1; i++)
-    if (form[i] == '0' ? !isdigit ((unsigned char)line[i])
-                       : line[i] != form[i])
+    if (!fits_form (line[i], status_line_form[i]))
       return false;
   if (strchr (" \r\n", line[HTP_STATUS_LINE_START - 1]) == NULL)
     return false;
--- a/src/htp/htp_reader.c
+++ b/src/htp/htp_reader.c
@@ -101,6 +101,23 @@
   return 0;
 }
 
+/* Checks a part of a reason phrase or of the value of a field.  Returns 0 when
+   it is valid, otherwise 1.  */
+static int
+check_text (struct htp_reader *reader, const char *data, size_t length)
+{
+  if (reader->kind == HTP_RESPONSE
+      && htp_search_status_line (&reader->inner_line_length, data, length))
+    return fail (reader, HTP_INVALID);
+  return 0;
+}
+
+static int
+on_status (http_parser *parser, const char *data, size_t length)
+{
+  return check_text (parser->data, data, length);
+}
+
 static int
 on_header_field (http_parser *parser, const char *data, size_t length)
 {
@@ -137,7 +154,10 @@
       message->headers[message->header_count - 1].value_offset
           = (uint32_t)message->text.length;
       reader->in_value = true;
+      reader->inner_line_length = 0;
     }
+  if (check_text (reader, data, length) != 0)
+    return 1;
   buf_append (&message->text, data, length);
   return 0;
 }
@@ -257,6 +277,7 @@
 static const http_parser_settings callbacks = {
   .on_message_begin = on_message_begin,
   .on_url = on_url,
+  .on_status = on_status,
   .on_header_field = on_header_field,
   .on_header_value = on_header_value,
   .on_headers_complete = on_headers_complete,
@@ -272,6 +293,7 @@
                                          : HTTP_RESPONSE);
   reader->parser.data = reader;
   reader->status_line_length = 0;
+  reader->inner_line_length = 0;
   reader->header_bytes = 0;
   reader->idle_bytes = 0;
   reader->failure = HTP_INCOMPLETE;
--- a/src/up/up_parse.c
+++ b/src/up/up_parse.c
@@ -3,6 +3,7 @@
 #include "up/up_parse.h"
 
 #include "base/err.h"
+#include "htp/htp.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -211,10 +212,13 @@
   char *text = (char *)parser->line.data;
   char *end = strstr (text, "\r\n");
   size_t status;
+  size_t matched = 0;
   const char *rest;
 
   if (strlen (text) != parser->line.length)
     return fail ("has a null byte in its head");
+  if (htp_search_status_line (&matched, text + 1, parser->line.length - 1))
+    return fail ("has a second status line in its head");
   *end = '\0';
   rest = strncmp (text, "HTTP/1.", 7) == 0
                  && (text[7] == '0' || text[7] == '1') && text[8] == ' '
--- a/tests/gate_test.cc
+++ b/tests/gate_test.cc
@@ -417,7 +417,10 @@
            "0 2\r\nok\r\n0\r\n\r\n"),
           ("HTTP/1.1 200 OK\nTransfer-Encoding: chunked\r\n"
            "Content-Length: 1\r\n\r\na"),
-          "HTTP/1.1 200 OK\rA: b\r\nContent-Length: 1\r\n\r\na" };
+          "HTTP/1.1 200 OK\rA: b\r\nContent-Length: 1\r\n\r\na",
+          "HTTP/1.1 200 OKHTTP/1.1 500 No\r\nContent-Length: 1\r\n\r\na",
+          ("HTTP/1.1 200 OK\r\nDate: MonHTTP/1.1 500 No\r\n"
+           "Content-Length: 1\r\n\r\na") };
 
   for (const char *text : bad)
     for (size_t step : { (size_t)1, strlen (text) })
--- a/tests/htp_test.cc
+++ b/tests/htp_test.cc
@@ -308,6 +308,29 @@
           }
 }
 
+/* Guards against a response that is read from the start of one and the rest of
+   another, with the status of the first and the body of the second.  */
+TEST_F (Messages, RejectsAStatusLineInsideAHeader)
+{
+  for (const char *inside : { "OK", "OKHTTP/1.1 500 Error", "HTTP/1.1 500 ",
+                              "HTTP/HTTP/1.0 204", "HTTP/1.1 5x" })
+    for (const char *field : { "", "A: ", "A: 1" })
+      for (size_t size : { 1, 3, 100000 })
+        {
+          bool sound = strstr (inside, "OK") == inside
+                           ? strlen (inside) == 2
+                           : strstr (inside, "5x") != nullptr;
+          std::string text = "HTTP/1.1 200 ";
+
+          if (field[0] != '\0')
+            text += std::string ("Fine\r\n") + field;
+          text += std::string (inside) + "\r\nContent-Length: 0\r\n\r\n";
+          start (HTP_RESPONSE);
+          EXPECT_EQ (read (text, size), sound ? HTP_COMPLETE : HTP_INVALID)
+              << text;
+        }
+}
+
 /* Guards against forwarding header fields that concern one connection.  */
 TEST_F (Messages, RecognizesHopByHopFields)
 {
--- a/tests/sdc_answer_test.cc
+++ b/tests/sdc_answer_test.cc
@@ -132,3 +132,34 @@
       EXPECT_EQ (status_of (0, "/stock/"), 502) << rest;
     }
 }
+
+/* Guards against an answer that is taken for another one because the start of
+   an earlier answer stands before it, wherever that breaks off: a refusal, so
+   that the request runs again, or a success, so that a failure looks like
+   one.  */
+TEST_F (Answers, BehindTheStartOfAnEarlierOneAreNotPassedOn)
+{
+  static const std::string date = "Date: Mon, 07 Dec 2026 03:00:00 GMT\r\n";
+  static const std::string end = PFM_REQUEST_ID
+      ": @\r\n" PFM_SIGNATURE ": standin\r\nContent-Length: 2\r\n\r\nok";
+  static const struct
+  {
+    std::string start;
+    std::string answer;
+  } cases[] = {
+    { "HTTP/1.1 503 Full\r\n" + date + PFM_NOT_EXECUTED ": 1\r\nX-A: b\r\n",
+      "HTTP/1.1 200 OK\r\n" + end },
+    { "HTTP/1.1 200 OK\r\n" + date,
+      "HTTP/1.1 500 Internal Server Error\r\n" + end },
+  };
+
+  start_mesh ();
+  for (const auto &each : cases)
+    for (size_t cut = 1; cut <= each.start.size (); cut++)
+      {
+        std::string start = each.start.substr (0, cut);
+
+        answer_with (start + each.answer, SIZE_MAX);
+        EXPECT_EQ (status_of (0, "/stock/"), 502) << start;
+      }
+}
