--- a/src/sdc/sdc_departure.c
+++ b/src/sdc/sdc_departure.c
@@ -21,7 +21,6 @@
   const struct mbr_member *departure
       = dir_departure (sidecar->directory, peer);
   const struct mbr_member *newest = dir_get (sidecar->directory, peer);
-
   struct mbr_member record;
 
   if (departure == NULL || peer == sidecar->self)
