review: end the processes of a case that is stopped from outside

Cause: a script that got SIGTERM left its processes behind. Done: the stand-ins keep a list of all processes, and SIGTERM ends the case.

--- a/review/kit-3/kit.py
+++ b/review/kit-3/kit.py
@@ -486,6 +486,7 @@
             stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
             cwd=self.mesh.folder)
         log.close()
+        self.mesh.children.append(self.child)
         self.mesh.record.line(f"start {self.name} pid {self.child.pid}")
         self.first = False
         asyncio.create_task(self._await_end(self.child))
@@ -556,6 +557,7 @@
         self.ids = itertools.count(1)
         self.version = 0
         self.extra_settings = ""
+        self.children = []
 
     def add(self, zone, region, service, **options):
         machine = Machine(self, len(self.machines), zone, region, service,
@@ -655,6 +657,10 @@
     async def stop(self):
         for machine in self.machines:
             await machine.kill()
+        for child in self.children:
+            if child.returncode is None:
+                child.kill()
+                await child.wait()
         for server in self.servers:
             if not server.ended:
                 server.crash()
@@ -666,6 +672,9 @@
 def main(play, record_path, network, **options):
     """Plays a case and ends all its processes.  Returns its exit code."""
     async def run():
+        # A case that is stopped from outside ends its processes, too.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         record = Record(record_path)
         mesh = Mesh(record, network, **options)
         try:
